--- /dev/null
+++ b/src/main/java/org/mustardlink/caller/CallerClient.java
@@ -0,0 +1,68 @@
+package org.mustardlink.caller;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.mustardlink.api.CallerApi.SessionDocument;
+import org.mustardlink.api.VerdictDocument;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.HttpCall;
+import org.mustardlink.http.HttpReply;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.http.Json;
+
+/** A caller: opens sessions and submits jobs over HTTP. */
+public final class CallerClient {
+    private static final Duration SESSION_TIMEOUT = Duration.ofSeconds(5);
+    private static final Duration ANSWER_MARGIN = Duration.ofSeconds(1);
+
+    private final HttpRequester requester;
+
+    /** Creates a caller that sends through the requester. */
+    public CallerClient(HttpRequester requester) {
+        this.requester = requester;
+    }
+
+    /** Opens a session and completes with its id. */
+    public CompletableFuture<String> openSession(InetSocketAddress entry) {
+        return requester
+                .send(entry, HttpCall.post("/v1/sessions", "", SESSION_TIMEOUT))
+                .thenApply(reply -> read(reply, SessionDocument.class).session());
+    }
+
+    /**
+     * Submits a job.
+     *
+     * @param entry caller address of any entry host
+     * @param session the session
+     * @param sequence number that the caller chose
+     * @param job every field of the job but the submission and the deadline
+     * @param deadline time until the answer must be given
+     */
+    public CompletableFuture<VerdictDocument> submit(
+            InetSocketAddress entry, String session, long sequence, Map<String, Object> job, Duration deadline) {
+        ImmutableMap<String, Object> body = ImmutableMap.<String, Object>builder()
+                .putAll(job)
+                .put("submission", ImmutableMap.of("session", session, "sequence", sequence))
+                .put("deadlineMs", deadline.toMillis())
+                .buildOrThrow();
+        return requester
+                .send(entry, HttpCall.post("/v1/jobs", Json.write(body), deadline.plus(ANSWER_MARGIN)))
+                .thenApply(reply -> read(reply, VerdictDocument.class));
+    }
+
+    private static <T> T read(HttpReply reply, Class<T> type) {
+        if (reply.status() != 200 && reply.status() != 502 && reply.status() != 503) {
+            throw new CodedException(ErrorCode.NO_ANSWER, "unexpected answer " + reply.status() + ": " + reply.body());
+        }
+        try {
+            return Json.read(reply.body(), type);
+        } catch (JsonProcessingException e) {
+            throw new CodedException(ErrorCode.NO_ANSWER, "unexpected answer: " + reply.body(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/EntryCommand.java
@@ -0,0 +1,41 @@
+package org.mustardlink.cli;
+
+import java.io.File;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.config.EntrySettings;
+import org.mustardlink.entry.EntryHost;
+
+/** {@code entry}: runs an entry host until the process is asked to stop. */
+final class EntryCommand implements Subcommand {
+    private static final Duration GRACE = Duration.ofSeconds(30);
+
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser = parsers.addParser("entry").help("run an entry host");
+        parser.addArgument("--settings").required(true).help("INI file with the settings");
+        parser.setDefault(Main.COMMAND, this);
+    }
+
+    // The runtime ends the process on SIGTERM through shutdown hooks only, so the graceful stop has to run in one.
+    @Override
+    @SuppressWarnings("ShutdownHook")
+    public int run(Namespace arguments) {
+        EntrySettings settings = EntrySettings.load(new File(arguments.getString("settings")));
+        EntryHost host = EntryHost.start(settings, System.currentTimeMillis());
+        CountDownLatch ended = new CountDownLatch(1);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            host.stop(GRACE);
+            ended.countDown();
+        }));
+        try {
+            ended.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        return ExitCode.OK;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/Subcommand.java
@@ -0,0 +1,17 @@
+package org.mustardlink.cli;
+
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparsers;
+
+/** One subcommand of the command line. */
+interface Subcommand {
+    /** Adds the subcommand and its arguments to the parser. */
+    void register(Subparsers parsers);
+
+    /**
+     * Runs the subcommand.
+     *
+     * @return the exit code
+     */
+    int run(Namespace arguments);
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/core/Command.java
@@ -0,0 +1,69 @@
+package org.mustardlink.core;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+
+/** Something that the core asks the I/O layer to do. */
+public sealed interface Command {
+    /**
+     * Sends a task to a target. Exactly one {@link Event.AttemptEnded} follows.
+     *
+     * @param task the task
+     * @param attempt number of the attempt, from 1
+     * @param target the target
+     * @param spec what to run
+     * @param idempotent whether the job was declared idempotent
+     * @param lease time after which the target stops the task and the attempt counts as lost
+     */
+    record StartTask(TaskId task, int attempt, TargetSpec target, TaskSpec spec, boolean idempotent, Duration lease)
+            implements Command {
+        public StartTask {
+            checkNotNull(task, "task");
+            checkNotNull(target, "target");
+            checkNotNull(spec, "spec");
+            checkNotNull(lease, "lease");
+        }
+    }
+
+    /**
+     * Stops a running task at its target. Nothing is awaited.
+     *
+     * @param task the task
+     * @param target the target that runs it
+     */
+    record StopTask(TaskId task, TargetSpec target) implements Command {}
+
+    /**
+     * Delivers a verdict to one requester.
+     *
+     * @param requester the handle of the request
+     * @param id the submission
+     * @param verdict the final answer
+     */
+    record DeliverVerdict(long requester, SubmissionId id, Verdict verdict) implements Command {}
+
+    /**
+     * Tells a requester that the number was never used; the caller may still submit under it.
+     *
+     * @param requester the handle of the request
+     * @param id the submission
+     */
+    record ReportUnused(long requester, SubmissionId id) implements Command {}
+
+    /**
+     * Tells a requester its new session.
+     *
+     * @param requester the handle of the request
+     * @param session the session
+     */
+    record SessionGranted(long requester, SessionId session) implements Command {}
+
+    /**
+     * Tells a requester that no session can be opened now.
+     *
+     * @param requester the handle of the request
+     * @param reason why
+     */
+    record SessionRefused(long requester, Reason reason) implements Command {}
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/core/Event.java
@@ -0,0 +1,86 @@
+package org.mustardlink.core;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+
+/** Something that happened outside the core. Events are handled one at a time, in the order given. */
+public sealed interface Event {
+    /**
+     * A caller asks for a new session. A {@link Command.SessionGranted} or {@link Command.SessionRefused} follows.
+     *
+     * @param requester handle that the answer is delivered to
+     */
+    record SessionRequested(long requester) implements Event {}
+
+    /**
+     * A job arrived for a session that this entry host owns. A {@link Command.DeliverVerdict} follows.
+     *
+     * @param requester handle that the verdict is delivered to
+     * @param id the submission
+     * @param request the job
+     */
+    record JobSubmitted(long requester, SubmissionId id, JobRequest request) implements Event {
+        public JobSubmitted {
+            checkNotNull(id, "id");
+            checkNotNull(request, "request");
+        }
+    }
+
+    /**
+     * A caller asks for the answer of an earlier submission without submitting it. A {@link Command.DeliverVerdict}
+     * or {@link Command.ReportUnused} follows.
+     *
+     * @param requester handle that the verdict is delivered to
+     * @param id the submission
+     */
+    record AnswerRequested(long requester, SubmissionId id) implements Event {}
+
+    /**
+     * A caller cancels a submission. A {@link Command.DeliverVerdict} follows.
+     *
+     * @param requester handle that the resulting verdict is delivered to
+     * @param id the submission
+     */
+    record JobCancelled(long requester, SubmissionId id) implements Event {}
+
+    /**
+     * A requester went away; no verdict is delivered to its handle from now on. The job itself goes on.
+     *
+     * @param requester the handle
+     * @param id the submission it waited for
+     */
+    record RequesterGone(long requester, SubmissionId id) implements Event {}
+
+    /**
+     * A start ended.
+     *
+     * @param task the task
+     * @param attempt number of the attempt, from 1
+     * @param result how it ended
+     */
+    record AttemptEnded(TaskId task, int attempt, AttemptResult result) implements Event {
+        public AttemptEnded {
+            checkNotNull(task, "task");
+            checkNotNull(result, "result");
+        }
+    }
+
+    /**
+     * Configuration now declares these targets, in place of any earlier set.
+     *
+     * @param targets every target that this entry host may use
+     */
+    record TargetsDeclared(ImmutableList<TargetSpec> targets) implements Event {}
+
+    /**
+     * These targets take no new work, in place of any earlier set.
+     *
+     * @param targets ids of the targets that are draining
+     */
+    record TargetsDraining(ImmutableSet<String> targets) implements Event {}
+
+    /** The entry host was asked to stop: no new session or submission is accepted from now on. */
+    record StopRequested() implements Event {}
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/core/JobRow.java
@@ -0,0 +1,97 @@
+package org.mustardlink.core;
+
+import com.google.common.collect.ImmutableList;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** One submission: open until its verdict is settled, then kept for resubmissions. */
+final class JobRow {
+    private final SubmissionId id;
+    private final long fingerprint;
+    private final long deadlineNanos;
+    private final Optional<JobRequest> request;
+    private final ImmutableList<TaskRow> tasks;
+    private final Set<Long> waiters = new LinkedHashSet<>();
+    private Optional<Verdict> verdict = Optional.empty();
+    private long settledNanos;
+    private int remaining;
+
+    JobRow(SubmissionId id, JobRequest request, long now) {
+        this.id = id;
+        this.request = Optional.of(request);
+        this.fingerprint = request.fingerprint();
+        this.deadlineNanos = now + request.deadline().toNanos();
+        ImmutableList.Builder<TaskRow> rows = ImmutableList.builder();
+        for (int i = 0; i < request.tasks().size(); i++) {
+            rows.add(new TaskRow(this, new TaskId(id, i), request.tasks().get(i)));
+        }
+        this.tasks = rows.build();
+        this.remaining = tasks.size();
+    }
+
+    /** Creates the row of a number that was sealed without a job. */
+    JobRow(SubmissionId id, long now) {
+        this.id = id;
+        this.request = Optional.empty();
+        this.fingerprint = 0;
+        this.deadlineNanos = now;
+        this.tasks = ImmutableList.of();
+    }
+
+    SubmissionId id() {
+        return id;
+    }
+
+    Optional<JobRequest> request() {
+        return request;
+    }
+
+    long deadlineNanos() {
+        return deadlineNanos;
+    }
+
+    ImmutableList<TaskRow> tasks() {
+        return tasks;
+    }
+
+    Set<Long> waiters() {
+        return waiters;
+    }
+
+    Optional<Verdict> verdict() {
+        return verdict;
+    }
+
+    long settledNanos() {
+        return settledNanos;
+    }
+
+    boolean matches(JobRequest other) {
+        return request.isEmpty() || fingerprint == other.fingerprint();
+    }
+
+    boolean isOpen() {
+        return verdict.isEmpty();
+    }
+
+    boolean mayHaveRun() {
+        return tasks.stream().anyMatch(task -> task.state().mayHaveRun());
+    }
+
+    /** Counts one finished task and returns whether it was the last. */
+    boolean taskDone() {
+        remaining--;
+        return remaining == 0;
+    }
+
+    void settle(Verdict settled, long now) {
+        verdict = Optional.of(settled);
+        settledNanos = now;
+    }
+
+    long keptBytes() {
+        return verdict.map(v -> v.results().stream().mapToLong(String::length).sum())
+                .orElse(0L);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/core/Settlement.java
@@ -0,0 +1,51 @@
+package org.mustardlink.core;
+
+import com.google.common.collect.ImmutableList;
+import java.util.function.Consumer;
+
+/** Settles jobs: fixes the verdict, answers everyone who waits and ends what is left of the job. */
+final class Settlement {
+    private Settlement() {}
+
+    /** Settles a job whose tasks are all done. */
+    static void complete(Tables tables, JobRow job, long now, Consumer<Command> out) {
+        ImmutableList<String> results =
+                job.tasks().stream().map(TaskRow::result).collect(ImmutableList.toImmutableList());
+        settle(tables, job, Verdict.complete(results), now, out);
+    }
+
+    /**
+     * Settles an open job as failed, under one of two reasons.
+     *
+     * @param notRun the reason when no task may have run
+     * @param mayHaveRun the reason otherwise
+     */
+    static void fail(Tables tables, JobRow job, Verdict notRun, Reason mayHaveRun, long now, Consumer<Command> out) {
+        settle(tables, job, job.mayHaveRun() ? Verdict.failed(mayHaveRun) : notRun, now, out);
+    }
+
+    private static void settle(Tables tables, JobRow job, Verdict verdict, long now, Consumer<Command> out) {
+        job.settle(verdict, now);
+        for (TaskRow task : job.tasks()) {
+            if (task.state() == TaskState.QUEUED) {
+                task.moveTo(TaskState.DROPPED);
+            } else if (task.state() == TaskState.RUNNING) {
+                tables.attempts()
+                        .find(task.id())
+                        .ifPresent(attempt -> out.accept(
+                                new Command.StopTask(task.id(), attempt.target().spec())));
+            }
+        }
+        tables.jobs().addSettled(job, true);
+        tables.sessions().find(job.id().session()).ifPresent(SessionRow::jobClosed);
+        job.waiters().forEach(waiter -> out.accept(new Command.DeliverVerdict(waiter, job.id(), verdict)));
+        job.waiters().clear();
+    }
+
+    /** Seals a number under a verdict without opening a job. The number is already marked as used. */
+    static void seal(Tables tables, SubmissionId id, Verdict verdict, long now) {
+        JobRow row = new JobRow(id, now);
+        row.settle(verdict, now);
+        tables.jobs().addSettled(row, false);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/core/TargetSpec.java
@@ -0,0 +1,28 @@
+package org.mustardlink.core;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * A target as configuration declares it.
+ *
+ * @param id unique id of the target
+ * @param service the service it serves
+ * @param domain its failure domain
+ * @param address {@code ip:port}
+ * @param slots tasks it runs at once, positive
+ * @param connections connections it accepts in total, positive
+ * @param declaredSpeed declared speed relative to 1, positive
+ */
+public record TargetSpec(
+        String id, String service, String domain, String address, int slots, int connections, double declaredSpeed) {
+    public TargetSpec {
+        checkArgument(!id.isEmpty(), "id must not be empty");
+        checkNotNull(service, "service");
+        checkNotNull(domain, "domain");
+        checkNotNull(address, "address");
+        checkArgument(slots > 0, "slots must be positive: %s", slots);
+        checkArgument(connections > 0, "connections must be positive: %s", connections);
+        checkArgument(declaredSpeed > 0, "declaredSpeed must be positive: %s", declaredSpeed);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -0,0 +1,264 @@
+package org.mustardlink.entry;
+
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import java.util.function.LongFunction;
+import org.mustardlink.api.CallerApi;
+import org.mustardlink.api.CallerBackend;
+import org.mustardlink.api.JobAnswer;
+import org.mustardlink.api.SessionAnswer;
+import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.EntrySettings;
+import org.mustardlink.core.Command;
+import org.mustardlink.core.CoreSettings;
+import org.mustardlink.core.DispatchCore;
+import org.mustardlink.core.Event;
+import org.mustardlink.core.JobRequest;
+import org.mustardlink.core.PlacementPolicy;
+import org.mustardlink.core.Reason;
+import org.mustardlink.core.SessionId;
+import org.mustardlink.core.SubmissionId;
+import org.mustardlink.core.Verdict;
+import org.mustardlink.http.Addresses;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.peer.PeerClient;
+import org.mustardlink.peer.PeerServer;
+import org.mustardlink.platform.HostListing;
+import org.mustardlink.platform.PlatformClient;
+import org.mustardlink.target.TargetClient;
+
+/** One entry host: everything that the daemon runs. Several can run in one process. */
+public final class EntryHost implements CallerBackend, AutoCloseable {
+    private static final Duration LOOKUP_TIMEOUT = Duration.ofSeconds(30);
+    private static final Duration FORWARD_MARGIN = Duration.ofMillis(500);
+    private static final Duration HOSTS_PERIOD = Duration.ofSeconds(1);
+
+    private final EntrySettings settings;
+    private final long incarnation;
+    private final HttpRequester targetRequester;
+    private final HttpRequester platformRequester;
+    private final TargetClient targets;
+    private final PlatformClient platform;
+    private final PeerClient peers;
+    private final EntryLoop loop;
+    private final CallerApi callerApi;
+    private final PeerServer peerServer;
+    private final ConfigFeed configFeed;
+    private final AtomicLong nextRequester = new AtomicLong();
+    private final Map<Long, Consumer<Command>> requesters = new ConcurrentHashMap<>();
+    private volatile ImmutableMap<String, InetSocketAddress> peerAddresses = ImmutableMap.of();
+    private volatile boolean leaving;
+
+    private EntryHost(EntrySettings settings, long incarnation) {
+        this.settings = settings;
+        this.incarnation = incarnation;
+        targetRequester = HttpRequester.start(
+                new HttpRequester.Limits(21, 4096, Duration.ofMillis(500), Duration.ofSeconds(30), 2));
+        platformRequester = HttpRequester.start(HttpRequester.Limits.small());
+        targets = TargetClient.create(targetRequester);
+        platform = PlatformClient.create(platformRequester, settings.platform());
+        peers = PeerClient.start();
+        DispatchCore core =
+                DispatchCore.create(CoreSettings.defaults(settings.id(), incarnation), PlacementPolicy.fastestFree());
+        loop = new EntryLoop(settings.id(), core, this::execute);
+        loop.start();
+        peerServer = PeerServer.start(settings.peer(), incarnation, this);
+        callerApi = CallerApi.start(settings.caller(), this);
+        configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(declared)));
+        refreshPeers();
+    }
+
+    /**
+     * Starts an entry host.
+     *
+     * @param settings its settings
+     * @param incarnation number that no earlier process with this host id has used; later ones are greater
+     */
+    public static EntryHost start(EntrySettings settings, long incarnation) {
+        return new EntryHost(settings, incarnation);
+    }
+
+    /** Returns the address for callers. */
+    public InetSocketAddress callerAddress() {
+        return callerApi.address();
+    }
+
+    /** Returns the address for other entry hosts. */
+    public InetSocketAddress peerAddress() {
+        return new InetSocketAddress(settings.peer().getAddress(), peerServer.port());
+    }
+
+    /** Returns the number of jobs without a verdict. */
+    public int openJobs() {
+        return loop.openJobs();
+    }
+
+    /** Returns the number of entry hosts that this one can forward to. */
+    public int knownPeers() {
+        return peerAddresses.size();
+    }
+
+    @Override
+    public CompletableFuture<SessionAnswer> openSession() {
+        CompletableFuture<SessionAnswer> answer = new CompletableFuture<>();
+        long requester = register(command -> {
+            if (command instanceof Command.SessionGranted granted) {
+                answer.complete(new SessionAnswer.Granted(granted.session()));
+            } else if (command instanceof Command.SessionRefused refused) {
+                answer.complete(new SessionAnswer.Refused(refused.reason()));
+            }
+        });
+        loop.post(new Event.SessionRequested(requester));
+        return answer;
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> submit(SubmissionId id, JobRequest request, String document) {
+        if (isOwn(id)) {
+            return local(requester -> new Event.JobSubmitted(requester, id, request));
+        }
+        Duration timeout = request.deadline().plus(FORWARD_MARGIN);
+        return forward(id, owner -> peers.submit(owner, id, document, timeout));
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> lookUp(SubmissionId id) {
+        if (isOwn(id)) {
+            return local(requester -> new Event.AnswerRequested(requester, id));
+        }
+        return forward(id, owner -> peers.lookUp(owner, id, LOOKUP_TIMEOUT));
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> cancel(SubmissionId id) {
+        if (isOwn(id)) {
+            return local(requester -> new Event.JobCancelled(requester, id));
+        }
+        return forward(id, owner -> peers.cancel(owner, id, LOOKUP_TIMEOUT));
+    }
+
+    @Override
+    public boolean healthy() {
+        return !leaving;
+    }
+
+    @Override
+    public String ownerAddress(SessionId session) {
+        return Addresses.format(callerApi.address());
+    }
+
+    /**
+     * Stops gracefully: fails the health check, takes nothing new and waits until every open job has its verdict.
+     *
+     * @param grace longest time to wait
+     */
+    public void stop(Duration grace) {
+        leaving = true;
+        loop.post(new Event.StopRequested());
+        long end = System.nanoTime() + grace.toNanos();
+        while (System.nanoTime() < end && loop.openJobs() > 0) {
+            sleep(Duration.ofMillis(20));
+        }
+        callerApi.shutdown(Duration.ofSeconds(1));
+        close();
+    }
+
+    /** Ends everything at once, as a crash would. */
+    @Override
+    public void close() {
+        configFeed.close();
+        callerApi.close();
+        peerServer.close();
+        loop.close();
+        peers.close();
+        targetRequester.close();
+        platformRequester.close();
+    }
+
+    private boolean isOwn(SubmissionId id) {
+        return id.session().host().equals(settings.id()) && id.session().incarnation() == incarnation;
+    }
+
+    private CompletableFuture<JobAnswer> local(LongFunction<Event> event) {
+        CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
+        long requester = register(command -> {
+            if (command instanceof Command.DeliverVerdict delivered) {
+                answer.complete(new JobAnswer.Final(delivered.verdict()));
+            } else if (command instanceof Command.ReportUnused) {
+                answer.complete(new JobAnswer.Unused());
+            }
+        });
+        loop.post(event.apply(requester));
+        return answer;
+    }
+
+    private CompletableFuture<JobAnswer> forward(
+            SubmissionId id, Function<InetSocketAddress, CompletableFuture<JobAnswer>> call) {
+        if (id.session().host().equals(settings.id())) {
+            return CompletableFuture.completedFuture(new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE)));
+        }
+        return Optional.ofNullable(peerAddresses.get(id.session().host()))
+                .map(call)
+                .orElseGet(() -> CompletableFuture.completedFuture(PeerClient.unreachable()));
+    }
+
+    private long register(Consumer<Command> consumer) {
+        long requester = nextRequester.incrementAndGet();
+        requesters.put(requester, consumer);
+        return requester;
+    }
+
+    private void execute(Command command) {
+        if (command instanceof Command.StartTask start) {
+            targets.start(start)
+                    .thenAccept(result -> loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result)));
+        } else if (command instanceof Command.StopTask stop) {
+            targets.stop(stop);
+        } else if (command instanceof Command.DeliverVerdict delivered) {
+            answer(delivered.requester(), command);
+        } else if (command instanceof Command.ReportUnused unused) {
+            answer(unused.requester(), command);
+        } else if (command instanceof Command.SessionGranted granted) {
+            answer(granted.requester(), command);
+        } else if (command instanceof Command.SessionRefused refused) {
+            answer(refused.requester(), command);
+        }
+    }
+
+    private void answer(long requester, Command command) {
+        Optional.ofNullable(requesters.remove(requester)).ifPresent(consumer -> consumer.accept(command));
+    }
+
+    private void refreshPeers() {
+        if (leaving) {
+            return;
+        }
+        platform.hosts().whenComplete((listing, failure) -> {
+            if (failure == null) {
+                peerAddresses = listing.hosts().stream()
+                        .filter(host -> host.kind() == HostListing.Kind.ENTRY)
+                        .collect(ImmutableMap.toImmutableMap(
+                                HostListing.Host::id, host -> Addresses.parse(host.address()), (a, b) -> b));
+            }
+            CompletableFuture.delayedExecutor(HOSTS_PERIOD.toMillis(), TimeUnit.MILLISECONDS)
+                    .execute(this::refreshPeers);
+        });
+    }
+
+    private static void sleep(Duration time) {
+        try {
+            Thread.sleep(time.toMillis());
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/errors/package-info.java
@@ -0,0 +1,2 @@
+/** Coded errors that callers and operators see. Start reading at {@link org.mustardlink.errors.ErrorCode}. */
+package org.mustardlink.errors;
--- /dev/null
+++ b/src/main/java/org/mustardlink/http/Addresses.java
@@ -0,0 +1,26 @@
+package org.mustardlink.http;
+
+import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
+import java.net.InetSocketAddress;
+
+/** Reads and writes addresses of the form {@code ip:port}; names are never resolved. */
+public final class Addresses {
+    private Addresses() {}
+
+    /**
+     * Reads an address.
+     *
+     * @throws IllegalArgumentException if the text is not {@code ip:port}
+     */
+    public static InetSocketAddress parse(String text) {
+        HostAndPort parsed = HostAndPort.fromString(text);
+        return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
+    }
+
+    /** Returns the text form. */
+    public static String format(InetSocketAddress address) {
+        return HostAndPort.fromParts(InetAddresses.toAddrString(address.getAddress()), address.getPort())
+                .toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/http/HttpCall.java
@@ -0,0 +1,42 @@
+package org.mustardlink.http;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+
+/**
+ * One HTTP request.
+ *
+ * @param method the method
+ * @param path path and query
+ * @param headers extra headers
+ * @param body the body, empty for none
+ * @param timeout time from sending until the whole answer must have arrived, positive
+ */
+public record HttpCall(
+        String method, String path, ImmutableMap<String, String> headers, String body, Duration timeout) {
+    public HttpCall {
+        checkNotNull(method, "method");
+        checkArgument(path.startsWith("/"), "path must start with a slash: %s", path);
+        checkNotNull(headers, "headers");
+        checkNotNull(body, "body");
+        checkArgument(timeout.toNanos() > 0, "timeout must be positive: %s", timeout);
+    }
+
+    /** Returns a GET request without extra headers. */
+    public static HttpCall get(String path, Duration timeout) {
+        return new HttpCall("GET", path, ImmutableMap.of(), "", timeout);
+    }
+
+    /** Returns a POST request with a JSON body. */
+    public static HttpCall post(String path, String json, Duration timeout) {
+        return new HttpCall("POST", path, ImmutableMap.of("Content-Type", "application/json"), json, timeout);
+    }
+
+    /** Returns a DELETE request without a body. */
+    public static HttpCall delete(String path, Duration timeout) {
+        return new HttpCall("DELETE", path, ImmutableMap.of(), "", timeout);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -0,0 +1,266 @@
+package org.mustardlink.http;
+
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.Connection;
+import org.glassfish.grizzly.EmptyCompletionHandler;
+import org.glassfish.grizzly.Grizzly;
+import org.glassfish.grizzly.WriteResult;
+import org.glassfish.grizzly.attributes.Attribute;
+import org.glassfish.grizzly.connectionpool.Endpoint;
+import org.glassfish.grizzly.connectionpool.MultiEndpointPool;
+import org.glassfish.grizzly.filterchain.BaseFilter;
+import org.glassfish.grizzly.filterchain.FilterChainBuilder;
+import org.glassfish.grizzly.filterchain.FilterChainContext;
+import org.glassfish.grizzly.filterchain.NextAction;
+import org.glassfish.grizzly.filterchain.TransportFilter;
+import org.glassfish.grizzly.http.HttpClientFilter;
+import org.glassfish.grizzly.http.HttpContent;
+import org.glassfish.grizzly.http.HttpRequestPacket;
+import org.glassfish.grizzly.http.HttpResponsePacket;
+import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.memory.Buffers;
+import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
+import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
+import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+
+/**
+ * An asynchronous HTTP/1.1 client with a bounded pool of connections for each address.
+ *
+ * <p>Thread-safe. A failed call completes with a {@link CodedException}: {@link ErrorCode#NOT_SENT} when certainly no
+ * byte was sent, {@link ErrorCode#NO_ANSWER} otherwise. An answer counts only when it is whole; one that ends early is
+ * {@code NO_ANSWER}. A connection whose call failed or timed out is closed, so that a late answer can never be taken for
+ * that of a later call.
+ */
+public final class HttpRequester implements AutoCloseable {
+    private static final Attribute<Exchange> EXCHANGE =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("mustardlink.exchange");
+    private static final int MAX_ANSWER_BYTES = 32 << 20;
+
+    private final TCPNIOTransport transport;
+    private final MultiEndpointPool<SocketAddress> pool;
+    private final TCPNIOConnectorHandler connector;
+    private final ScheduledThreadPoolExecutor timer;
+
+    // Cancelled timeouts must leave the queue at once; only the class itself offers that.
+    @SuppressWarnings("DangerousThreadPoolExecutorUsage")
+    private HttpRequester(Limits limits) {
+        transport = TCPNIOTransportBuilder.newInstance()
+                .setIOStrategy(SameThreadIOStrategy.getInstance())
+                .setSelectorRunnersCount(limits.selectors())
+                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                        .setPoolName("http-client")
+                        .setDaemon(true)
+                        .setCorePoolSize(limits.selectors())
+                        .setMaxPoolSize(limits.selectors()))
+                .setTcpNoDelay(true)
+                .build();
+        transport.setProcessor(FilterChainBuilder.stateless()
+                .add(new TransportFilter())
+                .add(new HttpClientFilter())
+                .add(new ExchangeFilter())
+                .build());
+        connector = TCPNIOConnectorHandler.builder(transport).build();
+        pool = MultiEndpointPool.builder(SocketAddress.class)
+                .maxConnectionsPerEndpoint(limits.connectionsPerAddress())
+                .maxConnectionsTotal(limits.connectionsTotal())
+                .connectTimeout(limits.connectTimeout().toMillis(), TimeUnit.MILLISECONDS)
+                .asyncPollTimeout(limits.connectTimeout().toMillis(), TimeUnit.MILLISECONDS)
+                .keepAliveTimeout(limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS)
+                .build();
+        timer = new ScheduledThreadPoolExecutor(1, task -> {
+            Thread thread = new Thread(task, "http-client-timer");
+            thread.setDaemon(true);
+            return thread;
+        });
+        timer.setRemoveOnCancelPolicy(true);
+    }
+
+    /**
+     * Bounds of a client.
+     *
+     * @param connectionsPerAddress connections to one address
+     * @param connectionsTotal connections in total
+     * @param connectTimeout time to open a connection or to wait for a free one
+     * @param idleTimeout time after which an unused connection is closed
+     * @param selectors I/O threads
+     */
+    public record Limits(
+            int connectionsPerAddress,
+            int connectionsTotal,
+            Duration connectTimeout,
+            Duration idleTimeout,
+            int selectors) {
+        /** Returns bounds for a client with few calls at once. */
+        public static Limits small() {
+            return new Limits(16, 256, Duration.ofSeconds(1), Duration.ofSeconds(10), 1);
+        }
+    }
+
+    /** Starts a client. */
+    public static HttpRequester start(Limits limits) {
+        HttpRequester requester = new HttpRequester(limits);
+        try {
+            requester.transport.start();
+        } catch (java.io.IOException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "cannot start the HTTP client", e);
+        }
+        return requester;
+    }
+
+    /**
+     * Sends a request and completes with its whole answer.
+     *
+     * @param address where to send it
+     * @param call the request
+     */
+    public CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call) {
+        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        pool.take(Endpoint.Factory.<SocketAddress>create(address, connector), new EmptyCompletionHandler<>() {
+            @Override
+            @SuppressWarnings("unchecked")
+            public void completed(Connection connection) {
+                write((Connection<SocketAddress>) connection, address, call, reply);
+            }
+
+            @Override
+            public void failed(Throwable cause) {
+                reply.completeExceptionally(
+                        new CodedException(ErrorCode.NOT_SENT, "cannot connect to " + address, cause));
+            }
+
+            @Override
+            public void cancelled() {
+                failed(new java.util.concurrent.CancellationException());
+            }
+        });
+        return reply;
+    }
+
+    private void write(
+            Connection<SocketAddress> connection,
+            InetSocketAddress address,
+            HttpCall call,
+            CompletableFuture<HttpReply> reply) {
+        Future<?> timeout = timer.schedule(
+                () -> fail(connection, "no answer within " + call.timeout()),
+                call.timeout().toNanos(),
+                TimeUnit.NANOSECONDS);
+        EXCHANGE.set(connection, new Exchange(reply, timeout));
+        if (!connection.isOpen()) {
+            fail(connection, "the connection was closed");
+            return;
+        }
+        connection.write(
+                toContent(address, call), new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
+                    @Override
+                    public void failed(Throwable cause) {
+                        fail(connection, "the request could not be written");
+                    }
+                });
+    }
+
+    private static HttpContent toContent(InetSocketAddress address, HttpCall call) {
+        byte[] body = call.body().getBytes(StandardCharsets.UTF_8);
+        HttpRequestPacket.Builder request = HttpRequestPacket.builder()
+                .method(call.method())
+                .uri(call.path())
+                .protocol(Protocol.HTTP_1_1)
+                .host(address.getAddress().getHostAddress() + ':' + address.getPort())
+                .contentLength(body.length);
+        call.headers().forEach(request::header);
+        return request.build()
+                .httpContentBuilder()
+                .content(Buffers.wrap(null, body))
+                .last(true)
+                .build();
+    }
+
+    private void fail(Connection<?> connection, String why) {
+        Exchange exchange = EXCHANGE.remove(connection);
+        if (exchange == null) {
+            return;
+        }
+        exchange.timeout().cancel(false);
+        connection.terminateSilently();
+        exchange.reply().completeExceptionally(new CodedException(ErrorCode.NO_ANSWER, why));
+    }
+
+    /** Closes every connection and stops the I/O threads. */
+    @Override
+    public void close() {
+        pool.close();
+        timer.shutdownNow();
+        try {
+            transport.shutdownNow();
+        } catch (java.io.IOException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "cannot stop the HTTP client", e);
+        }
+    }
+
+    private record Exchange(CompletableFuture<HttpReply> reply, Future<?> timeout) {}
+
+    /** Collects the answer of the one call in flight on a connection. */
+    private final class ExchangeFilter extends BaseFilter {
+        @Override
+        public NextAction handleRead(FilterChainContext context) {
+            HttpContent content = context.getMessage();
+            if (content.getContent().remaining() > MAX_ANSWER_BYTES) {
+                fail(context.getConnection(), "the answer is too large");
+                return context.getStopAction();
+            }
+            if (!content.isLast()) {
+                return context.getStopAction(content);
+            }
+            HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
+            HttpReply reply = toReply(response, content);
+            Connection<?> connection = context.getConnection();
+            Exchange exchange = EXCHANGE.remove(connection);
+            if (exchange == null) {
+                // An answer that nobody waits for means that the connection is out of step.
+                connection.terminateSilently();
+                return context.getStopAction();
+            }
+            exchange.timeout().cancel(false);
+            if ("close".equalsIgnoreCase(response.getHeader("Connection"))) {
+                connection.terminateSilently();
+            } else {
+                pool.release(connection);
+            }
+            exchange.reply().complete(reply);
+            return context.getStopAction();
+        }
+
+        @Override
+        public NextAction handleClose(FilterChainContext context) {
+            fail(context.getConnection(), "the connection was closed before the whole answer arrived");
+            return context.getInvokeAction();
+        }
+
+        @Override
+        public void exceptionOccurred(FilterChainContext context, Throwable error) {
+            fail(context.getConnection(), "the answer could not be read: " + error.getMessage());
+        }
+
+        private HttpReply toReply(HttpResponsePacket response, HttpContent content) {
+            ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
+            for (String name : response.getHeaders().names()) {
+                headers.put(name.toLowerCase(Locale.ROOT), response.getHeader(name));
+            }
+            String body = content.getContent().toStringContent(StandardCharsets.UTF_8);
+            return new HttpReply(response.getStatus(), headers.buildKeepingLast(), body);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/http/HttpServers.java
@@ -0,0 +1,93 @@
+package org.mustardlink.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.NetworkListener;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+
+/** Starts Grizzly HTTP servers with the project's bounds and reads and writes bodies. */
+public final class HttpServers {
+    private static final int MAX_HEADER_BYTES = 8 << 10;
+    private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
+
+    private HttpServers() {}
+
+    /**
+     * Starts a server.
+     *
+     * @param address where to listen; port 0 takes a free one
+     * @param threads worker threads
+     * @param handler handles every request
+     * @throws CodedException if the address cannot be bound
+     */
+    public static HttpServer start(InetSocketAddress address, int threads, HttpHandler handler) {
+        HttpServer server = new HttpServer();
+        NetworkListener listener =
+                new NetworkListener("http", address.getAddress().getHostAddress(), address.getPort());
+        listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
+        listener.getKeepAlive().setMaxRequestsCount(-1);
+        listener.getKeepAlive().setIdleTimeoutInSeconds(60);
+        listener.getTransport().setTcpNoDelay(true);
+        listener.getTransport().setReadTimeout(READ_TIMEOUT.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS);
+        listener.getTransport().setSelectorRunnersCount(1);
+        listener.getTransport()
+                .setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
+                        .setPoolName("http-server")
+                        .setDaemon(true)
+                        .setCorePoolSize(threads)
+                        .setMaxPoolSize(threads));
+        server.addListener(listener);
+        server.getServerConfiguration().addHttpHandler(handler, "/");
+        try {
+            server.start();
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.BAD_SETTINGS, "cannot listen on " + address, e);
+        }
+        return server;
+    }
+
+    /** Returns the port that a server listens on. */
+    public static int port(HttpServer server) {
+        return server.getListener("http").getPort();
+    }
+
+    /**
+     * Reads a whole body.
+     *
+     * @param maxBytes bound on its size
+     * @throws CodedException with {@link ErrorCode#BODY_TOO_LARGE} beyond the bound
+     */
+    public static String readBody(Request request, int maxBytes) {
+        try (InputStream in = request.getInputStream()) {
+            byte[] bytes = in.readNBytes(maxBytes + 1);
+            if (bytes.length > maxBytes) {
+                throw new CodedException(ErrorCode.BODY_TOO_LARGE, "a body may have " + maxBytes + " bytes at most");
+            }
+            return new String(bytes, StandardCharsets.UTF_8);
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.BAD_REQUEST, "the body could not be read", e);
+        }
+    }
+
+    /** Writes a whole answer. */
+    public static void write(Response response, int status, String contentType, String body) {
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        try {
+            response.setStatus(status);
+            response.setContentType(contentType);
+            response.setContentLength(bytes.length);
+            response.getOutputStream().write(bytes);
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.NO_ANSWER, "the caller is gone", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/peer/PeerAnswers.java
@@ -0,0 +1,44 @@
+package org.mustardlink.peer;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.mustardlink.api.JobAnswer;
+import org.mustardlink.core.Reason;
+import org.mustardlink.core.Verdict;
+import org.mustardlink.peer.thrift.AnswerKind;
+import org.mustardlink.peer.thrift.PeerAnswer;
+
+/** Converts answers to and from their Thrift form. */
+final class PeerAnswers {
+    private PeerAnswers() {}
+
+    static PeerAnswer toThrift(JobAnswer answer) {
+        if (answer instanceof JobAnswer.Final result) {
+            Verdict verdict = result.verdict();
+            PeerAnswer converted = new PeerAnswer(AnswerKind.VERDICT);
+            converted.setReason(verdict.reason().name());
+            verdict.retryAfter().ifPresent(after -> converted.setRetryAfterMs(after.toMillis()));
+            converted.setResults(verdict.results());
+            return converted;
+        }
+        return new PeerAnswer(AnswerKind.UNUSED);
+    }
+
+    static JobAnswer fromThrift(PeerAnswer answer) {
+        return switch (answer.getKind()) {
+            case VERDICT -> new JobAnswer.Final(toVerdict(answer));
+            case UNUSED -> new JobAnswer.Unused();
+            case OTHER_INCARNATION -> new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE));
+        };
+    }
+
+    private static Verdict toVerdict(PeerAnswer answer) {
+        Optional<Duration> retryAfter = answer.isSetRetryAfterMs()
+                ? Optional.of(Duration.ofMillis(answer.getRetryAfterMs()))
+                : Optional.empty();
+        List<String> results = answer.isSetResults() ? answer.getResults() : ImmutableList.of();
+        return new Verdict(Reason.valueOf(answer.getReason()), retryAfter, ImmutableList.copyOf(results));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/peer/package-info.java
@@ -0,0 +1,7 @@
+/**
+ * Thrift between entry hosts: submissions, lookups and cancellations for sessions that another entry host owns.
+ *
+ * <p>Start reading at {@link org.mustardlink.peer.PeerServer}; {@code peer.thrift} in {@code src/main/thrift} defines
+ * the messages, and the package {@code thrift} holds the code generated from it.
+ */
+package org.mustardlink.peer;
--- /dev/null
+++ b/src/main/java/org/mustardlink/platform/HostList.java
@@ -0,0 +1,10 @@
+package org.mustardlink.platform;
+
+import java.util.concurrent.CompletableFuture;
+
+/** The platform's lagging list of live and leaving hosts. */
+@FunctionalInterface
+public interface HostList {
+    /** Reads the list as the platform sees it now. */
+    CompletableFuture<HostListing> hosts();
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/platform/PlatformClient.java
@@ -0,0 +1,104 @@
+package org.mustardlink.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.collect.ImmutableList;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.HttpCall;
+import org.mustardlink.http.HttpReply;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.http.Json;
+
+/** The platform's services over HTTP. Thread-safe. */
+public final class PlatformClient implements LogService, HostList {
+    /** Longest time that an append or a list may take; appends are synced and usually take several milliseconds. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(3);
+
+    private final HttpRequester requester;
+    private final InetSocketAddress address;
+
+    private PlatformClient(HttpRequester requester, InetSocketAddress address) {
+        this.requester = requester;
+        this.address = address;
+    }
+
+    /** Returns a client of the platform at an address. */
+    public static PlatformClient create(HttpRequester requester, InetSocketAddress address) {
+        return new PlatformClient(requester, address);
+    }
+
+    @Override
+    public CompletableFuture<Long> append(String stream, ImmutableList<String> records) {
+        HttpCall call =
+                HttpCall.post("/v1/streams/" + stream + "/records", Json.write(new AppendBody(records)), TIMEOUT);
+        return send(call, AppendReply.class).thenApply(AppendReply::first);
+    }
+
+    @Override
+    public CompletableFuture<LogPage> read(String stream, long from, int max, Duration wait) {
+        String path = "/v1/streams/%s/records?from=%d&max=%d&waitMs=%d".formatted(stream, from, max, wait.toMillis());
+        return send(HttpCall.get(path, TIMEOUT.plus(wait)), PageReply.class).thenApply(PageReply::toPage);
+    }
+
+    @Override
+    public CompletableFuture<HostListing> hosts() {
+        return send(HttpCall.get("/v1/hosts", TIMEOUT), ListingReply.class)
+                .thenApply(reply -> new HostListing(reply.ageMs(), ImmutableList.copyOf(reply.hosts())));
+    }
+
+    private <T> CompletableFuture<T> send(HttpCall call, Class<T> type) {
+        return requester.send(address, call).thenApply(reply -> read(reply, type));
+    }
+
+    private static <T> T read(HttpReply reply, Class<T> type) {
+        if (reply.status() != 200) {
+            throw new CodedException(ErrorCode.PLATFORM_ERROR, "the platform answered with status " + reply.status());
+        }
+        try {
+            return Json.read(reply.body(), type);
+        } catch (JsonProcessingException e) {
+            throw new CodedException(ErrorCode.PLATFORM_ERROR, "the platform's answer is malformed", e);
+        }
+    }
+
+    /**
+     * Body of an append.
+     *
+     * @param records the records
+     */
+    public record AppendBody(List<String> records) {}
+
+    /**
+     * Answer to an append.
+     *
+     * @param first offset of the first record
+     */
+    public record AppendReply(long first) {}
+
+    /**
+     * Answer to a read.
+     *
+     * @param first offset of the first record
+     * @param records the records
+     * @param next offset to read from next
+     * @param earliest earliest offset kept
+     * @param end offset of the next append
+     */
+    public record PageReply(long first, List<String> records, long next, long earliest, long end) {
+        LogPage toPage() {
+            return new LogPage(first, ImmutableList.copyOf(records), next, earliest, end);
+        }
+    }
+
+    /**
+     * Answer with the list of hosts.
+     *
+     * @param ageMs age of the list in milliseconds
+     * @param hosts the hosts
+     */
+    public record ListingReply(long ageMs, List<HostListing.Host> hosts) {}
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/standin/StandInTarget.java
@@ -0,0 +1,219 @@
+package org.mustardlink.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.primitives.Longs;
+import java.net.InetSocketAddress;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.http.HttpServers;
+import org.mustardlink.http.Json;
+import org.mustardlink.target.TargetProtocol;
+
+/**
+ * A stand-in for a target: slots, a speed, and failure modes, over HTTP.
+ *
+ * <p>A task's payload is {@code {"runMs": n, "answer": "text"}}; it runs for {@code runMs / speed} milliseconds.
+ * {@code PUT /mode} takes the name of a {@link Mode}; {@code GET /starts} returns the number of starts by task id.
+ */
+public final class StandInTarget implements AutoCloseable {
+    private static final int MAX_BODY_BYTES = 4 << 20;
+    private static final int THREADS = 4;
+
+    private final Settings settings;
+    private final ScheduledExecutorService timer;
+    private final HttpServer server;
+    private final Map<String, Running> running = new HashMap<>();
+    private final Map<String, Integer> starts = new HashMap<>();
+    private Mode mode = Mode.NORMAL;
+    private int busy;
+
+    /**
+     * Settings of a stand-in target.
+     *
+     * @param slots tasks run at once
+     * @param speed speed relative to 1
+     */
+    public record Settings(int slots, double speed) {}
+
+    /** Failure modes. */
+    public enum Mode {
+        /** Runs what it is given. */
+        NORMAL,
+        /** Fails every task at once. */
+        FAIL_FAST,
+        /** Takes every task and never answers. */
+        STALL,
+        /** Runs every task and answers with a body that does not match its digest. */
+        DAMAGE,
+        /** Says that every slot is free. */
+        MISREPORT,
+        /** Refuses new tasks as draining. */
+        DRAINING
+    }
+
+    /**
+     * Payload of a task.
+     *
+     * @param runMs run time at speed 1, in milliseconds
+     * @param answer the answer
+     */
+    public record Payload(long runMs, String answer) {}
+
+    private record Running(Response response, ScheduledFuture<?> end) {}
+
+    private StandInTarget(InetSocketAddress address, Settings settings) {
+        this.settings = settings;
+        timer = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "standin-target");
+            thread.setDaemon(true);
+            return thread;
+        });
+        server = HttpServers.start(address, THREADS, new HttpHandler() {
+            @Override
+            public void service(Request request, Response response) {
+                handle(request, response);
+            }
+        });
+    }
+
+    /** Starts a stand-in. */
+    public static StandInTarget start(InetSocketAddress address, Settings settings) {
+        return new StandInTarget(address, settings);
+    }
+
+    /** Returns the address that it listens on. */
+    public InetSocketAddress address() {
+        return new InetSocketAddress(server.getListener("http").getHost(), HttpServers.port(server));
+    }
+
+    /** Switches the failure mode. */
+    public synchronized void switchTo(Mode next) {
+        mode = next;
+    }
+
+    /** Returns how often each task was started. */
+    public synchronized ImmutableMap<String, Integer> starts() {
+        return ImmutableMap.copyOf(starts);
+    }
+
+    /** Returns the slots in use. */
+    public synchronized int busy() {
+        return busy;
+    }
+
+    @Override
+    public void close() {
+        server.shutdownNow();
+        timer.shutdownNow();
+    }
+
+    private void handle(Request request, Response response) {
+        String path = request.getRequestURI();
+        String method = request.getMethod().getMethodString();
+        try {
+            if (path.equals(TargetProtocol.TASKS_PATH) && method.equals("POST")) {
+                start(request, response, HttpServers.readBody(request, MAX_BODY_BYTES));
+            } else if (path.startsWith(TargetProtocol.TASKS_PATH + '/') && method.equals("DELETE")) {
+                stop(path.substring(TargetProtocol.TASKS_PATH.length() + 1));
+                HttpServers.write(response, 200, "text/plain", "");
+            } else if (path.equals("/mode")) {
+                switchTo(Mode.valueOf(HttpServers.readBody(request, MAX_BODY_BYTES)));
+                HttpServers.write(response, 200, "text/plain", "");
+            } else if (path.equals("/starts")) {
+                HttpServers.write(response, 200, "application/json", Json.write(starts()));
+            } else {
+                HttpServers.write(response, 200, "text/plain", "ok");
+            }
+        } catch (CodedException | IllegalArgumentException e) {
+            HttpServers.write(response, 400, "text/plain", e.getMessage());
+        }
+    }
+
+    private synchronized void start(Request request, Response response, String body) {
+        String task = request.getHeader(TargetProtocol.TASK_HEADER);
+        if (mode == Mode.DRAINING) {
+            refuse(response, task, TargetProtocol.NOT_RUN_DRAINING);
+            return;
+        }
+        if (busy >= settings.slots()) {
+            refuse(response, task, TargetProtocol.NOT_RUN_BUSY);
+            return;
+        }
+        starts.merge(task, 1, Integer::sum);
+        if (mode == Mode.FAIL_FAST) {
+            answer(response, task, 500, "failed", "failed");
+            return;
+        }
+        busy++;
+        response.suspend();
+        Payload payload = parse(body);
+        Long leaseMs = Optional.ofNullable(request.getHeader(TargetProtocol.LEASE_HEADER))
+                .map(Longs::tryParse)
+                .orElse(Long.MAX_VALUE);
+        long runMicros = Math.round(payload.runMs() * 1000 / settings.speed());
+        boolean late = mode == Mode.STALL || runMicros > leaseMs * 1000;
+        long endMicros = late ? Math.min(leaseMs, 3_600_000) * 1000 : runMicros;
+        running.put(
+                task,
+                new Running(
+                        response,
+                        timer.schedule(() -> end(task, payload.answer(), !late), endMicros, TimeUnit.MICROSECONDS)));
+    }
+
+    private static Payload parse(String body) {
+        try {
+            return Json.read(body, Payload.class);
+        } catch (JsonProcessingException e) {
+            return new Payload(1, body);
+        }
+    }
+
+    private synchronized void end(String task, String answer, boolean finished) {
+        Running row = running.remove(task);
+        if (row == null) {
+            return;
+        }
+        busy--;
+        if (mode == Mode.STALL) {
+            return;
+        }
+        if (finished) {
+            answer(row.response(), task, 200, answer, mode == Mode.DAMAGE ? answer + "?" : answer);
+        } else {
+            answer(row.response(), task, 504, "lease expired", "lease expired");
+        }
+        row.response().resume();
+    }
+
+    private synchronized void stop(String task) {
+        Running row = running.get(task);
+        if (row != null) {
+            row.end().cancel(false);
+            end(task, "stopped", false);
+        }
+    }
+
+    private void refuse(Response response, String task, String why) {
+        response.setHeader(TargetProtocol.NOT_RUN_HEADER, why);
+        answer(response, task, 503, why, why);
+    }
+
+    private void answer(Response response, String task, int status, String body, String digested) {
+        response.setHeader(TargetProtocol.TASK_HEADER, task);
+        response.setHeader(TargetProtocol.DIGEST_HEADER, TargetProtocol.digest(digested));
+        response.setHeader(TargetProtocol.BUSY_HEADER, Integer.toString(mode == Mode.MISREPORT ? 0 : busy));
+        response.setHeader(TargetProtocol.SLOTS_HEADER, Integer.toString(settings.slots()));
+        HttpServers.write(response, status, "text/plain", body);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -0,0 +1,156 @@
+package org.mustardlink.standin;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.EntrySettings;
+import org.mustardlink.core.TargetSpec;
+import org.mustardlink.entry.EntryHost;
+import org.mustardlink.http.Addresses;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.http.Json;
+import org.mustardlink.platform.HostListing;
+import org.mustardlink.platform.PlatformClient;
+
+/** A whole deployment inside one process: a stand-in platform, stand-in targets and entry hosts in failure domains. */
+public final class TestBed implements AutoCloseable {
+    /** The service that every target serves. */
+    public static final String SERVICE = "yard";
+
+    private static final Duration READY_TIMEOUT = Duration.ofSeconds(10);
+
+    private final StandInPlatform platform;
+    private final ImmutableList<StandInTarget> targets;
+    private final ImmutableList<EntryHost> entries;
+
+    private TestBed(StandInPlatform platform, ImmutableList<StandInTarget> targets, ImmutableList<EntryHost> entries) {
+        this.platform = platform;
+        this.targets = targets;
+        this.entries = entries;
+    }
+
+    /**
+     * Size of a deployment.
+     *
+     * @param domains names of the failure domains
+     * @param entriesPerDomain entry hosts in each
+     * @param targetsPerDomain targets in each
+     * @param slots slots of each target
+     * @param speeds speeds of the targets of a domain, repeated as needed
+     */
+    public record Shape(
+            ImmutableList<String> domains,
+            int entriesPerDomain,
+            int targetsPerDomain,
+            int slots,
+            ImmutableList<Double> speeds) {
+        /** Returns a small deployment with three failure domains. */
+        public static Shape demo() {
+            return new Shape(
+                    ImmutableList.of("balanza", "galpon", "oficina"), 2, 3, 8, ImmutableList.of(1.0, 2.0, 4.0));
+        }
+    }
+
+    /** Starts a deployment and waits until the platform knows all of it. */
+    public static TestBed start(Shape shape) {
+        StandInPlatform platform = StandInPlatform.start(loopback());
+        List<StandInTarget> targets = new ArrayList<>();
+        List<EntryHost> entries = new ArrayList<>();
+        List<String> records = new ArrayList<>();
+        List<HostListing.Host> hosts = new ArrayList<>();
+        for (String domain : shape.domains()) {
+            for (int i = 0; i < shape.targetsPerDomain(); i++) {
+                double speed = shape.speeds().get(i % shape.speeds().size());
+                StandInTarget target =
+                        StandInTarget.start(loopback(), new StandInTarget.Settings(shape.slots(), speed));
+                targets.add(target);
+                String id = domain + "-target-" + i;
+                TargetSpec spec = new TargetSpec(
+                        id, SERVICE, domain, Addresses.format(target.address()), shape.slots(), 64, speed);
+                records.add(Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec)));
+            }
+        }
+        publish(platform, ImmutableList.copyOf(records));
+        for (String domain : shape.domains()) {
+            for (int i = 0; i < shape.entriesPerDomain(); i++) {
+                String id = domain + "-entry-" + i;
+                EntryHost entry = EntryHost.start(
+                        new EntrySettings(id, domain, loopback(), loopback(), platform.address()),
+                        System.currentTimeMillis());
+                entries.add(entry);
+                hosts.add(new HostListing.Host(
+                        id,
+                        HostListing.Kind.ENTRY,
+                        domain,
+                        Addresses.format(entry.peerAddress()),
+                        HostListing.State.LIVE));
+            }
+        }
+        platform.publishHosts(ImmutableList.copyOf(hosts));
+        awaitPeers(entries);
+        return new TestBed(platform, ImmutableList.copyOf(targets), ImmutableList.copyOf(entries));
+    }
+
+    /** Returns the stand-in platform. */
+    public StandInPlatform platform() {
+        return platform;
+    }
+
+    /** Returns the stand-in targets, domain by domain. */
+    public ImmutableList<StandInTarget> targets() {
+        return targets;
+    }
+
+    /** Returns the entry hosts, domain by domain. */
+    public ImmutableList<EntryHost> entries() {
+        return entries;
+    }
+
+    /** Returns the caller addresses of the entry hosts, domain by domain. */
+    public ImmutableList<InetSocketAddress> callerAddresses() {
+        return entries.stream().map(EntryHost::callerAddress).collect(ImmutableList.toImmutableList());
+    }
+
+    /** Returns how many tasks were started more than once, counted over all targets. */
+    public long repeatedStarts() {
+        Map<String, Integer> total = new HashMap<>();
+        targets.forEach(target -> target.starts().forEach((task, count) -> total.merge(task, count, Integer::sum)));
+        return total.values().stream().filter(count -> count > 1).count();
+    }
+
+    @Override
+    public void close() {
+        entries.forEach(EntryHost::close);
+        targets.forEach(StandInTarget::close);
+        platform.close();
+    }
+
+    private static void awaitPeers(List<EntryHost> entries) {
+        long end = System.nanoTime() + READY_TIMEOUT.toNanos();
+        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size())) {
+            checkState(System.nanoTime() < end, "the entry hosts do not know each other after %s", READY_TIMEOUT);
+            Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
+        }
+    }
+
+    private static void publish(StandInPlatform platform, ImmutableList<String> records) {
+        try (HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small())) {
+            PlatformClient.create(requester, platform.address())
+                    .append(ConfigFeed.STREAM, records)
+                    .join();
+        }
+    }
+
+    private static InetSocketAddress loopback() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+}
