--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
@@ -44,12 +45,12 @@
 
     /** Returns the address that it listens on. */
     public InetSocketAddress address() {
-        return new InetSocketAddress(server.getListener("http").getHost(), HttpServers.port(server));
+        return HttpServers.address(server);
     }
 
     /** Stops accepting requests and ends the server after the grace. */
     public void shutdown(Duration grace) {
-        server.shutdown(grace.toMillis(), TimeUnit.MILLISECONDS);
+        Future<?> _stopping = server.shutdown(grace.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -127,7 +128,7 @@
 
     private static <T> void answerLater(Response response, CompletableFuture<T> answer, Writer<T> writer) {
         response.suspend();
-        answer.whenComplete((value, failure) -> {
+        CompletableFuture<T> _answered = answer.whenComplete((value, failure) -> {
             try {
                 if (failure == null) {
                     writer.write(value);
--- a/src/main/java/org/mustardlink/cli/DemoCommand.java
+++ b/src/main/java/org/mustardlink/cli/DemoCommand.java
@@ -38,7 +38,7 @@
     }
 
     @Override
-    public int run(Namespace arguments) {
+    public int run(Namespace _arguments) {
         try (TestBed bed = TestBed.start(TestBed.Shape.demo());
                 HttpRequester requester = HttpRequester.start(
                         new HttpRequester.Limits(256, 1024, Duration.ofSeconds(2), Duration.ofSeconds(30), 1))) {
--- a/src/main/java/org/mustardlink/config/ConfigFeed.java
+++ b/src/main/java/org/mustardlink/config/ConfigFeed.java
@@ -25,6 +25,7 @@
     private final LogService log;
     private final Consumer<ImmutableList<TargetSpec>> listener;
     private final Map<String, TargetSpec> targets = new LinkedHashMap<>();
+    private long rejected;
     private volatile boolean closed;
 
     private ConfigFeed(LogService log, Consumer<ImmutableList<TargetSpec>> listener) {
@@ -50,6 +51,11 @@
      */
     public record TargetRecord(int schema, String change, String kind, String name, TargetSpec body) {}
 
+    /** Returns the number of records that could not be read. */
+    public long rejected() {
+        return rejected;
+    }
+
     @Override
     public void close() {
         closed = true;
@@ -59,7 +65,7 @@
         if (closed) {
             return;
         }
-        log.read(STREAM, offset, BATCH, WAIT).whenComplete((page, failure) -> {
+        CompletableFuture<LogPage> _read = log.read(STREAM, offset, BATCH, WAIT).whenComplete((page, failure) -> {
             if (failure != null) {
                 CompletableFuture.delayedExecutor(RETRY_PAUSE.toMillis(), TimeUnit.MILLISECONDS)
                         .execute(() -> readFrom(offset));
@@ -82,7 +88,7 @@
                 }
             } catch (JsonProcessingException e) {
                 // A record that cannot be read must not stop the ones after it.
-                continue;
+                rejected++;
             }
         }
         listener.accept(ImmutableList.copyOf(targets.values()));
--- a/src/main/java/org/mustardlink/core/PlacementPolicy.java
+++ b/src/main/java/org/mustardlink/core/PlacementPolicy.java
@@ -18,7 +18,7 @@
 
     /** Returns a policy that takes the free target with the highest declared speed. */
     static PlacementPolicy fastestFree() {
-        return (task, candidates, now) -> candidates.stream()
+        return (_task, candidates, _now) -> candidates.stream()
                 .max(java.util.Comparator.comparingDouble(view -> view.spec().declaredSpeed()));
     }
 }
--- a/src/main/java/org/mustardlink/core/QueueTable.java
+++ b/src/main/java/org/mustardlink/core/QueueTable.java
@@ -16,13 +16,13 @@
         List<TaskRow> longestFirst = new ArrayList<>(tasks);
         longestFirst.sort(Comparator.comparingLong((TaskRow task) -> task.spec().declaredMs())
                 .reversed());
-        byService.computeIfAbsent(service, unused -> new ArrayList<>()).addAll(longestFirst);
+        byService.computeIfAbsent(service, _unused -> new ArrayList<>()).addAll(longestFirst);
         size += tasks.size();
     }
 
     /** Puts a task that certainly did not start back in front. */
     void addFirst(String service, TaskRow task) {
-        byService.computeIfAbsent(service, unused -> new ArrayList<>()).add(0, task);
+        byService.computeIfAbsent(service, _unused -> new ArrayList<>()).add(0, task);
         size++;
     }
 
--- a/src/main/java/org/mustardlink/core/TargetTable.java
+++ b/src/main/java/org/mustardlink/core/TargetTable.java
@@ -17,7 +17,7 @@
         ImmutableSet<String> ids = declared.stream().map(TargetSpec::id).collect(ImmutableSet.toImmutableSet());
         rows.keySet().retainAll(ids);
         for (TargetSpec spec : declared) {
-            TargetRow row = rows.computeIfAbsent(spec.id(), unused -> new TargetRow(spec));
+            TargetRow row = rows.computeIfAbsent(spec.id(), _unused -> new TargetRow(spec));
             row.declare(spec);
             row.drain(draining.contains(spec.id()));
         }
--- a/src/main/java/org/mustardlink/core/UsedNumbers.java
+++ b/src/main/java/org/mustardlink/core/UsedNumbers.java
@@ -25,7 +25,7 @@
      */
     boolean add(long number) {
         checkArgument(number >= 0 && number <= SubmissionId.MAX_SEQUENCE, "number out of range: %s", number);
-        long[] words = chunks.computeIfAbsent((int) (number >> CHUNK_BITS), unused -> new long[WORDS]);
+        long[] words = chunks.computeIfAbsent((int) (number >> CHUNK_BITS), _unused -> new long[WORDS]);
         int word = wordOf(number);
         long bit = 1L << (number & 63);
         boolean added = (words[word] & bit) == 0;
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -152,7 +152,7 @@
     }
 
     @Override
-    public String ownerAddress(SessionId session) {
+    public String ownerAddress(SessionId _session) {
         return Addresses.format(callerApi.address());
     }
 
@@ -219,7 +219,7 @@
 
     private void execute(Command command) {
         if (command instanceof Command.StartTask start) {
-            targets.start(start)
+            CompletableFuture<Void> _posted = targets.start(start)
                     .thenAccept(result -> loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result)));
         } else if (command instanceof Command.StopTask stop) {
             targets.stop(stop);
@@ -242,12 +242,14 @@
         if (leaving) {
             return;
         }
-        platform.hosts().whenComplete((listing, failure) -> {
+        CompletableFuture<HostListing> _refreshed = platform.hosts().whenComplete((listing, failure) -> {
             if (failure == null) {
                 peerAddresses = listing.hosts().stream()
                         .filter(host -> host.kind() == HostListing.Kind.ENTRY)
                         .collect(ImmutableMap.toImmutableMap(
-                                HostListing.Host::id, host -> Addresses.parse(host.address()), (a, b) -> b));
+                                HostListing.Host::id,
+                                host -> Addresses.parse(host.address()),
+                                (_older, newer) -> newer));
             }
             CompletableFuture.delayedExecutor(HOSTS_PERIOD.toMillis(), TimeUnit.MILLISECONDS)
                     .execute(this::refreshPeers);
--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -130,7 +130,7 @@
         CompletableFuture<HttpReply> reply = new CompletableFuture<>();
         pool.take(Endpoint.Factory.<SocketAddress>create(address, connector), new EmptyCompletionHandler<>() {
             @Override
-            @SuppressWarnings("unchecked")
+            @SuppressWarnings({"unchecked", "RawTypes"})
             public void completed(Connection connection) {
                 write((Connection<SocketAddress>) connection, address, call, reply);
             }
@@ -166,7 +166,7 @@
         connection.write(
                 toContent(address, call), new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
                     @Override
-                    public void failed(Throwable cause) {
+                    public void failed(Throwable _cause) {
                         fail(connection, "the request could not be written");
                     }
                 });
--- a/src/main/java/org/mustardlink/http/HttpServers.java
+++ b/src/main/java/org/mustardlink/http/HttpServers.java
@@ -1,5 +1,6 @@
 package org.mustardlink.http;
 
+import com.google.common.net.InetAddresses;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
@@ -55,9 +56,10 @@
         return server;
     }
 
-    /** Returns the port that a server listens on. */
-    public static int port(HttpServer server) {
-        return server.getListener("http").getPort();
+    /** Returns the address that a server listens on. */
+    public static InetSocketAddress address(HttpServer server) {
+        NetworkListener listener = server.getListener("http");
+        return new InetSocketAddress(InetAddresses.forString(listener.getHost()), listener.getPort());
     }
 
     /**
--- a/src/main/java/org/mustardlink/peer/PeerClient.java
+++ b/src/main/java/org/mustardlink/peer/PeerClient.java
@@ -86,7 +86,7 @@
                 }
 
                 @Override
-                public void onError(Exception failure) {
+                public void onError(Exception _failure) {
                     answer.complete(unreachable());
                 }
             });
@@ -113,7 +113,7 @@
     }
 
     private Deque<Peer.AsyncClient> connections(InetSocketAddress owner) {
-        return idle.computeIfAbsent(owner, unused -> new ConcurrentLinkedDeque<>());
+        return idle.computeIfAbsent(owner, _unused -> new ConcurrentLinkedDeque<>());
     }
 
     @FunctionalInterface
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -113,7 +113,8 @@
                     callback.onComplete(new PeerAnswer(AnswerKind.OTHER_INCARNATION));
                     return;
                 }
-                call.apply(id).whenComplete((answer, failure) -> complete(callback, answer, failure));
+                CompletableFuture<JobAnswer> _answered =
+                        call.apply(id).whenComplete((answer, failure) -> complete(callback, answer, failure));
             } catch (IllegalArgumentException | CodedException e) {
                 complete(callback, new JobAnswer.Final(Verdict.failed(Reason.BAD_REQUEST)), null);
             }
--- a/src/main/java/org/mustardlink/standin/StandInPlatform.java
+++ b/src/main/java/org/mustardlink/standin/StandInPlatform.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.glassfish.grizzly.http.server.HttpHandler;
@@ -93,7 +94,7 @@
 
     /** Returns the address that it listens on. */
     public InetSocketAddress address() {
-        return new InetSocketAddress(server.getListener("http").getHost(), HttpServers.port(server));
+        return HttpServers.address(server);
     }
 
     /** Switches faults. */
@@ -136,7 +137,8 @@
                 return;
             }
             response.suspend();
-            timer.schedule(() -> serve(request, response, path, body, active), active.slowMs(), TimeUnit.MILLISECONDS);
+            Future<?> _pending = timer.schedule(
+                    () -> serve(request, response, path, body, active), active.slowMs(), TimeUnit.MILLISECONDS);
         } catch (CodedException e) {
             HttpServers.write(response, 400, "text/plain", e.getMessage());
         }
@@ -222,7 +224,7 @@
             return;
         }
         stream.waiters.add(waiter);
-        timer.schedule(() -> timeOut(waiter, stream), waitMs, TimeUnit.MILLISECONDS);
+        Future<?> _pending = timer.schedule(() -> timeOut(waiter, stream), waitMs, TimeUnit.MILLISECONDS);
     }
 
     private synchronized void timeOut(Waiter waiter, Stream stream) {
@@ -246,6 +248,6 @@
     }
 
     private Stream stream(String name) {
-        return streams.computeIfAbsent(name, unused -> new Stream());
+        return streams.computeIfAbsent(name, _unused -> new Stream());
     }
 }
--- a/src/main/java/org/mustardlink/standin/StandInTarget.java
+++ b/src/main/java/org/mustardlink/standin/StandInTarget.java
@@ -94,7 +94,7 @@
 
     /** Returns the address that it listens on. */
     public InetSocketAddress address() {
-        return new InetSocketAddress(server.getListener("http").getHost(), HttpServers.port(server));
+        return HttpServers.address(server);
     }
 
     /** Switches the failure mode. */
