--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -179,14 +179,18 @@
     }
 
     private static void writeError(Response response, CodedException error) {
-        int status =
-                switch (error.code()) {
-                    case BAD_REQUEST -> 400;
-                    case NOT_FOUND -> 404;
-                    case BODY_TOO_LARGE -> 413;
-                    default -> 500;
-                };
-        HttpServers.write(response, status, JSON, Json.write(new ErrorDocument(error.code(), error.getMessage())));
+        ErrorDocument document = new ErrorDocument(error.code(), error.getMessage());
+        HttpServers.write(response, statusOf(error.code()), JSON, Json.write(document));
+    }
+
+    /** Returns the HTTP status of an error. */
+    static int statusOf(ErrorCode code) {
+        return switch (code) {
+            case BAD_REQUEST -> 400;
+            case NOT_FOUND -> 404;
+            case BODY_TOO_LARGE -> 413;
+            default -> 500;
+        };
     }
 
     @FunctionalInterface
