--- /dev/null
+++ b/src/main/java/org/mustardlink/capacity/HeapMeter.java
@@ -0,0 +1,32 @@
+package org.mustardlink.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryMXBean;
+import java.lang.ref.Reference;
+import java.util.function.Supplier;
+
+/** Measures the heap that a structure retains, by the difference of used heap after full collections. */
+final class HeapMeter {
+    private static final int COLLECTIONS = 3;
+
+    private HeapMeter() {}
+
+    /** Builds a structure and returns the bytes that it retains. */
+    static long retainedBytes(Supplier<?> builder) {
+        long before = usedAfterCollection();
+        Object built = builder.get();
+        try {
+            return usedAfterCollection() - before;
+        } finally {
+            Reference.reachabilityFence(built);
+        }
+    }
+
+    private static long usedAfterCollection() {
+        MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
+        for (int i = 0; i < COLLECTIONS; i++) {
+            memory.gc();
+        }
+        return memory.getHeapMemoryUsage().getUsed();
+    }
+}
