Draw incarnations that a stepped clock cannot repeat

Cause: the incarnation was the wall clock in milliseconds. A process restarted after the clock was stepped back could draw an earlier process's number and take that process's sessions for its own, so a task could start twice. Conclusion: a host id and incarnation name one process.

--- a/src/main/java/org/mustardlink/cli/EntryCommand.java
+++ b/src/main/java/org/mustardlink/cli/EntryCommand.java
@@ -1,6 +1,7 @@
 package org.mustardlink.cli;
 
 import java.io.File;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -8,6 +9,7 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.mustardlink.config.EntrySettings;
 import org.mustardlink.entry.EntryHost;
+import org.mustardlink.entry.Incarnations;
 
 /** {@code entry}: runs an entry host until the process is asked to stop. */
 final class EntryCommand implements Subcommand {
@@ -25,7 +27,7 @@
     @SuppressWarnings("ShutdownHook")
     public int run(Namespace arguments) {
         EntrySettings settings = EntrySettings.load(new File(arguments.getString("settings")));
-        EntryHost host = EntryHost.start(settings, System.currentTimeMillis());
+        EntryHost host = EntryHost.start(settings, Incarnations.next(Clock.systemUTC()));
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             host.stop(GRACE);
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -6,6 +6,7 @@
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -15,6 +16,7 @@
 import org.mustardlink.config.EntrySettings;
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.entry.EntryHost;
+import org.mustardlink.entry.Incarnations;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.http.Json;
@@ -85,7 +87,7 @@
                 String id = domain + "-entry-" + i;
                 EntryHost entry = EntryHost.start(
                         new EntrySettings(id, domain, loopback(), loopback(), platform.address()),
-                        System.currentTimeMillis());
+                        Incarnations.next(Clock.systemUTC()));
                 entries.add(entry);
                 hosts.add(new HostListing.Host(
                         id,
