Check every setting before an entry host starts

Cause: the entry host read five INI keys, reported the first mistake only, and held every other bound as a constant. Change: config.settings holds a catalogue of 34 keys with type, unit, range, default and meaning. The bounds of the core, the event loop, the caller API, the target client and the platform client come from it. The entry host opens the operators' address. Addresses without a port or with a host name get a clear message. Conclusion: bounds inside core and peer stay constants until their owners export them.

--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -22,15 +22,14 @@
 public final class CallerApi implements AutoCloseable {
     private static final String JOBS = "/v1/jobs";
     private static final String JSON = "application/json";
-    private static final int MAX_BODY_BYTES = 4 << 20;
-    private static final int THREADS = 4;
-
+    private final int maxBodyBytes;
     private final CallerBackend backend;
     private final HttpServer server;
 
-    private CallerApi(InetSocketAddress address, CallerBackend backend) {
+    private CallerApi(InetSocketAddress address, int threads, int maxBodyBytes, CallerBackend backend) {
+        this.maxBodyBytes = maxBodyBytes;
         this.backend = backend;
-        this.server = HttpServers.start(address, THREADS, new HttpHandler() {
+        this.server = HttpServers.start(address, threads, new HttpHandler() {
             @Override
             public void service(Request request, Response response) {
                 handle(request, response);
@@ -38,9 +37,16 @@
         });
     }
 
-    /** Starts the server. */
-    public static CallerApi start(InetSocketAddress address, CallerBackend backend) {
-        return new CallerApi(address, backend);
+    /**
+     * Starts the server.
+     *
+     * @param address where to listen; port 0 takes a free one
+     * @param threads threads that read requests
+     * @param maxBodyBytes largest body of a request
+     * @param backend answers the requests
+     */
+    public static CallerApi start(InetSocketAddress address, int threads, int maxBodyBytes, CallerBackend backend) {
+        return new CallerApi(address, threads, maxBodyBytes, backend);
     }
 
     /** Returns the address that it listens on. */
@@ -104,7 +110,7 @@
     }
 
     private void submit(Request request, Response response) {
-        String body = HttpServers.readBody(request, MAX_BODY_BYTES);
+        String body = HttpServers.readBody(request, maxBodyBytes);
         JobDocument document = JobDocument.parse(body);
         if (document.submission() == null) {
             throw new CodedException(ErrorCode.BAD_REQUEST, "submission is missing");
--- a/src/main/java/org/mustardlink/cli/EntryCommand.java
+++ b/src/main/java/org/mustardlink/cli/EntryCommand.java
@@ -1,22 +1,18 @@
 package org.mustardlink.cli;
 
-import java.io.File;
-import java.time.Duration;
 import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
-import org.mustardlink.config.EntrySettings;
+import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.entry.EntryHost;
 
 /** {@code entry}: runs an entry host until the process is asked to stop. */
 final class EntryCommand implements Subcommand {
-    private static final Duration GRACE = Duration.ofSeconds(30);
-
     @Override
     public void register(Subparsers parsers) {
         Subparser parser = parsers.addParser("entry").help("run an entry host");
-        parser.addArgument("--settings").required(true).help("INI file with the settings");
+        SettingsArguments.addTo(parser);
         parser.setDefault(Main.COMMAND, this);
     }
 
@@ -24,11 +20,11 @@
     @Override
     @SuppressWarnings("ShutdownHook")
     public int run(Namespace arguments) {
-        EntrySettings settings = EntrySettings.load(new File(arguments.getString("settings")));
+        EntrySettings settings = EntrySettings.of(SettingsArguments.load(arguments));
         EntryHost host = EntryHost.start(settings, System.currentTimeMillis());
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            host.stop(GRACE);
+            host.stop(settings.timeouts().stopGrace());
             ended.countDown();
         }));
         try {
--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/SettingsArguments.java
@@ -0,0 +1,31 @@
+package org.mustardlink.cli;
+
+import com.google.common.collect.ImmutableList;
+import java.io.File;
+import java.util.List;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.ArgumentParser;
+import net.sourceforge.argparse4j.inf.Namespace;
+import org.mustardlink.config.settings.Settings;
+
+/** The arguments that name a settings file and the changes on top of it. */
+final class SettingsArguments {
+    private SettingsArguments() {}
+
+    static void addTo(ArgumentParser parser) {
+        parser.addArgument("--settings")
+                .required(true)
+                .metavar("FILE")
+                .help("INI file with the settings; conf/paysandu.ini is an example");
+        parser.addArgument("--set")
+                .action(Arguments.append())
+                .setDefault(ImmutableList.of())
+                .metavar("SECTION.KEY=VALUE")
+                .help("change one setting; may be given several times; example: --set timeouts.connect=200ms");
+    }
+
+    static Settings load(Namespace arguments) {
+        List<String> changes = arguments.getList("set");
+        return Settings.load(new File(arguments.getString("settings")), changes);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/config/settings/SettingKey.java
@@ -0,0 +1,75 @@
+package org.mustardlink.config.settings;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.Optional;
+
+/**
+ * One key of the settings. Keys with the same path are equal; {@link SettingKeys} holds all of them.
+ *
+ * @param <T> type of the parsed value
+ */
+public final class SettingKey<T> {
+    private final String section;
+    private final String name;
+    private final ValueType<T> type;
+    private final Optional<String> fallback;
+    private final String meaning;
+
+    SettingKey(String section, String name, ValueType<T> type, Optional<String> fallback, String meaning) {
+        this.section = checkNotNull(section, "section");
+        this.name = checkNotNull(name, "name");
+        this.type = checkNotNull(type, "type");
+        this.fallback = checkNotNull(fallback, "fallback");
+        this.meaning = checkNotNull(meaning, "meaning");
+    }
+
+    /** Returns the section. */
+    public String section() {
+        return section;
+    }
+
+    /** Returns the name within the section. */
+    public String name() {
+        return name;
+    }
+
+    /** Returns {@code section.name}, as {@code --set} takes it. */
+    public String path() {
+        return section + '.' + name;
+    }
+
+    /** Returns what a value must look like, with unit and range. */
+    public String expected() {
+        return type.expected();
+    }
+
+    /** Returns the default, or empty if the key is required. */
+    public Optional<String> fallback() {
+        return fallback;
+    }
+
+    /** Returns what the value means, in one sentence. */
+    public String meaning() {
+        return meaning;
+    }
+
+    T parse(String text) {
+        return type.parser().apply(text);
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof SettingKey<?> key && key.path().equals(path());
+    }
+
+    @Override
+    public int hashCode() {
+        return path().hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return path();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/config/settings/SettingKeys.java
@@ -0,0 +1,199 @@
+package org.mustardlink.config.settings;
+
+import com.google.common.collect.ImmutableList;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+
+/** The catalogue of every key, in the order in which it is shown. */
+public final class SettingKeys {
+    static final SettingKey<String> HOST_ID =
+            required("host", "id", ValueType.name(), "id of this entry host, unique in the deployment");
+    static final SettingKey<String> HOST_DOMAIN = required("host", "domain", ValueType.name(), "its failure domain");
+    static final SettingKey<String> HOST_REGION =
+            optional("host", "region", ValueType.name(), "default", "the region of the failure domain");
+
+    static final SettingKey<InetSocketAddress> CALLER_ADDRESS =
+            required("caller", "address", ValueType.address(), "address for callers; port 0 takes a free one");
+    static final SettingKey<Integer> CALLER_THREADS =
+            optional("caller", "threads", ValueType.count(1, 256), "4", "threads that read callers' requests");
+    static final SettingKey<Integer> CALLER_MAX_BODY = optional(
+            "caller", "max-body", ValueType.size("1 KiB", "4 MiB"), "4 MiB", "largest body of a caller's request");
+    static final SettingKey<InetSocketAddress> OPERATOR_ADDRESS =
+            required("operator", "address", ValueType.address(), "address for operators, metrics and health checks");
+    static final SettingKey<InetSocketAddress> PEER_ADDRESS =
+            required("peer", "address", ValueType.address(), "address for other entry hosts (Thrift)");
+    static final SettingKey<InetSocketAddress> PLATFORM_ADDRESS =
+            required("platform", "address", ValueType.address(), "address of the platform's services");
+    static final SettingKey<Duration> PLATFORM_TIMEOUT = optional(
+            "platform",
+            "timeout",
+            ValueType.duration("10 ms", "5 min"),
+            "3 s",
+            "longest time that an append or a read of the platform may take");
+    static final SettingKey<ImmutableList<InetSocketAddress>> PEER_SEEDS = optional(
+            "peers", "seeds", ValueType.addresses(), "", "peer addresses known without the platform's list of hosts");
+
+    static final SettingKey<Integer> SESSIONS =
+            optional("limits", "sessions", ValueType.count(1, 10_000_000), "20000", "sessions kept at once");
+    static final SettingKey<Integer> OPEN_JOBS =
+            optional("limits", "open-jobs", ValueType.count(1, 10_000_000), "20000", "jobs without a verdict at once");
+    static final SettingKey<Integer> QUEUED_TASKS = optional(
+            "limits", "queued-tasks", ValueType.count(1, 10_000_000), "100000", "tasks waiting for a slot at once");
+    static final SettingKey<Integer> KEPT_ANSWERS = optional(
+            "limits", "kept-answers", ValueType.count(1, 10_000_000), "20000", "answers kept for resubmissions");
+    static final SettingKey<Integer> KEPT_SIZE = optional(
+            "limits",
+            "kept-size",
+            ValueType.size("1 KiB", "1024 MiB"),
+            "16 MiB",
+            "size of the results kept for resubmissions");
+    static final SettingKey<Integer> TARGET_CONNECTIONS = optional(
+            "limits",
+            "target-connections",
+            ValueType.count(1, 64),
+            "21",
+            "connections to one target; a target takes 64 over all entry hosts of its domain");
+    static final SettingKey<Integer> TOTAL_CONNECTIONS = optional(
+            "limits", "total-connections", ValueType.count(1, 65_536), "4096", "connections to all targets together");
+
+    static final SettingKey<Duration> SESSION_IDLE = optional(
+            "timeouts",
+            "session-idle",
+            ValueType.duration("1 s", "24 h"),
+            "30 min",
+            "idle time after which a session expires");
+    static final SettingKey<Duration> ANSWER_KEPT = optional(
+            "timeouts",
+            "answer-kept",
+            ValueType.duration("1 s", "24 h"),
+            "5 min",
+            "time that an answer is kept for resubmissions");
+    static final SettingKey<Duration> RETRY_AFTER = optional(
+            "timeouts",
+            "retry-after",
+            ValueType.duration("1 ms", "10 min"),
+            "1 s",
+            "time to come back that refusals name by default");
+    static final SettingKey<Duration> CONNECT = optional(
+            "timeouts",
+            "connect",
+            ValueType.duration("1 ms", "1 min"),
+            "500 ms",
+            "time to open a connection to a target or to wait for a free one");
+    static final SettingKey<Duration> IDLE_CONNECTION = optional(
+            "timeouts",
+            "idle-connection",
+            ValueType.duration("100 ms", "1 h"),
+            "30 s",
+            "time after which an unused connection to a target is closed");
+    static final SettingKey<Duration> LOOKUP = optional(
+            "timeouts",
+            "lookup",
+            ValueType.duration("100 ms", "10 min"),
+            "30 s",
+            "longest wait for the owner of a session to answer a lookup or a cancellation");
+    static final SettingKey<Duration> FORWARD_MARGIN = optional(
+            "timeouts",
+            "forward-margin",
+            ValueType.duration("1 ms", "1 min"),
+            "500 ms",
+            "time beyond a job's deadline that its owner has to answer a forwarding host");
+    static final SettingKey<Duration> HOSTS_REFRESH = optional(
+            "timeouts",
+            "hosts-refresh",
+            ValueType.duration("50 ms", "5 min"),
+            "1 s",
+            "time between two reads of the platform's list of hosts");
+    static final SettingKey<Duration> STOP_GRACE = optional(
+            "timeouts",
+            "stop-grace",
+            ValueType.duration("0 ms", "1 h"),
+            "30 s",
+            "longest time that a planned stop waits for open jobs");
+
+    static final SettingKey<Integer> EVENTS_PER_TICK = optional(
+            "dispatch", "events-per-tick", ValueType.count(1, 100_000), "1024", "most events handled in one tick");
+    static final SettingKey<Integer> TARGET_IO_THREADS = optional(
+            "dispatch", "target-io-threads", ValueType.count(1, 64), "2", "threads for connections to targets");
+
+    static final SettingKey<String> LOG_LEVEL = optional(
+            "logs",
+            "level",
+            ValueType.choice("error", "warn", "info", "debug"),
+            "info",
+            "least important events written");
+    static final SettingKey<String> LIBRARY_LOG_LEVEL = optional(
+            "logs",
+            "library-level",
+            ValueType.choice("error", "warn", "info", "debug"),
+            "warn",
+            "least important messages of libraries written");
+    static final SettingKey<Integer> LOG_RATE = optional(
+            "logs",
+            "lines-per-event",
+            ValueType.count(1, 100_000),
+            "10",
+            "most lines of one event each second; the rest is counted on the next line");
+
+    static final SettingKey<Integer> METRIC_SERIES = optional(
+            "metrics",
+            "max-series",
+            ValueType.count(1, 10_000),
+            "64",
+            "histograms of team and class kept apart; further ones share the series other");
+    static final SettingKey<Integer> METRIC_DIGITS =
+            optional("metrics", "digits", ValueType.count(1, 3), "2", "significant digits of the histograms");
+
+    private static final ImmutableList<SettingKey<?>> ALL = ImmutableList.of(
+            HOST_ID,
+            HOST_DOMAIN,
+            HOST_REGION,
+            CALLER_ADDRESS,
+            CALLER_THREADS,
+            CALLER_MAX_BODY,
+            OPERATOR_ADDRESS,
+            PEER_ADDRESS,
+            PLATFORM_ADDRESS,
+            PLATFORM_TIMEOUT,
+            PEER_SEEDS,
+            SESSIONS,
+            OPEN_JOBS,
+            QUEUED_TASKS,
+            KEPT_ANSWERS,
+            KEPT_SIZE,
+            TARGET_CONNECTIONS,
+            TOTAL_CONNECTIONS,
+            SESSION_IDLE,
+            ANSWER_KEPT,
+            RETRY_AFTER,
+            CONNECT,
+            IDLE_CONNECTION,
+            LOOKUP,
+            FORWARD_MARGIN,
+            HOSTS_REFRESH,
+            STOP_GRACE,
+            EVENTS_PER_TICK,
+            TARGET_IO_THREADS,
+            LOG_LEVEL,
+            LIBRARY_LOG_LEVEL,
+            LOG_RATE,
+            METRIC_SERIES,
+            METRIC_DIGITS);
+
+    private SettingKeys() {}
+
+    /** Returns every key, section by section. */
+    public static ImmutableList<SettingKey<?>> all() {
+        return ALL;
+    }
+
+    private static <T> SettingKey<T> required(String section, String name, ValueType<T> type, String meaning) {
+        return new SettingKey<>(section, name, type, Optional.empty(), meaning);
+    }
+
+    private static <T> SettingKey<T> optional(
+            String section, String name, ValueType<T> type, String fallback, String meaning) {
+        return new SettingKey<>(section, name, type, Optional.of(fallback), meaning);
+    }
+}
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -15,9 +15,10 @@
 import org.mustardlink.api.CallerApi;
 import org.mustardlink.api.CallerBackend;
 import org.mustardlink.api.JobAnswer;
+import org.mustardlink.api.OperatorApi;
 import org.mustardlink.api.SessionAnswer;
 import org.mustardlink.config.ConfigFeed;
-import org.mustardlink.config.EntrySettings;
+import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.Command;
 import org.mustardlink.core.CoreSettings;
 import org.mustardlink.core.DispatchCore;
@@ -38,10 +39,6 @@
 
 /** One entry host: everything that the daemon runs. Several can run in one process. */
 public final class EntryHost implements CallerBackend, AutoCloseable {
-    private static final Duration LOOKUP_TIMEOUT = Duration.ofSeconds(30);
-    private static final Duration FORWARD_MARGIN = Duration.ofMillis(500);
-    private static final Duration HOSTS_PERIOD = Duration.ofSeconds(1);
-
     private final EntrySettings settings;
     private final long incarnation;
     private final HttpRequester targetRequester;
@@ -51,6 +48,7 @@
     private final PeerClient peers;
     private final EntryLoop loop;
     private final CallerApi callerApi;
+    private final OperatorApi operatorApi;
     private final PeerServer peerServer;
     private final ConfigFeed configFeed;
     private final AtomicLong nextRequester = new AtomicLong();
@@ -61,18 +59,22 @@
     private EntryHost(EntrySettings settings, long incarnation) {
         this.settings = settings;
         this.incarnation = incarnation;
-        targetRequester = HttpRequester.start(
-                new HttpRequester.Limits(21, 4096, Duration.ofMillis(500), Duration.ofSeconds(30), 2));
+        targetRequester = HttpRequester.start(targetLimits(settings));
         platformRequester = HttpRequester.start(HttpRequester.Limits.small());
         targets = TargetClient.create(targetRequester);
-        platform = PlatformClient.create(platformRequester, settings.platform());
+        platform = PlatformClient.create(
+                platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
-        DispatchCore core =
-                DispatchCore.create(CoreSettings.defaults(settings.id(), incarnation), PlacementPolicy.fastestFree());
-        loop = new EntryLoop(settings.id(), core, this::execute);
+        DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), PlacementPolicy.fastestFree());
+        loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute);
         loop.start();
         peerServer = PeerServer.start(settings.peer(), incarnation, this);
-        callerApi = CallerApi.start(settings.caller(), this);
+        callerApi = CallerApi.start(
+                settings.caller(),
+                settings.limits().callerThreads(),
+                settings.limits().maxBodyBytes(),
+                this);
+        operatorApi = OperatorApi.start(settings.operator());
         configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(declared)));
         refreshPeers();
     }
@@ -97,6 +99,11 @@
         return new InetSocketAddress(settings.peer().getAddress(), peerServer.port());
     }
 
+    /** Returns the address for operators. */
+    public InetSocketAddress operatorAddress() {
+        return operatorApi.address();
+    }
+
     /** Returns the number of jobs without a verdict. */
     public int openJobs() {
         return loop.openJobs();
@@ -126,7 +133,7 @@
         if (isOwn(id)) {
             return local(requester -> new Event.JobSubmitted(requester, id, request));
         }
-        Duration timeout = request.deadline().plus(FORWARD_MARGIN);
+        Duration timeout = request.deadline().plus(settings.timeouts().forwardMargin());
         return forward(id, owner -> peers.submit(owner, id, document, timeout));
     }
 
@@ -135,7 +142,7 @@
         if (isOwn(id)) {
             return local(requester -> new Event.AnswerRequested(requester, id));
         }
-        return forward(id, owner -> peers.lookUp(owner, id, LOOKUP_TIMEOUT));
+        return forward(id, owner -> peers.lookUp(owner, id, settings.timeouts().lookup()));
     }
 
     @Override
@@ -143,7 +150,7 @@
         if (isOwn(id)) {
             return local(requester -> new Event.JobCancelled(requester, id));
         }
-        return forward(id, owner -> peers.cancel(owner, id, LOOKUP_TIMEOUT));
+        return forward(id, owner -> peers.cancel(owner, id, settings.timeouts().lookup()));
     }
 
     @Override
@@ -177,6 +184,7 @@
     public void close() {
         configFeed.close();
         callerApi.close();
+        operatorApi.close();
         peerServer.close();
         loop.close();
         peers.close();
@@ -184,6 +192,29 @@
         platformRequester.close();
     }
 
+    private static HttpRequester.Limits targetLimits(EntrySettings settings) {
+        return new HttpRequester.Limits(
+                settings.limits().targetConnections(),
+                settings.limits().totalConnections(),
+                settings.timeouts().connect(),
+                settings.timeouts().idleConnection(),
+                settings.dispatch().targetIoThreads());
+    }
+
+    private static CoreSettings coreSettings(EntrySettings settings, long incarnation) {
+        return new CoreSettings(
+                settings.id(),
+                incarnation,
+                settings.limits().sessions(),
+                settings.timeouts().sessionIdle(),
+                settings.limits().openJobs(),
+                settings.limits().queuedTasks(),
+                settings.limits().keptAnswers(),
+                settings.limits().keptBytes(),
+                settings.timeouts().answerKept(),
+                settings.timeouts().retryAfter());
+    }
+
     private boolean isOwn(SubmissionId id) {
         return id.session().host().equals(settings.id()) && id.session().incarnation() == incarnation;
     }
@@ -251,7 +282,7 @@
                                 host -> Addresses.parse(host.address()),
                                 (_older, newer) -> newer));
             }
-            CompletableFuture.delayedExecutor(HOSTS_PERIOD.toMillis(), TimeUnit.MILLISECONDS)
+            CompletableFuture.delayedExecutor(settings.timeouts().hostsRefresh().toMillis(), TimeUnit.MILLISECONDS)
                     .execute(this::refreshPeers);
         });
     }
--- a/src/main/java/org/mustardlink/entry/EntryLoop.java
+++ b/src/main/java/org/mustardlink/entry/EntryLoop.java
@@ -19,17 +19,18 @@
  */
 final class EntryLoop implements AutoCloseable {
     private static final long IDLE_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
-    private static final int MAX_BATCH = 1024;
 
     private final DispatchCore core;
+    private final int maxBatch;
     private final Consumer<Command> executor;
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final Thread thread;
     private volatile boolean closed;
     private volatile int openJobs;
 
-    EntryLoop(String name, DispatchCore core, Consumer<Command> executor) {
+    EntryLoop(String name, DispatchCore core, int maxBatch, Consumer<Command> executor) {
         this.core = core;
+        this.maxBatch = maxBatch;
         this.executor = executor;
         this.thread = new Thread(this::run, "core-" + name);
         thread.setDaemon(true);
@@ -54,7 +55,7 @@
     }
 
     private void run() {
-        List<Event> batch = new ArrayList<>(MAX_BATCH);
+        List<Event> batch = new ArrayList<>(maxBatch);
         while (!closed) {
             try {
                 await(batch);
@@ -75,7 +76,7 @@
         Event first = events.poll(Math.max(0, wait), TimeUnit.NANOSECONDS);
         if (first != null) {
             batch.add(first);
-            events.drainTo(batch, MAX_BATCH - 1);
+            events.drainTo(batch, maxBatch - 1);
         }
     }
 }
--- a/src/main/java/org/mustardlink/http/Addresses.java
+++ b/src/main/java/org/mustardlink/http/Addresses.java
@@ -1,5 +1,7 @@
 package org.mustardlink.http;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import com.google.common.net.HostAndPort;
 import com.google.common.net.InetAddresses;
 import java.net.InetSocketAddress;
@@ -15,6 +17,10 @@
      */
     public static InetSocketAddress parse(String text) {
         HostAndPort parsed = HostAndPort.fromString(text);
+        checkArgument(
+                parsed.hasPort() && InetAddresses.isInetAddress(parsed.getHost()),
+                "not an address of the form ip:port: %s",
+                text);
         return new InetSocketAddress(InetAddresses.forString(parsed.getHost()), parsed.getPort());
     }
 
--- a/src/main/java/org/mustardlink/platform/PlatformClient.java
+++ b/src/main/java/org/mustardlink/platform/PlatformClient.java
@@ -15,38 +15,49 @@
 
 /** The platform's services over HTTP. Thread-safe. */
 public final class PlatformClient implements LogService, HostList {
-    /** Longest time that an append or a list may take; appends are synced and usually take several milliseconds. */
+    /** Default of the longest time of a call; appends are synced and usually take several milliseconds. */
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     private final HttpRequester requester;
     private final InetSocketAddress address;
+    private final Duration timeout;
 
-    private PlatformClient(HttpRequester requester, InetSocketAddress address) {
+    private PlatformClient(HttpRequester requester, InetSocketAddress address, Duration timeout) {
         this.requester = requester;
         this.address = address;
+        this.timeout = timeout;
     }
 
     /** Returns a client of the platform at an address. */
     public static PlatformClient create(HttpRequester requester, InetSocketAddress address) {
-        return new PlatformClient(requester, address);
+        return new PlatformClient(requester, address, TIMEOUT);
+    }
+
+    /**
+     * Returns a client of the platform at an address.
+     *
+     * @param timeout longest time that a call may take, without the time that a read waits for records
+     */
+    public static PlatformClient create(HttpRequester requester, InetSocketAddress address, Duration timeout) {
+        return new PlatformClient(requester, address, timeout);
     }
 
     @Override
     public CompletableFuture<Long> append(String stream, ImmutableList<String> records) {
         HttpCall call =
-                HttpCall.post("/v1/streams/" + stream + "/records", Json.write(new AppendBody(records)), TIMEOUT);
+                HttpCall.post("/v1/streams/" + stream + "/records", Json.write(new AppendBody(records)), timeout);
         return send(call, AppendReply.class).thenApply(AppendReply::first);
     }
 
     @Override
     public CompletableFuture<LogPage> read(String stream, long from, int max, Duration wait) {
         String path = "/v1/streams/%s/records?from=%d&max=%d&waitMs=%d".formatted(stream, from, max, wait.toMillis());
-        return send(HttpCall.get(path, TIMEOUT.plus(wait)), PageReply.class).thenApply(PageReply::toPage);
+        return send(HttpCall.get(path, timeout.plus(wait)), PageReply.class).thenApply(PageReply::toPage);
     }
 
     @Override
     public CompletableFuture<HostListing> hosts() {
-        return send(HttpCall.get("/v1/hosts", TIMEOUT), ListingReply.class)
+        return send(HttpCall.get("/v1/hosts", timeout), ListingReply.class)
                 .thenApply(reply -> new HostListing(reply.ageMs(), ImmutableList.copyOf(reply.hosts())));
     }
 
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -12,7 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import org.mustardlink.config.ConfigFeed;
-import org.mustardlink.config.EntrySettings;
+import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.entry.EntryHost;
 import org.mustardlink.http.Addresses;
@@ -84,8 +84,7 @@
             for (int i = 0; i < shape.entriesPerDomain(); i++) {
                 String id = domain + "-entry-" + i;
                 EntryHost entry = EntryHost.start(
-                        new EntrySettings(id, domain, loopback(), loopback(), platform.address()),
-                        System.currentTimeMillis());
+                        EntrySettings.local(id, domain, platform.address(), Map.of()), System.currentTimeMillis());
                 entries.add(entry);
                 hosts.add(new HostListing.Host(
                         id,
