Apply configuration records in log order with a pure state machine

Cause: the configuration reader took the last record of a target without revisions, conflicts, schema versions or any other kind.

A change names the revision of each entity that it is based on; a loser keeps the id of the winner; a repeated change id has no second effect. Acceptance does not depend on the reader's version, so hosts of two versions give the same revisions.

--- /dev/null
+++ b/src/main/java/org/mustardlink/config/records/Change.java
@@ -0,0 +1,117 @@
+package org.mustardlink.config.records;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+
+/**
+ * One change of the configuration, as one record of the log.
+ *
+ * <p>A record with one entity is {@code {schema, change, kind, name, base, body}}; one with several is {@code {schema,
+ * change, entities: [{kind, name, base, body}, ...]}} and takes effect as a whole or not at all. The optional {@code
+ * requires} lists features that a reader must know to act on the bodies.
+ *
+ * @param schema schema version of the bodies, positive
+ * @param id id of the change, chosen by the operator's client; a repeated id has no second effect
+ * @param requires features that a reader must know
+ * @param entities what it does, at least one, each entity once
+ */
+public record Change(int schema, String id, ImmutableSet<String> requires, ImmutableList<EntityChange> entities) {
+    /** Largest record in characters; keeps one change far below the frame and body bounds. */
+    public static final int MAX_CHARACTERS = 256 << 10;
+
+    private static final int MAX_ENTITIES = 500;
+
+    // The JSON reader refuses deep documents, and a snapshot nests a body deeper than its record does.
+    private static final int MAX_DEPTH = 32;
+
+    public Change {
+        checkArgument(schema > 0, "schema must be positive: %s", schema);
+        Names.check("change", id);
+        checkNotNull(requires, "requires");
+        checkArgument(!entities.isEmpty(), "a change must name an entity");
+        checkArgument(entities.size() <= MAX_ENTITIES, "a change may name %s entities at most", MAX_ENTITIES);
+        Set<EntityKey> seen = new HashSet<>();
+        entities.forEach(entity -> checkArgument(seen.add(entity.key()), "%s is named twice", entity.key()));
+    }
+
+    /**
+     * Reads a record.
+     *
+     * @throws RejectedChangeException with {@link RejectionCode#MALFORMED} or {@link RejectionCode#TOO_LARGE}
+     */
+    public static Change parse(String text) {
+        if (text.length() > MAX_CHARACTERS) {
+            throw new RejectedChangeException(
+                    RejectionCode.TOO_LARGE, "a record may have " + MAX_CHARACTERS + " characters at most");
+        }
+        try {
+            return fromJson(RecordJson.MAPPER.readTree(text));
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            throw new RejectedChangeException(RejectionCode.MALFORMED, String.valueOf(e.getMessage()), e);
+        }
+    }
+
+    /** Returns the record as JSON. */
+    public ObjectNode toJson() {
+        ObjectNode node = RecordJson.MAPPER.createObjectNode();
+        node.put("schema", schema).put("change", id);
+        if (!requires.isEmpty()) {
+            requires.forEach(node.putArray("requires")::add);
+        }
+        for (EntityChange entity : entities) {
+            ObjectNode each =
+                    entities.size() == 1 ? node : node.withArray("entities").addObject();
+            each.put("kind", entity.key().kind()).put("name", entity.key().name());
+            entity.base().ifPresent(base -> each.put("base", base));
+            each.set("body", entity.body().map(ObjectNode::deepCopy).orElse(null));
+        }
+        return node;
+    }
+
+    private static Change fromJson(JsonNode node) {
+        checkArgument(node != null && node.isObject(), "a record must be an object");
+        checkArgument(node.path("schema").isInt(), "schema must be an integer");
+        List<EntityChange> entities = new ArrayList<>();
+        if (node.has("entities")) {
+            checkArgument(node.get("entities").isArray(), "entities must be a list");
+            node.get("entities").forEach(each -> entities.add(entity(each)));
+        } else {
+            entities.add(entity(node));
+        }
+        ImmutableSet.Builder<String> requires = ImmutableSet.builder();
+        node.path("requires").forEach(each -> requires.add(each.asText()));
+        return new Change(
+                node.get("schema").intValue(), text(node, "change"), requires.build(), ImmutableList.copyOf(entities));
+    }
+
+    private static EntityChange entity(JsonNode node) {
+        JsonNode base = node.path("base");
+        JsonNode body = node.path("body");
+        boolean deletes = body.isNull() || body.isMissingNode();
+        checkArgument(
+                base.isMissingNode() || base.isNull() || base.canConvertToExactIntegral(), "base must be a number");
+        checkArgument(deletes || body.isObject(), "body must be an object");
+        checkArgument(RecordJson.depth(body) <= MAX_DEPTH, "a body may be nested %s levels at most", MAX_DEPTH);
+        return new EntityChange(
+                new EntityKey(text(node, "kind"), text(node, "name")),
+                base.isNumber() ? OptionalLong.of(base.longValue()) : OptionalLong.empty(),
+                deletes ? Optional.empty() : Optional.of((ObjectNode) body));
+    }
+
+    private static String text(JsonNode node, String field) {
+        checkArgument(node.path(field).isTextual(), "%s must be a text", field);
+        return node.get(field).textValue();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/config/records/ConfigView.java
@@ -0,0 +1,102 @@
+package org.mustardlink.config.records;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Lists;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.mustardlink.core.TargetSpec;
+
+/**
+ * What a host of one version acts on.
+ *
+ * @param offset offset of the state that it was made from
+ * @param services services by name
+ * @param targets declared targets, in order of their names
+ * @param teams teams by name
+ * @param windows weekly windows by name
+ * @param policies policy parameters by name
+ * @param drains operators' orders by name
+ * @param unsupported entities whose newest body this version cannot act on, and why; an older body may be in force
+ */
+public record ConfigView(
+        long offset,
+        ImmutableMap<String, ServiceBody> services,
+        ImmutableList<TargetSpec> targets,
+        ImmutableMap<String, TeamBody> teams,
+        ImmutableMap<String, WindowBody> windows,
+        ImmutableMap<String, ObjectNode> policies,
+        ImmutableMap<String, DrainBody> drains,
+        ImmutableMap<EntityKey, String> unsupported) {
+
+    /** Returns what a version acts on in a state. */
+    public static ConfigView of(ConfigState state, Schemas schemas) {
+        Map<EntityKey, String> unsupported = new LinkedHashMap<>();
+        Map<EntityKey, ObjectNode> bodies = new LinkedHashMap<>();
+        for (Entity entity : state.entities().values()) {
+            if (!usable(entity.key(), entity.newest(), schemas)) {
+                unsupported.put(
+                        entity.key(),
+                        "schema " + entity.newest().schema() + " requires "
+                                + entity.newest().requires());
+            }
+            newestUsable(entity, schemas).ifPresent(body -> bodies.put(entity.key(), body));
+        }
+        return new ConfigView(
+                state.offset(),
+                select(bodies, Kind.SERVICE, ServiceBody.class),
+                select(bodies, Kind.TARGET, TargetBody.class).values().stream()
+                        .map(TargetBody::toSpec)
+                        .collect(ImmutableList.toImmutableList()),
+                select(bodies, Kind.TEAM, TeamBody.class),
+                select(bodies, Kind.WINDOW, WindowBody.class),
+                select(bodies, Kind.POLICY, ObjectNode.class),
+                select(bodies, Kind.DRAIN, DrainBody.class),
+                ImmutableMap.copyOf(unsupported));
+    }
+
+    private static Optional<ObjectNode> newestUsable(Entity entity, Schemas schemas) {
+        return Lists.reverse(entity.versions()).stream()
+                .filter(version -> usable(entity.key(), version, schemas))
+                .map(Entity.Version::body)
+                .findFirst();
+    }
+
+    private static boolean usable(EntityKey key, Entity.Version version, Schemas schemas) {
+        return schemas.honours(version) && BodyRules.knows(key.kind()) && zoneIsKnown(key, version.body());
+    }
+
+    // Known zones depend on the runtime's data, so they cannot decide whether a record is accepted.
+    private static boolean zoneIsKnown(EntityKey key, ObjectNode body) {
+        if (!key.kind().equals(Kind.WINDOW.wireName())) {
+            return true;
+        }
+        try {
+            BodyRules.read(body, WindowBody.class).zoneId();
+            return true;
+        } catch (JsonProcessingException | IllegalArgumentException e) {
+            return false;
+        }
+    }
+
+    private static <T> ImmutableMap<String, T> select(Map<EntityKey, ObjectNode> bodies, Kind kind, Class<T> type) {
+        ImmutableMap.Builder<String, T> selected = ImmutableMap.builder();
+        bodies.forEach((key, body) -> {
+            if (key.kind().equals(kind.wireName())) {
+                selected.put(key.name(), type.cast(readAccepted(body, type)));
+            }
+        });
+        return selected.buildOrThrow();
+    }
+
+    private static <T> T readAccepted(ObjectNode body, Class<T> type) {
+        try {
+            return BodyRules.read(body, type);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("an accepted body cannot be read", e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/config/records/Kind.java
@@ -0,0 +1,24 @@
+package org.mustardlink.config.records;
+
+import com.google.common.base.Ascii;
+
+/** Kinds of entities that this version knows. Records may name others, which are kept and passed on. */
+public enum Kind {
+    /** A service and the capacity that it needs. */
+    SERVICE,
+    /** A target of a service. */
+    TARGET,
+    /** A team with its quota and weight. */
+    TEAM,
+    /** A weekly window in which targets are drained. */
+    WINDOW,
+    /** Parameters of the dispatch policy. */
+    POLICY,
+    /** An operator's order to drain or to release one target. */
+    DRAIN;
+
+    /** Returns the name used in records. */
+    public String wireName() {
+        return Ascii.toLowerCase(name());
+    }
+}
