Add the load generator

`mustardlink load` sends seeded open-loop arrivals to real entry hosts, in-process by default, and prints response over ideal by class and team, failures by reason, messages a task and a time line.

The stand-in target counts the messages it receives, and entry hosts accept a placement policy from the test bed. docs/load.md states the measures, the ideal among them.

--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/LoadCommand.java
@@ -0,0 +1,136 @@
+package org.mustardlink.cli;
+
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import java.io.File;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.http.Addresses;
+import org.mustardlink.http.Json;
+import org.mustardlink.load.Arrivals;
+import org.mustardlink.load.DistributionPlot;
+import org.mustardlink.load.DomainCapacity;
+import org.mustardlink.load.Fault;
+import org.mustardlink.load.LoadRun;
+import org.mustardlink.load.LoadSettings;
+import org.mustardlink.load.Policies;
+import org.mustardlink.load.ReportPrinter;
+import org.mustardlink.load.RunReport;
+import org.mustardlink.load.Sizes;
+
+/** {@code load}: measures response over ideal under a seeded load; {@code docs/load.md} describes it. */
+final class LoadCommand implements Subcommand {
+    private static final Splitter COMMAS = Splitter.on(',').omitEmptyStrings().trimResults();
+
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser = parsers.addParser("load").help("measure entry hosts under a seeded load");
+        parser.addArgument("--seed").type(Long.class).setDefault(1L).help("seed of the arrivals");
+        parser.addArgument("--load").type(Double.class).setDefault(0.7).help("load as a share of the capacity");
+        parser.addArgument("--arrivals").choices(names(Arrivals.values())).setDefault("steady");
+        parser.addArgument("--sizes")
+                .choices(names(Sizes.values()))
+                .setDefault("mix")
+                .help("mix of job sizes");
+        parser.addArgument("--seconds").type(Integer.class).setDefault(20).help("length of the measured stretch");
+        parser.addArgument("--warmup").type(Integer.class).setDefault(5).help("seconds sent but not recorded");
+        parser.addArgument("--deadline-ms").type(Long.class).setDefault(30_000L).help("deadline of each job");
+        parser.addArgument("--domains").type(Integer.class).setDefault(3).help("failure domains");
+        parser.addArgument("--entries").type(Integer.class).setDefault(3).help("entry hosts of each domain");
+        parser.addArgument("--targets").type(Integer.class).setDefault(10).help("targets of each domain");
+        parser.addArgument("--slots").type(Integer.class).setDefault(8).help("slots of each target");
+        parser.addArgument("--spread")
+                .type(Double.class)
+                .setDefault(5.0)
+                .help("fastest over slowest target, 1 for equal");
+        parser.addArgument("--undeclared").action(Arguments.storeTrue()).help("declare speed 1 for each target");
+        parser.addArgument("--network-ms").type(Double.class).setDefault(0.0).help("added to response and ideal");
+        parser.addArgument("--wave").type(Integer.class).setDefault(2000).help("jobs of each wave of cancellations");
+        parser.addArgument("--fault")
+                .action(Arguments.append())
+                .setDefault(new ArrayList<>())
+                .help("KIND:FROM[:TO[:ARGUMENT]]; kinds blackhole, stall, kill, rack, entry, overload");
+        parser.addArgument("--entry").setDefault("").help("caller addresses of running entry hosts, domain by domain");
+        parser.addArgument("--policy")
+                .choices(Policies.names())
+                .setDefault(Policies.DEFAULT)
+                .help("placement policy");
+        parser.addArgument("--compare").help("several policies, separated by commas, on the same arrivals");
+        parser.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+        parser.addArgument("--timeline").action(Arguments.storeTrue()).help("print one row a second");
+        parser.addArgument("--plot").metavar("FILE.png").help("draw the distributions");
+        parser.addArgument("--plot-group").setDefault("all").help("group of jobs to draw");
+        parser.setDefault(Main.COMMAND, this);
+    }
+
+    @Override
+    public int run(Namespace arguments) {
+        LoadSettings settings = settings(arguments);
+        List<String> policies = Optional.ofNullable(arguments.getString("compare"))
+                .map(COMMAS::splitToList)
+                .orElseGet(() -> ImmutableList.of(arguments.getString("policy")));
+        if (!Policies.names().containsAll(policies)) {
+            System.err.println("policies are " + Policies.names());
+            return ExitCode.USAGE;
+        }
+        List<LoadRun.Result> results =
+                policies.stream().map(policy -> LoadRun.run(settings, policy)).toList();
+        List<RunReport> reports = results.stream().map(LoadRun.Result::report).toList();
+        if (arguments.getBoolean("json")) {
+            System.out.println(Json.write(reports));
+        } else {
+            print(
+                    reports,
+                    arguments.getBoolean("timeline") || !settings.faults().isEmpty());
+        }
+        Optional.ofNullable(arguments.getString("plot"))
+                .ifPresent(file -> DistributionPlot.write(new File(file), arguments.getString("plot_group"), results));
+        return ExitCode.OK;
+    }
+
+    private static void print(List<RunReport> reports, boolean timeline) {
+        ReportPrinter printer = new ReportPrinter(System.out);
+        printer.print(reports);
+        if (timeline) {
+            reports.forEach(printer::printTimeline);
+        }
+    }
+
+    private static LoadSettings settings(Namespace arguments) {
+        return new LoadSettings(
+                arguments.getLong("seed"),
+                arguments.getDouble("load"),
+                Arrivals.valueOf(arguments.getString("arrivals").toUpperCase(Locale.ROOT)),
+                Sizes.valueOf(arguments.getString("sizes").toUpperCase(Locale.ROOT)),
+                arguments.getInt("seconds"),
+                arguments.getInt("warmup"),
+                Duration.ofMillis(arguments.getLong("deadline_ms")),
+                arguments.getInt("domains"),
+                arguments.getInt("entries"),
+                DomainCapacity.evenlySpaced(
+                        arguments.getInt("targets"), arguments.getInt("slots"), arguments.getDouble("spread")),
+                !arguments.getBoolean("undeclared"),
+                arguments.getDouble("network_ms"),
+                arguments.getInt("wave"),
+                arguments.<String>getList("fault").stream().map(Fault::parse).collect(ImmutableList.toImmutableList()),
+                addresses(arguments.getString("entry")));
+    }
+
+    private static ImmutableList<InetSocketAddress> addresses(String text) {
+        return COMMAS.splitToStream(text).map(Addresses::parse).collect(ImmutableList.toImmutableList());
+    }
+
+    private static String[] names(Enum<?>[] values) {
+        return ImmutableList.copyOf(values).stream()
+                .map(value -> value.name().toLowerCase(Locale.ROOT))
+                .toArray(String[]::new);
+    }
+}
--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -13,8 +13,8 @@
 public final class Main {
     static final String COMMAND = "command";
 
-    private static final ImmutableList<Subcommand> COMMANDS =
-            ImmutableList.of(new EntryCommand(), new SubmitCommand(), new DemoCommand(), new StandInCommand());
+    private static final ImmutableList<Subcommand> COMMANDS = ImmutableList.of(
+            new EntryCommand(), new SubmitCommand(), new DemoCommand(), new StandInCommand(), new LoadCommand());
 
     private Main() {}
 
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -58,7 +58,7 @@
     private volatile ImmutableMap<String, InetSocketAddress> peerAddresses = ImmutableMap.of();
     private volatile boolean leaving;
 
-    private EntryHost(EntrySettings settings, long incarnation) {
+    private EntryHost(EntrySettings settings, long incarnation, PlacementPolicy placement) {
         this.settings = settings;
         this.incarnation = incarnation;
         targetRequester = HttpRequester.start(
@@ -67,8 +67,7 @@
         targets = TargetClient.create(targetRequester);
         platform = PlatformClient.create(platformRequester, settings.platform());
         peers = PeerClient.start();
-        DispatchCore core =
-                DispatchCore.create(CoreSettings.defaults(settings.id(), incarnation), PlacementPolicy.fastestFree());
+        DispatchCore core = DispatchCore.create(CoreSettings.defaults(settings.id(), incarnation), placement);
         loop = new EntryLoop(settings.id(), core, this::execute);
         loop.start();
         peerServer = PeerServer.start(settings.peer(), incarnation, this);
@@ -84,7 +83,18 @@
      * @param incarnation number that no earlier process with this host id has used; later ones are greater
      */
     public static EntryHost start(EntrySettings settings, long incarnation) {
-        return new EntryHost(settings, incarnation);
+        return start(settings, incarnation, PlacementPolicy.fastestFree());
+    }
+
+    /**
+     * Starts an entry host with a placement policy of its own, for measurements.
+     *
+     * @param settings its settings
+     * @param incarnation number that no earlier process with this host id has used; later ones are greater
+     * @param placement chooses targets; called by one thread
+     */
+    public static EntryHost start(EntrySettings settings, long incarnation, PlacementPolicy placement) {
+        return new EntryHost(settings, incarnation, placement);
     }
 
     /** Returns the address for callers. */
--- /dev/null
+++ b/src/main/java/org/mustardlink/load/Callers.java
@@ -0,0 +1,125 @@
+package org.mustardlink.load;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import org.mustardlink.api.VerdictDocument;
+import org.mustardlink.caller.CallerClient;
+import org.mustardlink.http.HttpCall;
+import org.mustardlink.http.HttpReply;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.standin.TestBed;
+
+/**
+ * The callers of all domains: one session for each team at each entry host.
+ *
+ * <p>A caller whose entry host cannot be reached uses the other entry hosts of its domain from then on.
+ */
+final class Callers {
+    private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(10);
+
+    private final LoadSettings settings;
+    private final HttpRequester requester;
+    private final CallerClient client;
+    private final List<List<InetSocketAddress>> entriesByDomain = new ArrayList<>();
+    private final Map<SessionKey, Session> sessions = new ConcurrentHashMap<>();
+
+    Callers(LoadSettings settings, ImmutableList<InetSocketAddress> entries, HttpRequester requester) {
+        this.settings = settings;
+        this.requester = requester;
+        this.client = new CallerClient(requester);
+        int perDomain = entries.size() / settings.domains();
+        for (int domain = 0; domain < settings.domains(); domain++) {
+            entriesByDomain.add(new java.util.concurrent.CopyOnWriteArrayList<>(
+                    entries.subList(domain * perDomain, (domain + 1) * perDomain)));
+        }
+    }
+
+    private record SessionKey(InetSocketAddress entry, String team) {}
+
+    /** A session that is being opened or open, and its next number. */
+    private record Session(CompletableFuture<String> id, AtomicLong next) {}
+
+    /** A submission that was sent. */
+    record Sent(
+            InetSocketAddress entry,
+            CompletableFuture<String> session,
+            long sequence,
+            CompletableFuture<VerdictDocument> verdict) {}
+
+    /** Opens every session that the jobs need. */
+    void open(ImmutableList<JobPlan> jobs) {
+        jobs.stream()
+                .map(job -> session(entryOf(job), job.team()).id())
+                .distinct()
+                .forEach(CompletableFuture::join);
+    }
+
+    Sent submit(JobPlan job) {
+        InetSocketAddress entry = entryOf(job);
+        Session session = session(entry, job.team());
+        long sequence = session.next().getAndIncrement();
+        CompletableFuture<VerdictDocument> verdict = session.id()
+                .thenCompose(id -> client.submit(entry, id, sequence, document(job), settings.deadline()))
+                .whenComplete((_answer, failure) -> {
+                    if (failure != null) {
+                        leave(job.domain(), entry);
+                    }
+                });
+        return new Sent(entry, session.id(), sequence, verdict);
+    }
+
+    /** Cancels a submission without waiting for the answer. */
+    void cancel(Sent sent) {
+        CompletableFuture<HttpReply> _ignored = sent.session()
+                .thenCompose(id -> requester.send(
+                        sent.entry(), HttpCall.delete("/v1/jobs/" + id + '/' + sent.sequence(), CANCEL_TIMEOUT)));
+    }
+
+    /** Returns the answer that a task must come back with. */
+    static String answerOf(JobPlan job, int task) {
+        return job.number() + "." + task;
+    }
+
+    private InetSocketAddress entryOf(JobPlan job) {
+        List<InetSocketAddress> entries = entriesByDomain.get(job.domain());
+        return entries.get((int) (job.entryDraw() * entries.size()));
+    }
+
+    private void leave(int domain, InetSocketAddress entry) {
+        List<InetSocketAddress> entries = entriesByDomain.get(domain);
+        if (entries.size() > 1) {
+            entries.remove(entry);
+        }
+    }
+
+    private Session session(InetSocketAddress entry, String team) {
+        return sessions.computeIfAbsent(
+                new SessionKey(entry, team), _unused -> new Session(client.openSession(entry), new AtomicLong()));
+    }
+
+    private static ImmutableMap<String, Object> document(JobPlan job) {
+        ImmutableList.Builder<ImmutableMap<String, Object>> tasks = ImmutableList.builder();
+        for (int i = 0; i < job.tasks().size(); i++) {
+            JobPlan.TaskPlan task = job.tasks().get(i);
+            String payload = "{\"runMs\":" + task.runMs() + ",\"answer\":\"" + answerOf(job, i) + "\"}";
+            tasks.add(ImmutableMap.of("payload", payload, "declaredMs", task.declaredMs()));
+        }
+        return ImmutableMap.of(
+                "service",
+                TestBed.SERVICE,
+                "team",
+                job.team(),
+                "class",
+                job.jobClass().label(),
+                "tasks",
+                tasks.build());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/load/FaultInjector.java
@@ -0,0 +1,63 @@
+package org.mustardlink.load;
+
+import com.google.common.collect.ImmutableList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.mustardlink.standin.StandInTarget;
+import org.mustardlink.standin.TestBed;
+
+/** Brings faults about in an in-process deployment at their times. */
+final class FaultInjector implements AutoCloseable {
+    private static final int RACK_SIZE = 8;
+
+    private final TestBed bed;
+    private final LoadSettings settings;
+    private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+
+    FaultInjector(TestBed bed, LoadSettings settings) {
+        this.bed = bed;
+        this.settings = settings;
+    }
+
+    /** Schedules every fault, counted from now as the start of the warm-up. */
+    void start() {
+        for (Fault fault : settings.faults()) {
+            schedule(fault.fromSecond(), () -> begin(fault));
+            if (Double.isFinite(fault.toSecond())) {
+                schedule(fault.toSecond(), () -> end(fault));
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        timer.shutdownNow();
+    }
+
+    private void schedule(double second, Runnable action) {
+        ScheduledFuture<?> _scheduled =
+                timer.schedule(action, Math.round((settings.warmupSeconds() + second) * 1000), TimeUnit.MILLISECONDS);
+    }
+
+    private void begin(Fault fault) {
+        ImmutableList<StandInTarget> targets = bed.targets();
+        switch (fault.kind()) {
+            case BLACKHOLE -> targets.get(fault.index()).switchTo(StandInTarget.Mode.FAIL_FAST);
+            case STALL -> targets.get(fault.index()).switchTo(StandInTarget.Mode.STALL);
+            case KILL -> targets.get(fault.index()).close();
+            case RACK ->
+                targets.subList(fault.index(), fault.index() + RACK_SIZE).forEach(StandInTarget::close);
+            case ENTRY -> bed.entries().get(fault.index()).close();
+            case PARTITION, OVERLOAD -> {}
+        }
+    }
+
+    private void end(Fault fault) {
+        switch (fault.kind()) {
+            case BLACKHOLE, STALL -> bed.targets().get(fault.index()).switchTo(StandInTarget.Mode.NORMAL);
+            case KILL, RACK, ENTRY, PARTITION, OVERLOAD -> {}
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/load/LoadRun.java
@@ -0,0 +1,189 @@
+package org.mustardlink.load;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
+import org.HdrHistogram.Histogram;
+import org.mustardlink.api.VerdictDocument;
+import org.mustardlink.core.Outcome;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.standin.StandInTarget;
+import org.mustardlink.standin.TestBed;
+
+/** One run: sends every job of a workload at its intended time and records the answers. */
+public final class LoadRun {
+    private static final ImmutableList<String> DOMAINS = ImmutableList.of("balanza", "galpon", "oficina");
+    private static final Duration ANSWER_MARGIN = Duration.ofSeconds(2);
+
+    private final LoadSettings settings;
+    private final String policy;
+    private final ImmutableList<JobPlan> jobs;
+    private final RunRecorder recorder;
+
+    private LoadRun(LoadSettings settings, String policy) {
+        this.settings = settings;
+        this.policy = policy;
+        this.jobs = Workload.generate(settings);
+        this.recorder = new RunRecorder(settings, PooledQueue.responsesMs(settings, jobs));
+    }
+
+    /**
+     * What a run gives.
+     *
+     * @param report the figures
+     * @param ratios distributions of response over ideal, in thousandths, by group
+     */
+    public record Result(RunReport report, ImmutableMap<String, Histogram> ratios) {}
+
+    /**
+     * Runs to the end.
+     *
+     * @param settings the run
+     * @param policy placement policy of an in-process deployment, one of {@link Policies#names()}
+     */
+    public static Result run(LoadSettings settings, String policy) {
+        return new LoadRun(settings, policy).run();
+    }
+
+    private Result run() {
+        if (!settings.entries().isEmpty()) {
+            drive(settings.entries(), () -> {});
+            return result(ImmutableMap.of());
+        }
+        ImmutableList<String> domains = IntStream.range(0, settings.domains())
+                .mapToObj(i -> i < DOMAINS.size() ? DOMAINS.get(i) : "domain-" + i)
+                .collect(ImmutableList.toImmutableList());
+        TestBed.Shape shape = new TestBed.Shape(
+                domains,
+                settings.entriesPerDomain(),
+                settings.capacity().speeds().size(),
+                settings.capacity().slots(),
+                settings.capacity().speeds());
+        TestBed.Options options =
+                new TestBed.Options(Policies.find(policy, settings.seed()), settings.speedsDeclared());
+        try (TestBed bed = TestBed.start(shape, options);
+                FaultInjector faults = new FaultInjector(bed, settings)) {
+            drive(bed.callerAddresses(), faults::start);
+            return result(messages(bed));
+        }
+    }
+
+    private void drive(ImmutableList<InetSocketAddress> entries, Runnable onStart) {
+        HttpRequester.Limits limits =
+                new HttpRequester.Limits(8192, 65536, Duration.ofSeconds(5), Duration.ofSeconds(60), 2);
+        try (HttpRequester requester = HttpRequester.start(limits)) {
+            Callers callers = new Callers(settings, entries, requester);
+            callers.open(jobs);
+            onStart.run();
+            awaitAll(sendAll(callers));
+        }
+    }
+
+    private List<CompletableFuture<Void>> sendAll(Callers callers) {
+        record Cancellation(long nanos, Callers.Sent sent) {}
+        PriorityQueue<Cancellation> cancellations = new PriorityQueue<>(Comparator.comparingLong(Cancellation::nanos));
+        List<CompletableFuture<Void>> answers = new ArrayList<>(jobs.size());
+        long start = System.nanoTime();
+        for (JobPlan job : jobs) {
+            while (!cancellations.isEmpty() && cancellations.element().nanos() <= job.arrivalNanos()) {
+                Cancellation due = cancellations.remove();
+                waitUntil(start + due.nanos());
+                callers.cancel(due.sent());
+            }
+            waitUntil(start + job.arrivalNanos());
+            recorder.sent(job, System.nanoTime() - start - job.arrivalNanos());
+            Callers.Sent sent = callers.submit(job);
+            answers.add(sent.verdict().handle((verdict, failure) -> record(job, start, verdict, failure)));
+            job.cancelNanos().ifPresent(nanos -> cancellations.add(new Cancellation(nanos, sent)));
+        }
+        cancellations.forEach(due -> callers.cancel(due.sent()));
+        return answers;
+    }
+
+    private Void record(JobPlan job, long start, VerdictDocument verdict, Throwable failure) {
+        long end = System.nanoTime() - start;
+        if (failure != null) {
+            recorder.failed(job, "NO_ANSWER");
+        } else if (verdict.outcome() != Outcome.COMPLETE) {
+            recorder.failed(job, verdict.reason().name());
+        } else {
+            if (!isWhole(job, verdict)) {
+                recorder.wrongAnswer();
+            }
+            recorder.complete(job, end);
+        }
+        return null;
+    }
+
+    private static boolean isWhole(JobPlan job, VerdictDocument verdict) {
+        return verdict.results().size() == job.tasks().size()
+                && IntStream.range(0, job.tasks().size())
+                        .allMatch(i -> verdict.results().get(i).equals(Callers.answerOf(job, i)));
+    }
+
+    private void awaitAll(List<CompletableFuture<Void>> answers) {
+        try {
+            CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new))
+                    .get(settings.deadline().plus(ANSWER_MARGIN).toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            // Jobs without any answer stay out of the counts of complete and failed ones; the report shows them.
+            System.err.println("some jobs had no answer: " + e.getMessage());
+        }
+    }
+
+    private Result result(ImmutableMap<String, Double> messages) {
+        long tasks = jobs.stream().mapToLong(job -> job.tasks().size()).sum();
+        ImmutableMap<String, Long> counts =
+                ImmutableMap.of("jobs", (long) jobs.size(), "tasks", tasks, "wrongAnswers", recorder.wrongAnswers());
+        RunReport report = new RunReport(
+                policy,
+                settings.seed(),
+                ReportPrinter.describe(settings),
+                recorder.groups(),
+                messages,
+                counts,
+                recorder.timeline(),
+                recorder.sendDelayMs());
+        return new Result(report, recorder.ratios());
+    }
+
+    private ImmutableMap<String, Double> messages(TestBed bed) {
+        double tasks = jobs.stream().mapToLong(job -> job.tasks().size()).sum();
+        List<StandInTarget.Messages> all =
+                bed.targets().stream().map(StandInTarget::messages).toList();
+        return ImmutableMap.<String, Double>builder()
+                .put("start", sum(all, StandInTarget.Messages::starts) / tasks)
+                .put("answer", sum(all, StandInTarget.Messages::starts) / tasks)
+                .put("refused start", sum(all, StandInTarget.Messages::refused) / tasks)
+                .put("probe", sum(all, StandInTarget.Messages::probes) / tasks)
+                .put("cancel", sum(all, StandInTarget.Messages::stops) / tasks)
+                .put("started twice", (double) bed.repeatedStarts())
+                .buildOrThrow();
+    }
+
+    private static double sum(
+            List<StandInTarget.Messages> all, java.util.function.ToLongFunction<StandInTarget.Messages> kind) {
+        return all.stream().mapToLong(kind).sum();
+    }
+
+    private static void waitUntil(long nanoTime) {
+        long left = nanoTime - System.nanoTime();
+        while (left > 0) {
+            LockSupport.parkNanos(left);
+            left = nanoTime - System.nanoTime();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/load/PooledQueue.java
@@ -0,0 +1,67 @@
+package org.mustardlink.load;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.stream.IntStream;
+
+/**
+ * Reference calculation: one queue in order of arrival over all slots of a domain, without network and with true run
+ * times.
+ *
+ * <p>Each task goes to the slot that finishes it first, the longest task of a job first. It is a reference line for the
+ * cost of dividing a domain over several entry hosts, not a model of the system.
+ */
+final class PooledQueue {
+    private final double[] freeAtMs;
+    private final double[] speeds;
+
+    private PooledQueue(DomainCapacity capacity) {
+        speeds = capacity.speeds().stream()
+                .flatMap(speed -> IntStream.range(0, capacity.slots()).mapToObj(_unused -> speed))
+                .mapToDouble(Double::doubleValue)
+                .toArray();
+        freeAtMs = new double[speeds.length];
+    }
+
+    /** Returns the response of each job in milliseconds, by job number. */
+    static double[] responsesMs(LoadSettings settings, ImmutableList<JobPlan> jobs) {
+        double[] responses = new double[jobs.size()];
+        List<PooledQueue> domains = IntStream.range(0, settings.domains())
+                .mapToObj(_unused -> new PooledQueue(settings.capacity()))
+                .toList();
+        for (JobPlan job : jobs) {
+            if (job.cancelNanos().isEmpty()) {
+                responses[job.number()] =
+                        settings.networkMs() + domains.get(job.domain()).run(job);
+            }
+        }
+        return responses;
+    }
+
+    private double run(JobPlan job) {
+        double arrivalMs = job.arrivalNanos() / 1e6;
+        PriorityQueue<Long> longestFirst = new PriorityQueue<>(Comparator.reverseOrder());
+        job.tasks().forEach(task -> longestFirst.add(task.runMs()));
+        double lastMs = arrivalMs;
+        while (!longestFirst.isEmpty()) {
+            lastMs = Math.max(lastMs, place(longestFirst.remove(), arrivalMs));
+        }
+        return lastMs - arrivalMs;
+    }
+
+    private double place(long runMs, double arrivalMs) {
+        int best = 0;
+        double bestEndMs = Double.POSITIVE_INFINITY;
+        for (int slot = 0; slot < speeds.length; slot++) {
+            double endMs = Math.max(arrivalMs, freeAtMs[slot]) + runMs / speeds[slot];
+            if (endMs < bestEndMs) {
+                best = slot;
+                bestEndMs = endMs;
+            }
+        }
+        freeAtMs[best] = bestEndMs;
+        return bestEndMs;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/load/Sizes.java
@@ -0,0 +1,43 @@
+package org.mustardlink.load;
+
+import java.util.stream.IntStream;
+import org.mustardlink.core.JobRequest;
+
+/** Mix of job sizes. */
+public enum Sizes {
+    /** Only jobs of one task. */
+    SINGLE(1, 0),
+    /** Only jobs of 20 tasks. */
+    TWENTY(0, 1),
+    /** 70% single tasks, 20% jobs of 20, and 10% of log-uniform size from 1 to the maximum. */
+    MIX(0.7, 0.2);
+
+    private final double singles;
+    private final double twenties;
+
+    Sizes(double singles, double twenties) {
+        this.singles = singles;
+        this.twenties = twenties;
+    }
+
+    /** Returns the mean number of tasks of a job. */
+    double mean() {
+        double logUniform = IntStream.rangeClosed(1, JobRequest.MAX_TASKS)
+                        .mapToDouble(size -> size * Math.log((size + 1.0) / size))
+                        .sum()
+                / Math.log(JobRequest.MAX_TASKS + 1);
+        return singles + 20 * twenties + (1 - singles - twenties) * logUniform;
+    }
+
+    /**
+     * Returns the class of the job that a draw selects.
+     *
+     * @param draw uniform in [0, 1)
+     */
+    JobClass choose(double draw) {
+        if (draw < singles) {
+            return JobClass.SINGLE;
+        }
+        return draw < singles + twenties ? JobClass.TWENTY : JobClass.MIXED;
+    }
+}
--- a/src/main/java/org/mustardlink/standin/StandInTarget.java
+++ b/src/main/java/org/mustardlink/standin/StandInTarget.java
@@ -37,6 +37,19 @@
     private final Map<String, Integer> starts = new HashMap<>();
     private Mode mode = Mode.NORMAL;
     private int busy;
+    private long refused;
+    private long stops;
+    private long probes;
+
+    /**
+     * Messages received since the start.
+     *
+     * @param starts tasks started
+     * @param refused starts refused
+     * @param stops requests to stop a task
+     * @param probes everything else, health checks among it
+     */
+    public record Messages(long starts, long refused, long stops, long probes) {}
 
     /**
      * Settings of a stand-in target.
@@ -107,6 +120,12 @@
         return ImmutableMap.copyOf(starts);
     }
 
+    /** Returns the messages received. */
+    public synchronized Messages messages() {
+        long started = starts.values().stream().mapToLong(Integer::longValue).sum();
+        return new Messages(started, refused, stops, probes);
+    }
+
     /** Returns the slots in use. */
     public synchronized int busy() {
         return busy;
@@ -133,6 +152,7 @@
             } else if (path.equals("/starts")) {
                 HttpServers.write(response, 200, "application/json", Json.write(starts()));
             } else {
+                probed();
                 HttpServers.write(response, 200, "text/plain", "ok");
             }
         } catch (CodedException | IllegalArgumentException e) {
@@ -171,6 +191,10 @@
                         timer.schedule(() -> end(task, payload.answer(), !late), endMicros, TimeUnit.MICROSECONDS)));
     }
 
+    private synchronized void probed() {
+        probes++;
+    }
+
     private static Payload parse(String body) {
         try {
             return Json.read(body, Payload.class);
@@ -197,6 +221,7 @@
     }
 
     private synchronized void stop(String task) {
+        stops++;
         Running row = running.get(task);
         if (row != null) {
             row.end().cancel(false);
@@ -205,6 +230,7 @@
     }
 
     private void refuse(Response response, String task, String why) {
+        refused++;
         response.setHeader(TargetProtocol.NOT_RUN_HEADER, why);
         answer(response, task, 503, why, why);
     }
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -11,8 +11,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.mustardlink.config.ConfigFeed;
 import org.mustardlink.config.EntrySettings;
+import org.mustardlink.core.PlacementPolicy;
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.entry.EntryHost;
 import org.mustardlink.http.Addresses;
@@ -60,8 +62,26 @@
         }
     }
 
+    /**
+     * What a deployment may vary beside its size.
+     *
+     * @param policies makes the placement policy of one entry host
+     * @param speedsDeclared whether configuration declares the true speeds; otherwise it declares 1 for each target
+     */
+    public record Options(Supplier<PlacementPolicy> policies, boolean speedsDeclared) {
+        /** Returns the policy of the daemon with declared speeds. */
+        public static Options defaults() {
+            return new Options(PlacementPolicy::fastestFree, true);
+        }
+    }
+
     /** Starts a deployment and waits until the platform knows all of it. */
     public static TestBed start(Shape shape) {
+        return start(shape, Options.defaults());
+    }
+
+    /** Starts a deployment with options and waits until the platform knows all of it. */
+    public static TestBed start(Shape shape, Options options) {
         StandInPlatform platform = StandInPlatform.start(loopback());
         List<StandInTarget> targets = new ArrayList<>();
         List<EntryHost> entries = new ArrayList<>();
@@ -75,7 +95,13 @@
                 targets.add(target);
                 String id = domain + "-target-" + i;
                 TargetSpec spec = new TargetSpec(
-                        id, SERVICE, domain, Addresses.format(target.address()), shape.slots(), 64, speed);
+                        id,
+                        SERVICE,
+                        domain,
+                        Addresses.format(target.address()),
+                        shape.slots(),
+                        64,
+                        options.speedsDeclared() ? speed : 1.0);
                 records.add(Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec)));
             }
         }
@@ -85,7 +111,8 @@
                 String id = domain + "-entry-" + i;
                 EntryHost entry = EntryHost.start(
                         new EntrySettings(id, domain, loopback(), loopback(), platform.address()),
-                        System.currentTimeMillis());
+                        System.currentTimeMillis(),
+                        options.policies().get());
                 entries.add(entry);
                 hosts.add(new HostListing.Host(
                         id,
