Report metrics, log events and a status document from every entry host

Cause: an operator had no way to see what an entry host does, and its log lines held only what libraries wrote. Change: observe.EntryObserver watches the events that enter the core and the commands that leave it. It keeps histograms of the response time per team and class (bounded, the rest in one series named other), counters for every reason and kind of message, forwarded calls, dropped answers, loop lag and heap. The operators' address serves /health, /ready, /metrics (Prometheus), /metrics.json and /status. Log lines are JSON with stable event and field names, bounded per event and second; libraries are quiet below warn. The Prometheus exporter refuses two metrics that differ in labels only, so series are exported one by one and joined. Conclusion: histograms cover the time since the start of the process.

--- a/src/main/java/org/mustardlink/cli/EntryCommand.java
+++ b/src/main/java/org/mustardlink/cli/EntryCommand.java
@@ -8,6 +8,7 @@
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.entry.EntryHost;
 import org.mustardlink.entry.Incarnations;
+import org.mustardlink.observe.EventLog;
 
 /** {@code entry}: runs an entry host until the process is asked to stop. */
 final class EntryCommand implements Subcommand {
@@ -23,6 +24,7 @@
     @SuppressWarnings("ShutdownHook")
     public int run(Namespace arguments) {
         EntrySettings settings = EntrySettings.of(SettingsArguments.load(arguments));
+        EventLog.configure(settings.logs());
         EntryHost host = EntryHost.start(settings, Incarnations.next(Clock.systemUTC()));
         CountDownLatch ended = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -1,6 +1,7 @@
 package org.mustardlink.entry;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
@@ -31,6 +32,10 @@
 import org.mustardlink.core.Verdict;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
+import org.mustardlink.observe.EntryObserver;
+import org.mustardlink.observe.LogEvent;
+import org.mustardlink.observe.LogField;
+import org.mustardlink.observe.OperatorPages;
 import org.mustardlink.peer.PeerClient;
 import org.mustardlink.peer.PeerServer;
 import org.mustardlink.platform.HostListing;
@@ -40,6 +45,7 @@
 /** One entry host: everything that the daemon runs. Several can run in one process. */
 public final class EntryHost implements CallerBackend, AutoCloseable {
     private final EntrySettings settings;
+    private final EntryObserver observer;
     private final long incarnation;
     private final HttpRequester targetRequester;
     private final HttpRequester platformRequester;
@@ -49,6 +55,7 @@
     private final EntryLoop loop;
     private final CallerApi callerApi;
     private final OperatorApi operatorApi;
+    private final OperatorPages pages;
     private final PeerServer peerServer;
     private final ConfigFeed configFeed;
     private final AtomicLong nextRequester = new AtomicLong();
@@ -58,6 +65,7 @@
 
     private EntryHost(EntrySettings settings, long incarnation, PlacementPolicy placement) {
         this.settings = settings;
+        this.observer = EntryObserver.create(settings);
         this.incarnation = incarnation;
         targetRequester = HttpRequester.start(targetLimits(settings));
         platformRequester = HttpRequester.start(HttpRequester.Limits.small());
@@ -66,7 +74,7 @@
                 platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
         DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
-        loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute);
+        loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
         peerServer = PeerServer.start(settings.peer(), incarnation, this);
         callerApi = CallerApi.start(
@@ -75,8 +83,20 @@
                 settings.limits().maxBodyBytes(),
                 this);
         operatorApi = OperatorApi.start(settings.operator());
+        pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
+        pages.section("hosts", () -> Maps.transformValues(peerAddresses, Addresses::format));
+        pages.registerAt(operatorApi);
+        observer.metrics().gauge("open_jobs", loop::openJobs);
+        observer.metrics().gauge("known_hosts", this::knownPeers);
         configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(declared)));
         refreshPeers();
+        observer.log()
+                .line(LogEvent.HOST_STARTED)
+                .with(LogField.INCARNATION, incarnation)
+                .with(LogField.CALLER_ADDRESS, Addresses.format(callerAddress()))
+                .with(LogField.OPERATOR_ADDRESS, Addresses.format(operatorAddress()))
+                .with(LogField.PEER_ADDRESS, Addresses.format(peerAddress()))
+                .write();
     }
 
     /**
@@ -181,12 +201,14 @@
      */
     public void stop(Duration grace) {
         leaving = true;
+        logOpenJobs(LogEvent.HOST_LEAVING);
         loop.post(new Event.StopRequested());
         long end = System.nanoTime() + grace.toNanos();
         while (System.nanoTime() < end && loop.openJobs() > 0) {
             sleep(Duration.ofMillis(20));
         }
         callerApi.shutdown(Duration.ofSeconds(1));
+        logOpenJobs(LogEvent.HOST_STOPPED);
         close();
     }
 
@@ -203,6 +225,10 @@
         platformRequester.close();
     }
 
+    private void logOpenJobs(LogEvent event) {
+        observer.log().line(event).with(LogField.OPEN_JOBS, loop.openJobs()).write();
+    }
+
     private static HttpRequester.Limits targetLimits(EntrySettings settings) {
         return new HttpRequester.Limits(
                 settings.limits().targetConnections(),
@@ -249,7 +275,10 @@
             return CompletableFuture.completedFuture(new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE)));
         }
         return Optional.ofNullable(peerAddresses.get(id.session().host()))
-                .map(call)
+                .map(owner -> {
+                    observer.forwarded();
+                    return call.apply(owner);
+                })
                 .orElseGet(() -> CompletableFuture.completedFuture(PeerClient.unreachable()));
     }
 
@@ -260,6 +289,7 @@
     }
 
     private void execute(Command command) {
+        observer.issued(command);
         if (command instanceof Command.StartTask start) {
             CompletableFuture<Void> _posted = targets.start(start)
                     .thenAccept(result -> loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result)));
@@ -277,7 +307,8 @@
     }
 
     private void answer(long requester, Command command) {
-        Optional.ofNullable(requesters.remove(requester)).ifPresent(consumer -> consumer.accept(command));
+        Optional.ofNullable(requesters.remove(requester))
+                .ifPresentOrElse(consumer -> consumer.accept(command), () -> observer.dropped(command));
     }
 
     private void refreshPeers() {
@@ -285,6 +316,7 @@
             return;
         }
         CompletableFuture<HostListing> _refreshed = platform.hosts().whenComplete((listing, failure) -> {
+            observer.platformRead(Optional.ofNullable(failure));
             if (failure == null) {
                 peerAddresses = listing.hosts().stream()
                         .filter(host -> host.kind() == HostListing.Kind.ENTRY)
--- a/src/main/java/org/mustardlink/entry/EntryLoop.java
+++ b/src/main/java/org/mustardlink/entry/EntryLoop.java
@@ -6,10 +6,12 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.mustardlink.core.Command;
 import org.mustardlink.core.DispatchCore;
 import org.mustardlink.core.Event;
+import org.mustardlink.observe.EntryObserver;
 
 /**
  * The thread that runs the core.
@@ -23,12 +25,17 @@
     private final DispatchCore core;
     private final int maxBatch;
     private final Consumer<Command> executor;
+    private final EntryObserver observer;
+    /** When the oldest event since the last tick was posted, in nanoseconds; 0 if there is none. */
+    private final AtomicLong oldestPosted = new AtomicLong();
+
     private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
     private final Thread thread;
     private volatile boolean closed;
     private volatile int openJobs;
 
-    EntryLoop(String name, DispatchCore core, int maxBatch, Consumer<Command> executor) {
+    EntryLoop(String name, DispatchCore core, int maxBatch, Consumer<Command> executor, EntryObserver observer) {
+        this.observer = observer;
         this.core = core;
         this.maxBatch = maxBatch;
         this.executor = executor;
@@ -41,6 +48,8 @@
     }
 
     void post(Event event) {
+        observer.posted(event);
+        oldestPosted.compareAndSet(0, System.nanoTime());
         events.add(event);
     }
 
@@ -77,6 +86,10 @@
         if (first != null) {
             batch.add(first);
             events.drainTo(batch, maxBatch - 1);
+            long posted = oldestPosted.getAndSet(0);
+            if (posted != 0) {
+                observer.ticked(System.nanoTime() - posted);
+            }
         }
     }
 }
--- /dev/null
+++ b/src/main/java/org/mustardlink/observe/EntryMetrics.java
@@ -0,0 +1,156 @@
+package org.mustardlink.observe;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.codahale.metrics.Counter;
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.Timer;
+import com.google.common.base.CharMatcher;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
+import java.lang.management.ManagementFactory;
+import java.lang.management.MemoryUsage;
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Recorder;
+import org.mpierce.metrics.reservoir.hdrhistogram.HdrHistogramReservoir;
+import org.mustardlink.core.Reason;
+
+/**
+ * The metrics of one entry host. Thread-safe.
+ *
+ * <p>Histograms cover the time since the process started. {@code docs/operations.md} lists every name.
+ */
+public final class EntryMetrics {
+    /** Team and class of the histogram that takes what goes beyond the bound on series. */
+    static final String OTHER = "other";
+
+    static final String RESPONSE_TIME = "response_time";
+
+    private static final long LOWEST_NANOS = 1_000;
+    private static final long HIGHEST_NANOS = TimeUnit.HOURS.toNanos(1);
+    private static final CharMatcher LABEL = CharMatcher.inRange('a', 'z')
+            .or(CharMatcher.inRange('A', 'Z'))
+            .or(CharMatcher.inRange('0', '9'))
+            .or(CharMatcher.anyOf("_-"));
+
+    private final MetricRegistry registry = new MetricRegistry();
+    private final Map<Series, Timer> series = new ConcurrentHashMap<>();
+    private final ImmutableMap<Reason, Counter> verdicts;
+    private final ImmutableMap<MessageKind, Counter> messages;
+    private final Counter forwarded = registry.counter("forwarded_calls");
+    private final Counter dropped = registry.counter("dropped_answers");
+    private final int maxSeries;
+    private final int digits;
+    private final Timer loopLag;
+
+    private EntryMetrics(int maxSeries, int digits) {
+        this.maxSeries = maxSeries;
+        this.digits = digits;
+        loopLag = timer("loop_lag");
+        // Every counter exists from the start, so that a missing series never has to be told from a zero.
+        verdicts = Maps.toMap(Arrays.asList(Reason.values()), reason -> registry.counter("verdicts." + reason));
+        messages = Maps.toMap(Arrays.asList(MessageKind.values()), kind -> registry.counter(kind.metric()));
+        gauge("heap_used_bytes", () -> heap().getUsed());
+        gauge("heap_max_bytes", () -> heap().getMax());
+    }
+
+    private record Series(String team, String jobClass) {}
+
+    /**
+     * Creates empty metrics.
+     *
+     * @param maxSeries histograms of team and class kept apart; further pairs share one named {@code other}
+     * @param digits significant digits of the histograms, 1 to 3
+     */
+    public static EntryMetrics create(int maxSeries, int digits) {
+        checkArgument(maxSeries > 0, "maxSeries must be positive: %s", maxSeries);
+        checkArgument(digits >= 1 && digits <= 3, "digits must be 1 to 3: %s", digits);
+        return new EntryMetrics(maxSeries, digits);
+    }
+
+    /** Counts one message that was sent, or an answer that was received. */
+    public void count(MessageKind kind) {
+        messages.get(kind).inc();
+    }
+
+    /** Counts one verdict that was delivered to a requester. */
+    public void count(Reason reason) {
+        verdicts.get(reason).inc();
+    }
+
+    /** Counts one request that was sent on to the session's owner. */
+    public void countForwarded() {
+        forwarded.inc();
+    }
+
+    /** Counts one answer that nobody waited for. */
+    public void countDropped() {
+        dropped.inc();
+    }
+
+    /** Records the time from the arrival of a job to its complete answer, in nanoseconds. */
+    public void recordResponse(String team, String jobClass, long nanos) {
+        responseTimer(team, jobClass).update(clamp(nanos), TimeUnit.NANOSECONDS);
+    }
+
+    /** Records how long the oldest event of a tick waited for the loop, in nanoseconds. */
+    public void recordLoopLag(long nanos) {
+        loopLag.update(clamp(nanos), TimeUnit.NANOSECONDS);
+    }
+
+    /**
+     * Registers a number that is read when the metrics are asked for.
+     *
+     * @param name lower-case words joined by underscores
+     * @param value thread-safe source of the number
+     */
+    public void gauge(String name, Gauge<? extends Number> value) {
+        Gauge<? extends Number> _registered = registry.registerGauge(name, value);
+    }
+
+    /** Returns the registry, for readers. */
+    MetricRegistry registry() {
+        return registry;
+    }
+
+    private Timer responseTimer(String team, String jobClass) {
+        Series wanted = new Series(label(team), label(jobClass));
+        return Optional.ofNullable(series.get(wanted)).orElseGet(() -> newSeries(wanted));
+    }
+
+    /** Serialized, so that concurrent first jobs of many teams cannot exceed the bound. */
+    private synchronized Timer newSeries(Series wanted) {
+        if (series.size() >= maxSeries && !series.containsKey(wanted)) {
+            return timer(MetricRegistry.name(RESPONSE_TIME, OTHER, OTHER));
+        }
+        return series.computeIfAbsent(
+                wanted, key -> timer(MetricRegistry.name(RESPONSE_TIME, key.team(), key.jobClass())));
+    }
+
+    private Timer timer(String name) {
+        return registry.timer(name, this::newTimer);
+    }
+
+    private Timer newTimer() {
+        return new Timer(new HdrHistogramReservoir(new Recorder(LOWEST_NANOS, HIGHEST_NANOS, digits)));
+    }
+
+    /** A dot would split the name of a metric, so it and other characters become underscores. */
+    private static String label(String text) {
+        String cleaned = LABEL.negate().replaceFrom(text, '_');
+        return cleaned.isEmpty() ? "none" : cleaned;
+    }
+
+    private static long clamp(long nanos) {
+        return Math.max(0, Math.min(nanos, HIGHEST_NANOS));
+    }
+
+    private static MemoryUsage heap() {
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/observe/EntryObserver.java
@@ -0,0 +1,213 @@
+package org.mustardlink.observe;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.mustardlink.config.settings.EntrySettings;
+import org.mustardlink.core.AttemptResult;
+import org.mustardlink.core.Command;
+import org.mustardlink.core.Event;
+import org.mustardlink.core.Reason;
+import org.mustardlink.core.SubmissionId;
+import org.mustardlink.core.TargetSpec;
+import org.mustardlink.core.TaskId;
+import org.mustardlink.core.Verdict;
+
+/**
+ * Watches the events that enter the core and the commands that leave it, and keeps metrics, log and target board.
+ *
+ * <p>Thread-safe. It never blocks and never throws because of what it sees.
+ */
+public final class EntryObserver {
+    private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+
+    private final EntryMetrics metrics;
+    private final EventLog log;
+    private final TargetBoard targets = new TargetBoard();
+    private final Map<Long, Waiting> waiting = new ConcurrentHashMap<>();
+    private final Map<TaskId, TargetSpec> inFlight = new ConcurrentHashMap<>();
+    private final AtomicBoolean platformLost = new AtomicBoolean();
+    private volatile boolean configured;
+    private volatile ImmutableSet<String> draining = ImmutableSet.of();
+
+    private EntryObserver(EntryMetrics metrics, EventLog log) {
+        this.metrics = metrics;
+        this.log = log;
+    }
+
+    private record Waiting(String team, String jobClass, long sinceNanos) {}
+
+    /** Creates an observer of one entry host. */
+    public static EntryObserver create(EntrySettings settings) {
+        EntryMetrics metrics = EntryMetrics.create(
+                settings.metrics().maxSeries(), settings.metrics().digits());
+        EventLog log = EventLog.create(
+                settings.id(), settings.domain(), settings.logs().linesPerEvent());
+        return new EntryObserver(metrics, log);
+    }
+
+    /** Returns the metrics. */
+    public EntryMetrics metrics() {
+        return metrics;
+    }
+
+    /** Returns the log. */
+    public EventLog log() {
+        return log;
+    }
+
+    /** Returns whether a configuration has been read. */
+    public boolean configured() {
+        return configured;
+    }
+
+    /** Returns what was seen of each declared target. */
+    ImmutableList<TargetBoard.Row> targets() {
+        return targets.rows();
+    }
+
+    /** Notes an event that is about to enter the core. */
+    public void posted(Event event) {
+        if (event instanceof Event.JobSubmitted submitted) {
+            waiting.put(
+                    submitted.requester(),
+                    new Waiting(submitted.request().team(), submitted.request().jobClass(), System.nanoTime()));
+        } else if (event instanceof Event.RequesterGone gone) {
+            waiting.remove(gone.requester());
+        } else if (event instanceof Event.AttemptEnded ended) {
+            ended(ended);
+        } else if (event instanceof Event.TargetsDeclared declared) {
+            declared(declared.targets());
+        } else if (event instanceof Event.TargetsDraining marked) {
+            draining(marked.targets());
+        }
+    }
+
+    /** Notes a command that the core issued. */
+    public void issued(Command command) {
+        if (command instanceof Command.StartTask start) {
+            metrics.count(MessageKind.START);
+            inFlight.put(start.task(), start.target());
+            targets.started(start);
+        } else if (command instanceof Command.StopTask) {
+            metrics.count(MessageKind.CANCEL);
+        } else if (command instanceof Command.DeliverVerdict delivered) {
+            delivered(delivered.requester(), delivered.id(), delivered.verdict());
+        } else if (command instanceof Command.SessionRefused refused) {
+            metrics.count(refused.reason());
+            log.line(LogEvent.SESSION_REFUSED)
+                    .with(LogField.REASON, refused.reason())
+                    .write();
+        }
+    }
+
+    /** Notes how long the oldest event of a tick waited, in nanoseconds. */
+    public void ticked(long lagNanos) {
+        metrics.recordLoopLag(lagNanos);
+        if (lagNanos > LATE_NANOS) {
+            log.line(LogEvent.LOOP_LATE)
+                    .with(LogField.ELAPSED_MS, TimeUnit.NANOSECONDS.toMillis(lagNanos))
+                    .write();
+        }
+    }
+
+    /** Notes a call to another entry host that passes a caller's request on. */
+    public void forwarded() {
+        metrics.countForwarded();
+        metrics.count(MessageKind.PEER);
+    }
+
+    /** Notes an answer whose requester is gone. */
+    public void dropped(Command command) {
+        metrics.countDropped();
+        EventLog.Line line = log.line(LogEvent.ANSWER_DROPPED);
+        if (command instanceof Command.DeliverVerdict delivered) {
+            withSubmission(line, delivered.id())
+                    .with(LogField.REASON, delivered.verdict().reason());
+        }
+        line.write();
+    }
+
+    /** Notes that the platform's list of hosts was or was not read. */
+    public void platformRead(Optional<Throwable> failure) {
+        boolean lost = failure.isPresent();
+        if (platformLost.compareAndSet(!lost, lost)) {
+            EventLog.Line line = log.line(lost ? LogEvent.PLATFORM_LOST : LogEvent.PLATFORM_BACK);
+            failure.ifPresent(error -> line.with(LogField.ERROR, error.getMessage()));
+            line.write();
+        }
+    }
+
+    /** Returns whether the platform's list of hosts could be read last time. */
+    public boolean platformReachable() {
+        return !platformLost.get();
+    }
+
+    private void delivered(long requester, SubmissionId id, Verdict verdict) {
+        metrics.count(verdict.reason());
+        Waiting waited = waiting.remove(requester);
+        EventLog.Line line = log.line(verdict.reason() == Reason.OK ? LogEvent.JOB_COMPLETE : LogEvent.JOB_FAILED);
+        withSubmission(line, id).with(LogField.REASON, verdict.reason());
+        if (waited != null) {
+            long nanos = System.nanoTime() - waited.sinceNanos();
+            line.with(LogField.ELAPSED_MS, TimeUnit.NANOSECONDS.toMillis(nanos));
+            if (verdict.reason() == Reason.OK) {
+                metrics.recordResponse(waited.team(), waited.jobClass(), nanos);
+            }
+        }
+        line.write();
+    }
+
+    private void ended(Event.AttemptEnded ended) {
+        TargetSpec target = inFlight.remove(ended.task());
+        targets.ended(ended);
+        if (ended.result() instanceof AttemptResult.NotStarted refused) {
+            metrics.count(MessageKind.REFUSED_START);
+            attemptLine(LogEvent.START_REFUSED, ended, target)
+                    .with(LogField.CAUSE, refused.cause())
+                    .write();
+            return;
+        }
+        metrics.count(MessageKind.ANSWER);
+        if (ended.result() instanceof AttemptResult.Lost lost) {
+            attemptLine(LogEvent.ATTEMPT_LOST, ended, target)
+                    .with(LogField.REASON, lost.reason())
+                    .write();
+        }
+    }
+
+    private EventLog.Line attemptLine(LogEvent event, Event.AttemptEnded ended, TargetSpec target) {
+        EventLog.Line line = withSubmission(log.line(event), ended.task().submission())
+                .with(LogField.TASK, ended.task())
+                .with(LogField.ATTEMPT, ended.attempt());
+        if (target != null) {
+            line.with(LogField.TARGET, target.id()).with(LogField.TARGET_DOMAIN, target.domain());
+        }
+        return line;
+    }
+
+    private static EventLog.Line withSubmission(EventLog.Line line, SubmissionId id) {
+        return line.with(LogField.SESSION, id.session()).with(LogField.SUBMISSION, id);
+    }
+
+    private void declared(ImmutableList<TargetSpec> specs) {
+        configured = true;
+        targets.declare(specs);
+        log.line(LogEvent.TARGETS_DECLARED).with(LogField.COUNT, specs.size()).write();
+    }
+
+    private void draining(ImmutableSet<String> ids) {
+        if (!ids.equals(draining)) {
+            draining = ids;
+            targets.drain(ids);
+            log.line(LogEvent.TARGETS_DRAINING)
+                    .with(LogField.COUNT, ids.size())
+                    .with(LogField.TARGETS, String.join(",", ids))
+                    .write();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/observe/EventLog.java
@@ -0,0 +1,123 @@
+package org.mustardlink.observe;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.Maps;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.MarkerManager;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.mustardlink.config.settings.EntrySettings;
+
+/**
+ * Writes the log events of one entry host. Thread-safe.
+ *
+ * <p>A line holds only fields of {@link LogField}; payloads and answers of callers have no field. Each event has a bound
+ * on its lines per second; the next line that is written says how many were dropped.
+ */
+public final class EventLog {
+    private static final String ROOT = "org.mustardlink";
+    private static final Logger LOGGER = LogManager.getLogger(ROOT + ".events");
+    private static final long WINDOW_NANOS = TimeUnit.SECONDS.toNanos(1);
+
+    private final Map<LogField, String> common = new EnumMap<>(LogField.class);
+    private final int linesPerSecond;
+    private final Map<LogEvent, Window> windows;
+
+    private EventLog(String host, String domain, int linesPerSecond) {
+        common.put(LogField.HOST, host);
+        common.put(LogField.DOMAIN, domain);
+        this.linesPerSecond = linesPerSecond;
+        this.windows = Maps.toMap(Arrays.asList(LogEvent.values()), _event -> new Window());
+    }
+
+    private static final class Window {
+        private long sinceNanos = System.nanoTime();
+        private int lines;
+        private long suppressed;
+
+        /** Returns the lines dropped before this one, or -1 if this one is dropped too. */
+        private synchronized long admit(long now, int limit) {
+            if (now - sinceNanos >= WINDOW_NANOS) {
+                sinceNanos = now;
+                lines = 0;
+            }
+            if (lines >= limit) {
+                suppressed++;
+                return -1;
+            }
+            lines++;
+            long dropped = suppressed;
+            suppressed = 0;
+            return dropped;
+        }
+    }
+
+    /**
+     * Creates a log.
+     *
+     * @param host id of the entry host
+     * @param domain its failure domain
+     * @param linesPerSecond most lines of one event each second
+     */
+    public static EventLog create(String host, String domain, int linesPerSecond) {
+        checkArgument(linesPerSecond > 0, "linesPerSecond must be positive: %s", linesPerSecond);
+        return new EventLog(host, domain, linesPerSecond);
+    }
+
+    /** Sets what the whole process writes. */
+    public static void configure(EntrySettings.Logs logs) {
+        Configurator.setLevel(ROOT, Level.valueOf(logs.level()));
+        Configurator.setRootLevel(Level.valueOf(logs.libraryLevel()));
+    }
+
+    /** Turns every line off, for commands whose output is for people or programs. */
+    public static void silence() {
+        Configurator.setLevel(ROOT, Level.OFF);
+        Configurator.setRootLevel(Level.OFF);
+    }
+
+    /** Starts a line. */
+    public Line line(LogEvent event) {
+        return new Line(event);
+    }
+
+    /** One line under construction; {@link #write} ends it. */
+    public final class Line {
+        private final LogEvent event;
+        private final Map<String, Object> fields = new LinkedHashMap<>();
+
+        private Line(LogEvent event) {
+            this.event = event;
+        }
+
+        /** Adds a field. */
+        public Line with(LogField field, Object value) {
+            Object plain = value instanceof Number ? value : String.valueOf(value);
+            fields.put(field.id(), plain);
+            return this;
+        }
+
+        /** Writes the line, unless its level is off or its event has used up its lines. */
+        public void write() {
+            if (!LOGGER.isEnabled(event.level())) {
+                return;
+            }
+            long dropped = windows.get(event).admit(System.nanoTime(), linesPerSecond);
+            if (dropped < 0) {
+                return;
+            }
+            if (dropped > 0) {
+                with(LogField.SUPPRESSED, dropped);
+            }
+            common.forEach(this::with);
+            LOGGER.log(event.level(), MarkerManager.getMarker(event.id()), new EventMessage(fields));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/observe/MessageKind.java
@@ -0,0 +1,23 @@
+package org.mustardlink.observe;
+
+import com.google.common.base.Ascii;
+
+/** Kind of a message between an entry host and another process, counted under {@code messages.<kind>}. */
+public enum MessageKind {
+    /** A task was sent to a target. */
+    START,
+    /** A target gave an answer that ends an attempt: complete, failed or damaged. */
+    ANSWER,
+    /** A target refused a task, or no connection to it could be opened; the task did not start. */
+    REFUSED_START,
+    /** A connection or a host was checked. */
+    PROBE,
+    /** A call to another entry host. */
+    PEER,
+    /** A target was asked to stop a task. */
+    CANCEL;
+
+    String metric() {
+        return "messages." + Ascii.toLowerCase(name());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/observe/MetricsText.java
@@ -0,0 +1,110 @@
+package org.mustardlink.observe;
+
+import com.codahale.metrics.MetricFilter;
+import com.codahale.metrics.json.MetricsModule;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableListMultimap;
+import com.google.common.collect.ImmutableMap;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.instrumentation.dropwizard.DropwizardExports;
+import io.prometheus.metrics.instrumentation.dropwizard5.labels.CustomLabelMapper;
+import io.prometheus.metrics.instrumentation.dropwizard5.labels.MapperConfig;
+import io.prometheus.metrics.model.snapshots.CounterSnapshot;
+import io.prometheus.metrics.model.snapshots.GaugeSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricMetadata;
+import io.prometheus.metrics.model.snapshots.MetricSnapshot;
+import io.prometheus.metrics.model.snapshots.MetricSnapshots;
+import io.prometheus.metrics.model.snapshots.SummarySnapshot;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+
+/** Writes metrics as JSON and in the Prometheus text format. Thread-safe. */
+public final class MetricsText {
+    /** Content type of the Prometheus text format. */
+    public static final String PROMETHEUS_TYPE = PrometheusTextFormatWriter.CONTENT_TYPE;
+
+    private static final String PREFIX = "mustardlink_";
+    private static final ObjectMapper MAPPER = JsonMapper.builder()
+            .addModule(new MetricsModule(TimeUnit.SECONDS, TimeUnit.MILLISECONDS, false))
+            .build();
+    private static final CustomLabelMapper LABELS = new CustomLabelMapper(ImmutableList.of(
+            new MapperConfig(
+                    EntryMetrics.RESPONSE_TIME + ".*.*",
+                    EntryMetrics.RESPONSE_TIME,
+                    ImmutableMap.of("team", "${0}", "class", "${1}")),
+            new MapperConfig("verdicts.*", "verdicts", ImmutableMap.of("reason", "${0}")),
+            new MapperConfig("messages.*", "messages", ImmutableMap.of("kind", "${0}"))));
+
+    private final EntryMetrics metrics;
+
+    private MetricsText(EntryMetrics metrics) {
+        this.metrics = metrics;
+    }
+
+    /** Returns a writer of the metrics. */
+    public static MetricsText of(EntryMetrics metrics) {
+        return new MetricsText(metrics);
+    }
+
+    /** Returns the metrics as a JSON tree; times are in milliseconds. */
+    public JsonNode json() {
+        try {
+            return MAPPER.readTree(MAPPER.writeValueAsString(metrics.registry()));
+        } catch (JsonProcessingException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "the metrics cannot be written as JSON", e);
+        }
+    }
+
+    /** Returns the metrics in the Prometheus text format; times are in seconds. */
+    public String prometheus() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, collect());
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "the metrics cannot be written as text", e);
+        }
+        return out.toString(StandardCharsets.UTF_8);
+    }
+
+    /** The exporter refuses two metrics that differ in their labels only, so each is exported alone, then joined. */
+    private MetricSnapshots collect() {
+        ImmutableListMultimap.Builder<String, MetricSnapshot> byName = ImmutableListMultimap.builder();
+        for (String name : metrics.registry().getNames()) {
+            MetricFilter alone = (candidate, _metric) -> candidate.equals(name);
+            new DropwizardExports(metrics.registry(), alone, LABELS)
+                    .collect()
+                    .forEach(snapshot -> byName.put(snapshot.getMetadata().getName(), snapshot));
+        }
+        MetricSnapshots.Builder joined = MetricSnapshots.builder();
+        byName.build().asMap().values().forEach(parts -> joined.metricSnapshot(join(ImmutableList.copyOf(parts))));
+        return joined.build();
+    }
+
+    private static MetricSnapshot join(ImmutableList<MetricSnapshot> parts) {
+        MetricSnapshot first = parts.get(0);
+        MetricMetadata metadata =
+                new MetricMetadata(PREFIX + first.getMetadata().getName());
+        if (first instanceof CounterSnapshot) {
+            return new CounterSnapshot(metadata, points(parts, CounterSnapshot.CounterDataPointSnapshot.class));
+        }
+        if (first instanceof SummarySnapshot) {
+            return new SummarySnapshot(metadata, points(parts, SummarySnapshot.SummaryDataPointSnapshot.class));
+        }
+        return new GaugeSnapshot(metadata, points(parts, GaugeSnapshot.GaugeDataPointSnapshot.class));
+    }
+
+    private static <T> ImmutableList<T> points(ImmutableList<MetricSnapshot> parts, Class<T> type) {
+        return parts.stream()
+                .flatMap(part -> part.getDataPoints().stream())
+                .map(type::cast)
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mustardlink/observe/EntryMetricsTest.java
@@ -0,0 +1,58 @@
+package org.mustardlink.observe;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.mustardlink.core.Reason;
+
+class EntryMetricsTest {
+    private final EntryMetrics metrics = EntryMetrics.create(2, 2);
+
+    /** Guards against a caller that fills the heap by naming new teams. */
+    @Test
+    void teams_beyond_the_bound_share_one_histogram() {
+        for (int i = 0; i < 100; i++) {
+            metrics.recordResponse("team" + i, "default", TimeUnit.MILLISECONDS.toNanos(5));
+        }
+
+        assertThat(metrics.registry().getTimers().keySet())
+                .containsExactly(
+                        "loop_lag",
+                        "response_time.team0.default",
+                        "response_time.team1.default",
+                        "response_time.other.other");
+        assertThat(metrics.registry().timer("response_time.other.other").getCount())
+                .isEqualTo(98);
+    }
+
+    /** Guards against an absurd time or name that breaks the recording of all later ones. */
+    @Test
+    void times_and_names_out_of_range_are_recorded_within_it() {
+        metrics.recordResponse("a.b c", "", Long.MAX_VALUE);
+        metrics.recordResponse("a.b c", "", -1);
+
+        assertThat(metrics.registry().timer("response_time.a_b_c.none").getCount())
+                .isEqualTo(2);
+    }
+
+    /** Guards against units or labels that differ between what is measured and what is shown. */
+    @Test
+    void both_formats_show_every_reason_and_the_right_units() {
+        metrics.recordResponse("clerks", "urgent", TimeUnit.MILLISECONDS.toNanos(250));
+        metrics.count(Reason.NO_TARGET);
+        MetricsText text = MetricsText.of(metrics);
+
+        String prometheus = text.prometheus();
+        for (Reason reason : Reason.values()) {
+            assertThat(prometheus)
+                    .contains("mustardlink_verdicts_total{reason=\"%s\"} %s"
+                            .formatted(reason, reason == Reason.NO_TARGET ? "1.0" : "0.0"));
+        }
+        assertThat(prometheus)
+                .containsMatch("mustardlink_response_time\\{class=\"urgent\",team=\"clerks\",quantile=\"0.99\"} 0.25");
+        assertThat(text.json().at("/timers/response_time.clerks.urgent/p99").asDouble())
+                .isWithin(3)
+                .of(250);
+    }
+}
