Complete the command line, the operators' page and the documentation

Cause: the command line showed stack traces for bad addresses, had no command to follow a job or to watch a host, and no page said what a reason, a log event or a path means. Change: job status, cancel, hosts, top, settings show and check, version and standin platform|target join the command line; arguments are checked with their unit and range; every error is one message with a documented exit code; the bare command prints help; demo tells what it does. The operators' address serves one static HTML page that reads /status. README, api, errors, logs, glossary and operations describe what the code does now. Conclusion: new reasons, codes and events need a row in docs, or the build fails.

--- a/src/main/java/org/mustardlink/caller/CallerClient.java
+++ b/src/main/java/org/mustardlink/caller/CallerClient.java
@@ -1,11 +1,14 @@
 package org.mustardlink.caller;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import org.mustardlink.api.CallerApi.ErrorDocument;
 import org.mustardlink.api.CallerApi.SessionDocument;
 import org.mustardlink.api.VerdictDocument;
 import org.mustardlink.errors.CodedException;
@@ -27,11 +30,16 @@
         this.requester = requester;
     }
 
-    /** Opens a session and completes with its id. */
+    /** Opens a session and completes with its id; a refusal completes with an error that names its reason. */
     public CompletableFuture<String> openSession(InetSocketAddress entry) {
         return requester
                 .send(entry, HttpCall.post("/v1/sessions", "", SESSION_TIMEOUT))
-                .thenApply(reply -> read(reply, SessionDocument.class).session());
+                .thenApply(reply -> Optional.ofNullable(
+                                read(reply, SessionDocument.class).session())
+                        .orElseThrow(() -> new CodedException(
+                                ErrorCode.NO_ANSWER,
+                                "no session was opened: "
+                                        + read(reply, VerdictDocument.class).reason())));
     }
 
     /**
@@ -55,14 +63,49 @@
                 .thenApply(reply -> read(reply, VerdictDocument.class));
     }
 
+    /**
+     * Waits for the verdict of an earlier submission.
+     *
+     * @param entry caller address of any entry host
+     * @param submission the submission id
+     * @param timeout longest time to wait
+     */
+    public CompletableFuture<VerdictDocument> lookUp(InetSocketAddress entry, String submission, Duration timeout) {
+        return requester
+                .send(entry, HttpCall.get("/v1/jobs/" + submission, timeout))
+                .thenApply(reply -> read(reply, VerdictDocument.class));
+    }
+
+    /**
+     * Cancels a submission and completes with the resulting verdict.
+     *
+     * @param entry caller address of any entry host
+     * @param submission the submission id
+     * @param timeout longest time to wait
+     */
+    public CompletableFuture<VerdictDocument> cancel(InetSocketAddress entry, String submission, Duration timeout) {
+        return requester
+                .send(entry, HttpCall.delete("/v1/jobs/" + submission, timeout))
+                .thenApply(reply -> read(reply, VerdictDocument.class));
+    }
+
     private static <T> T read(HttpReply reply, Class<T> type) {
-        if (reply.status() != 200 && reply.status() != 502 && reply.status() != 503) {
-            throw new CodedException(ErrorCode.NO_ANSWER, "unexpected answer " + reply.status() + ": " + reply.body());
-        }
         try {
-            return Json.read(reply.body(), type);
+            JsonNode document = Json.mapper().readTree(reply.body());
+            if (document != null && document.has("error")) {
+                ErrorDocument error = Json.mapper().treeToValue(document, ErrorDocument.class);
+                throw new CodedException(error.error(), error.message());
+            }
+            if (document != null && document.isObject()) {
+                return Json.mapper().treeToValue(document, type);
+            }
         } catch (JsonProcessingException e) {
-            throw new CodedException(ErrorCode.NO_ANSWER, "unexpected answer: " + reply.body(), e);
+            throw new CodedException(ErrorCode.NO_ANSWER, unexpected(reply), e);
         }
+        throw new CodedException(ErrorCode.NO_ANSWER, unexpected(reply));
+    }
+
+    private static String unexpected(HttpReply reply) {
+        return "the address answers, but not as an entry host: status " + reply.status();
     }
 }
--- a/src/main/java/org/mustardlink/cli/DemoCommand.java
+++ b/src/main/java/org/mustardlink/cli/DemoCommand.java
@@ -19,6 +19,7 @@
 import org.mustardlink.caller.CallerClient;
 import org.mustardlink.core.Outcome;
 import org.mustardlink.core.Reason;
+import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.standin.StandInTarget;
 import org.mustardlink.standin.TestBed;
@@ -32,13 +33,17 @@
 
     @Override
     public void register(Subparsers parsers) {
-        Subparser parser =
-                parsers.addParser("demo").help("run a whole deployment in this process and check its answers");
+        Subparser parser = parsers.addParser("demo")
+                .help("run a whole deployment in this process and check its answers")
+                .description("Starts a stand-in platform, nine stand-in targets and six entry hosts in three failure"
+                        + " domains, submits jobs while one target drains and another is killed, and checks every"
+                        + " answer. Takes about ten seconds and needs no other process.");
         parser.setDefault(Main.COMMAND, this);
     }
 
     @Override
     public int run(Namespace _arguments) {
+        say("starting a stand-in platform, 9 targets and 6 entry hosts in 3 failure domains on loopback");
         try (TestBed bed = TestBed.start(TestBed.Shape.demo());
                 HttpRequester requester = HttpRequester.start(
                         new HttpRequester.Limits(256, 1024, Duration.ofSeconds(2), Duration.ofSeconds(30), 1))) {
@@ -55,11 +60,17 @@
         ImmutableMap<String, Object> job =
                 ImmutableMap.of("service", TestBed.SERVICE, "team", "demo", "tasks", Collections.nCopies(TASKS, task));
         List<CompletableFuture<VerdictDocument>> answers = new ArrayList<>();
+        say("an operator address, while the demo runs: http://"
+                + Addresses.format(bed.entries().get(0).operatorAddress()) + "/");
+        say("submitting " + JOBS + " jobs of " + TASKS + " tasks of 100 ms; every third job goes through an entry host"
+                + " that does not own its session");
         for (int i = 0; i < JOBS; i++) {
             if (i == JOBS / 3) {
+                say("target 0 drains: it refuses new tasks, and they must go elsewhere");
                 bed.targets().get(0).switchTo(StandInTarget.Mode.DRAINING);
             }
             if (i == 2 * JOBS / 3) {
+                say("target 1 is killed: tasks in flight on it may have run, so their jobs end as TARGET_LOST");
                 bed.targets().get(1).close();
             }
             int host = i % entries.size();
@@ -68,14 +79,13 @@
             answers.add(caller.submit(entries.get(entry), sessions.get(host), i / entries.size(), job, DEADLINE));
             Uninterruptibles.sleepUninterruptibly(PACE);
         }
+        say("waiting for the last answers");
         return answers.stream().map(CompletableFuture::join).toList();
     }
 
     private static int report(TestBed bed, List<VerdictDocument> verdicts) {
         Map<Reason, Integer> counts = new EnumMap<>(Reason.class);
         verdicts.forEach(verdict -> counts.merge(verdict.reason(), 1, Integer::sum));
-        System.out.printf("%-24s %8s%n", "verdict", "jobs");
-        counts.forEach((reason, count) -> System.out.printf("%-24s %8d%n", reason, count));
         long starts = bed.targets().stream()
                 .mapToLong(target -> target.starts().size())
                 .sum();
@@ -84,10 +94,20 @@
                 .filter(verdict -> verdict.outcome() == Outcome.COMPLETE
                         && verdict.results().size() != TASKS)
                 .count();
-        System.out.printf("%-24s %8d%n", "tasks started", starts);
-        System.out.printf("%-24s %8d%n", "tasks started twice", repeated);
-        System.out.printf("%-24s %8d%n", "partial answers", partial);
+        Table table = Table.of("what", "count");
+        counts.forEach((reason, count) -> table.row("jobs answered " + reason, count));
+        table.row("tasks started", starts)
+                .row("tasks started twice", repeated)
+                .row("complete answers that lack a result", partial);
+        System.out.println();
+        System.out.println(table);
         boolean truthful = ImmutableSet.of(Reason.OK, Reason.TARGET_LOST).containsAll(counts.keySet());
-        return repeated == 0 && partial == 0 && truthful ? ExitCode.OK : ExitCode.FAILED;
+        boolean passed = repeated == 0 && partial == 0 && truthful;
+        say(passed ? "passed: no task started twice and every answer was whole" : "FAILED: see the table");
+        return passed ? ExitCode.OK : ExitCode.FAILED;
+    }
+
+    private static void say(String line) {
+        System.out.println("demo: " + line);
     }
 }
--- a/src/main/java/org/mustardlink/cli/EntryCommand.java
+++ b/src/main/java/org/mustardlink/cli/EntryCommand.java
@@ -14,11 +14,20 @@
 final class EntryCommand implements Subcommand {
     @Override
     public void register(Subparsers parsers) {
-        Subparser parser = parsers.addParser("entry").help("run an entry host");
+        Subparser parser = parsers.addParser("entry")
+                .help("run an entry host")
+                .description("Runs an entry host until the process is asked to stop (SIGTERM), then waits for open jobs"
+                        + " as long as timeouts.stop-grace allows. Log lines go to standard output.")
+                .epilog("example: mustardlink entry --settings conf/paysandu.ini --set host.id=galpon-entry-0");
         SettingsArguments.addTo(parser);
         parser.setDefault(Main.COMMAND, this);
     }
 
+    @Override
+    public boolean isDaemon() {
+        return true;
+    }
+
     // The runtime ends the process on SIGTERM through shutdown hooks only, so the graceful stop has to run in one.
     @Override
     @SuppressWarnings("ShutdownHook")
--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -3,23 +3,33 @@
 import com.google.common.collect.ImmutableList;
 import java.util.concurrent.CompletionException;
 import net.sourceforge.argparse4j.ArgumentParsers;
+import net.sourceforge.argparse4j.helper.HelpScreenException;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.ArgumentParserException;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.mustardlink.errors.CodedException;
+import org.mustardlink.observe.EventLog;
 
 /** Entry point of the {@code mustardlink} executable. */
 public final class Main {
     static final String COMMAND = "command";
 
+    private static final int WIDTH = 100;
+
     private static final ImmutableList<Subcommand> COMMANDS = ImmutableList.of(
+            new DemoCommand(),
             new EntryCommand(),
             new SubmitCommand(),
-            new DemoCommand(),
+            new JobCommand(),
+            new CancelCommand(),
+            new HostsCommand(),
+            new TopCommand(),
+            new SettingsCommand(),
             new StandInCommand(),
+            new LoadCommand(),
             new CapacityCommand(),
-            new LoadCommand());
+            new VersionCommand());
 
     private Main() {}
 
@@ -34,25 +44,49 @@
         System.exit(run(args));
     }
 
-    private static int run(String[] args) {
+    /** Runs one subcommand and returns its exit code; errors go to standard error as one message each. */
+    static int run(String[] args) {
         ArgumentParser parser = ArgumentParsers.newFor("mustardlink")
+                .defaultFormatWidth(WIDTH)
                 .build()
-                .description("Dispatches sub-second tasks to targets that are drained every week.");
+                .description("Dispatches sub-second tasks to targets that are drained every week.")
+                .epilog("Exit codes: 0 done, 1 failed, 2 wrong arguments or settings, 3 the job did not run,"
+                        + " 4 the job may have run, 5 an address is unavailable."
+                        + " Start with: mustardlink demo");
         Subparsers parsers = parser.addSubparsers().title("commands").metavar("COMMAND");
         COMMANDS.forEach(command -> command.register(parsers));
+        if (args.length == 0) {
+            parser.printHelp();
+            return ExitCode.OK;
+        }
         try {
             Namespace arguments = parser.parseArgs(args);
             Subcommand command = arguments.get(COMMAND);
+            if (!command.isDaemon()) {
+                EventLog.silence();
+            }
             return command.run(arguments);
+        } catch (HelpScreenException e) {
+            return ExitCode.OK;
         } catch (ArgumentParserException e) {
             parser.handleError(e);
             return ExitCode.USAGE;
-        } catch (CompletionException e) {
-            System.err.println(e.getCause().getMessage());
-            return ExitCode.UNAVAILABLE;
-        } catch (CodedException e) {
-            System.err.println(e.code() + ": " + e.getMessage());
-            return ExitCode.UNAVAILABLE;
+        } catch (RuntimeException e) {
+            System.err.println("mustardlink: " + describe(e));
+            return cause(e) instanceof CodedException coded ? ExitCode.of(coded.code()) : ExitCode.FAILED;
         }
     }
+
+    /** Returns the message of an error for people. */
+    static String describe(Throwable error) {
+        Throwable cause = cause(error);
+        if (cause instanceof CodedException coded) {
+            return coded.getMessage() + " (" + coded.code() + ')';
+        }
+        return "internal error: " + cause;
+    }
+
+    private static Throwable cause(Throwable error) {
+        return error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
+    }
 }
--- a/src/main/java/org/mustardlink/cli/SettingsArguments.java
+++ b/src/main/java/org/mustardlink/cli/SettingsArguments.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.io.File;
 import java.util.List;
+import java.util.Optional;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.ArgumentParser;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -19,13 +20,13 @@
                 .help("INI file with the settings; conf/paysandu.ini is an example");
         parser.addArgument("--set")
                 .action(Arguments.append())
-                .setDefault(ImmutableList.of())
                 .metavar("SECTION.KEY=VALUE")
                 .help("change one setting; may be given several times; example: --set timeouts.connect=200ms");
     }
 
     static Settings load(Namespace arguments) {
-        List<String> changes = arguments.getList("set");
+        List<String> changes =
+                Optional.ofNullable(arguments.<String>getList("set")).orElseGet(ImmutableList::of);
         return Settings.load(new File(arguments.getString("settings")), changes);
     }
 }
--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/SettingsCommand.java
@@ -0,0 +1,55 @@
+package org.mustardlink.cli;
+
+import com.google.common.collect.ImmutableMap;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.config.settings.Settings;
+import org.mustardlink.http.Json;
+
+/** {@code settings show} and {@code settings check}: what a settings file means, without starting anything. */
+final class SettingsCommand implements Subcommand {
+    private static final String ACTION = "action";
+
+    @Override
+    public void register(Subparsers parsers) {
+        Subparsers actions = parsers.addParser("settings")
+                .help("show or check settings")
+                .addSubparsers()
+                .title("actions")
+                .metavar("ACTION");
+        Subparser show = actions.addParser("show")
+                .help("print every value in force and where it comes from")
+                .epilog("example: mustardlink settings show --settings conf/paysandu.ini --set logs.level=debug");
+        show.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
+        Subparser check = actions.addParser("check")
+                .help("report every mistake; exit code 2 if there is any")
+                .epilog("example: mustardlink settings check --settings conf/paysandu.ini");
+        add(show, "show");
+        add(check, "check");
+    }
+
+    private void add(Subparser parser, String action) {
+        SettingsArguments.addTo(parser);
+        parser.setDefault(Main.COMMAND, this).setDefault(ACTION, action);
+    }
+
+    @Override
+    public int run(Namespace arguments) {
+        Settings settings = SettingsArguments.load(arguments);
+        if (arguments.getString(ACTION).equals("check")) {
+            System.out.println("the settings are valid");
+        } else if (arguments.getBoolean("json")) {
+            ImmutableMap.Builder<String, Settings.Value> values = ImmutableMap.builder();
+            settings.values().forEach((key, value) -> values.put(key.path(), value));
+            System.out.println(Json.write(values.buildOrThrow()));
+        } else {
+            Table table = Table.of("key", "value", "from", "meaning");
+            settings.values()
+                    .forEach((key, value) -> table.row(key.path(), value.text(), value.source(), key.meaning()));
+            System.out.print(table);
+        }
+        return ExitCode.OK;
+    }
+}
--- a/src/main/java/org/mustardlink/cli/StandInCommand.java
+++ b/src/main/java/org/mustardlink/cli/StandInCommand.java
@@ -9,27 +9,62 @@
 import org.mustardlink.standin.StandInPlatform;
 import org.mustardlink.standin.StandInTarget;
 
-/** {@code standin}: runs a stand-in platform or target until the process is ended. */
+/** {@code standin platform} and {@code standin target}: runs a stand-in until the process is ended. */
 final class StandInCommand implements Subcommand {
+    private static final String WHAT = "what";
+
     @Override
     public void register(Subparsers parsers) {
-        Subparser parser = parsers.addParser("standin").help("run a stand-in platform or target");
-        parser.addArgument("what").choices("platform", "target").help("what to run");
-        parser.addArgument("--address").required(true).help("address to listen on, ip:port");
-        parser.addArgument("--slots").type(Integer.class).setDefault(8).help("slots of a target");
-        parser.addArgument("--speed").type(Double.class).setDefault(1.0).help("speed of a target, relative to 1");
-        parser.setDefault(Main.COMMAND, this);
+        Subparsers kinds = parsers.addParser("standin")
+                .help("run a stand-in platform or target, for tests")
+                .addSubparsers()
+                .title("what to run")
+                .metavar("WHAT");
+        Subparser platform = kinds.addParser("platform")
+                .help("an append-only log and a list of hosts, in memory")
+                .epilog("example: mustardlink standin platform --address 127.0.0.1:7200");
+        Subparser target = kinds.addParser("target")
+                .help("a target that runs tasks by waiting")
+                .epilog("example: mustardlink standin target --address 127.0.0.1:7300 --slots 8 --speed 2");
+        target.addArgument("--slots")
+                .type(new CountArgument(1, 10_000))
+                .setDefault(8)
+                .metavar("N")
+                .help("tasks that run at once; default 8");
+        target.addArgument("--speed")
+                .type(Double.class)
+                .setDefault(1.0)
+                .metavar("FACTOR")
+                .help("speed relative to 1; default 1");
+        add(platform, "platform");
+        add(target, "target");
+    }
+
+    private void add(Subparser parser, String what) {
+        parser.addArgument("--address")
+                .required(true)
+                .type(new AddressArgument())
+                .metavar(AddressArgument.METAVAR)
+                .help("address to listen on; port 0 takes a free one");
+        parser.setDefault(Main.COMMAND, this).setDefault(WHAT, what);
+    }
+
+    @Override
+    public boolean isDaemon() {
+        return true;
     }
 
     @Override
     public int run(Namespace arguments) {
-        InetSocketAddress address = Addresses.parse(arguments.getString("address"));
-        if (arguments.getString("what").equals("platform")) {
-            StandInPlatform.start(address);
-        } else {
-            StandInTarget.start(
-                    address, new StandInTarget.Settings(arguments.getInt("slots"), arguments.getDouble("speed")));
-        }
+        String what = arguments.getString(WHAT);
+        InetSocketAddress address = arguments.get("address");
+        InetSocketAddress actual = what.equals("platform")
+                ? StandInPlatform.start(address).address()
+                : StandInTarget.start(
+                                address,
+                                new StandInTarget.Settings(arguments.getInt("slots"), arguments.getDouble("speed")))
+                        .address();
+        System.out.println("stand-in " + what + " listens on " + Addresses.format(actual));
         try {
             new CountDownLatch(1).await();
         } catch (InterruptedException e) {
--- a/src/main/java/org/mustardlink/cli/Subcommand.java
+++ b/src/main/java/org/mustardlink/cli/Subcommand.java
@@ -14,4 +14,9 @@
      * @return the exit code
      */
     int run(Namespace arguments);
+
+    /** Returns whether the command runs until it is ended and writes log lines instead of a result. */
+    default boolean isDaemon() {
+        return false;
+    }
 }
--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/TopCommand.java
@@ -0,0 +1,164 @@
+package org.mustardlink.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.sourceforge.argparse4j.impl.Arguments;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.http.Addresses;
+
+/** {@code top}: shows entry hosts, targets, rates and histograms again and again. */
+final class TopCommand implements Subcommand {
+    private static final String CLEAR = "\u001b[H\u001b[2J";
+    private static final String RESPONSE_TIME = "response_time.";
+
+    private final Map<InetSocketAddress, Sample> earlier = new HashMap<>();
+
+    private record Sample(JsonNode counters, long nanos) {}
+
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser = parsers.addParser("top")
+                .help("watch entry hosts: targets, drains, hosts, revision, rates, response times")
+                .description("Shows the asked entry hosts in a table that refreshes. Rates are per second since the"
+                        + " last refresh; response times are since the start of the host, in milliseconds.")
+                .epilog("example: mustardlink top --operator 127.0.0.1:7202 --interval-ms 2000");
+        OperatorClient.addArgument(parser);
+        parser.addArgument("--interval-ms")
+                .type(new CountArgument(100, 3_600_000))
+                .setDefault(1000)
+                .metavar("MS")
+                .help("time between two refreshes, in milliseconds; default 1000");
+        parser.addArgument("--count")
+                .type(new CountArgument(0, Integer.MAX_VALUE))
+                .setDefault(0)
+                .metavar("N")
+                .help("number of refreshes; default 0, until interrupted");
+        parser.addArgument("--json").action(Arguments.storeTrue()).help("print one JSON document a line");
+        parser.setDefault(Main.COMMAND, this);
+    }
+
+    @Override
+    public int run(Namespace arguments) {
+        List<InetSocketAddress> operators = arguments.getList("operator");
+        int count = arguments.getInt("count");
+        boolean json = arguments.getBoolean("json");
+        boolean clear = !json && Terminal.isPresent();
+        int reached = 0;
+        try (OperatorClient client = new OperatorClient()) {
+            for (int i = 0; count == 0 || i < count; i++) {
+                if (i > 0) {
+                    Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(arguments.getInt("interval_ms")));
+                }
+                StringBuilder screen = new StringBuilder(clear ? CLEAR : "");
+                reached = 0;
+                for (InetSocketAddress operator : operators) {
+                    reached += show(client, operator, json, screen) ? 1 : 0;
+                }
+                System.out.print(screen);
+                System.out.flush();
+            }
+        }
+        return reached == operators.size() ? ExitCode.OK : ExitCode.UNAVAILABLE;
+    }
+
+    /** Adds one entry host to the screen and returns whether it was reached. */
+    private boolean show(OperatorClient client, InetSocketAddress operator, boolean json, StringBuilder screen) {
+        JsonNode status;
+        try {
+            status = client.status(operator);
+        } catch (CodedException | java.util.concurrent.CompletionException e) {
+            screen.append(Addresses.format(operator))
+                    .append(": ")
+                    .append(Main.describe(e))
+                    .append('\n');
+            return false;
+        }
+        screen.append(json ? status.toString() + '\n' : render(operator, status));
+        return true;
+    }
+
+    private String render(InetSocketAddress operator, JsonNode status) {
+        JsonNode host = status.get("host");
+        JsonNode metrics = status.path("metrics");
+        Sample now = new Sample(metrics.path("counters"), System.nanoTime());
+        Sample before = earlier.put(operator, now);
+        return "%s  domain %s  region %s  %s  known hosts %d  configuration %s  open jobs %d  heap %d of %d MiB\n\n"
+                        .formatted(
+                                host.path("id").asText(),
+                                host.path("domain").asText(),
+                                host.path("region").asText(),
+                                state(host),
+                                status.path("hosts").size(),
+                                status.has("configuration")
+                                        ? status.path("configuration")
+                                                .path("revision")
+                                                .asText("none")
+                                        : host.path("ready").asBoolean() ? "read" : "none",
+                                gauge(metrics, "open_jobs"),
+                                gauge(metrics, "heap_used_bytes") >> 20,
+                                gauge(metrics, "heap_max_bytes") >> 20)
+                + rates(before, now)
+                + '\n'
+                + Table.ofJson(status.path("targets"))
+                + '\n'
+                + histograms(metrics.path("timers"))
+                + '\n';
+    }
+
+    private static String state(JsonNode host) {
+        if (host.path("leaving").asBoolean()) {
+            return "leaving";
+        }
+        return host.path("ready").asBoolean() ? "ready" : "not ready";
+    }
+
+    private static long gauge(JsonNode metrics, String name) {
+        return metrics.path("gauges").path(name).path("value").asLong();
+    }
+
+    private static String rates(Sample before, Sample now) {
+        Table table = Table.of("counter", "total", "per second");
+        now.counters().properties().forEach(counter -> {
+            long total = counter.getValue().path("count").asLong();
+            if (total > 0) {
+                table.row(counter.getKey(), total, before == null ? "-" : rate(before, now, counter.getKey(), total));
+            }
+        });
+        return table.toString();
+    }
+
+    private static String rate(Sample before, Sample now, String name, long total) {
+        long earlierTotal = before.counters().path(name).path("count").asLong();
+        double seconds = (now.nanos() - before.nanos()) / 1e9;
+        return "%.1f".formatted((total - earlierTotal) / seconds);
+    }
+
+    private static String histograms(JsonNode timers) {
+        Table table = Table.of("response time of team and class", "jobs", "p50 ms", "p99 ms", "p99.9 ms", "max ms");
+        timers.properties().forEach(timer -> {
+            if (timer.getKey().startsWith(RESPONSE_TIME)) {
+                JsonNode values = timer.getValue();
+                table.row(
+                        timer.getKey().substring(RESPONSE_TIME.length()).replace('.', ' '),
+                        values.path("count").asLong(),
+                        millis(values, "p50"),
+                        millis(values, "p99"),
+                        millis(values, "p999"),
+                        millis(values, "max"));
+            }
+        });
+        return table.toString();
+    }
+
+    private static String millis(JsonNode values, String name) {
+        return "%.1f".formatted(values.path(name).asDouble());
+    }
+}
