--- /dev/null
+++ b/src/main/java/org/mustardlink/membership/PeerRing.java
@@ -0,0 +1,45 @@
+package org.mustardlink.membership;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+/** Hands out members in shuffled rounds, so that each is called within a bounded time. */
+final class PeerRing {
+    private final Random random;
+    private final Supplier<List<String>> members;
+    private final Deque<String> remaining = new ArrayDeque<>();
+
+    /** Creates a ring over the members that the supplier returns in a stable order. */
+    PeerRing(Random random, Supplier<List<String>> members) {
+        this.random = random;
+        this.members = members;
+    }
+
+    /** Returns the next member that fits, refilling once. */
+    Optional<String> next(Predicate<String> fits) {
+        Optional<String> first = poll(fits);
+        if (first.isPresent()) {
+            return first;
+        }
+        List<String> shuffled = new ArrayList<>(members.get());
+        Collections.shuffle(shuffled, random);
+        remaining.addAll(shuffled);
+        return poll(fits);
+    }
+
+    private Optional<String> poll(Predicate<String> fits) {
+        for (String next = remaining.poll(); next != null; next = remaining.poll()) {
+            if (fits.test(next)) {
+                return Optional.of(next);
+            }
+        }
+        return Optional.empty();
+    }
+}
