--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -14,7 +14,12 @@
     static final String COMMAND = "command";
 
     private static final ImmutableList<Subcommand> COMMANDS = ImmutableList.of(
-            new EntryCommand(), new SubmitCommand(), new DemoCommand(), new StandInCommand(), new CapacityCommand());
+            new EntryCommand(),
+            new SubmitCommand(),
+            new DemoCommand(),
+            new StandInCommand(),
+            new CapacityCommand(),
+            new LoadCommand());
 
     private Main() {}
 
