--- /dev/null
+++ b/src/main/java/org/mustardlink/api/ConfigPages.java
@@ -0,0 +1,206 @@
+package org.mustardlink.api;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Lists;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.mustardlink.config.records.ConfigState;
+import org.mustardlink.config.records.Entity;
+import org.mustardlink.config.records.Outcome;
+import org.mustardlink.config.replica.ApplyResult;
+import org.mustardlink.config.replica.ConfigPublisher;
+import org.mustardlink.config.replica.ConfigReplica;
+import org.mustardlink.drain.DrainCause;
+import org.mustardlink.drain.DrainStatus;
+import org.mustardlink.drain.TargetReport;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+
+/**
+ * Operators' paths for configuration and targets.
+ *
+ * <ul>
+ *   <li>{@code GET /v1/config} - {@code {host, ready, offset, entities}}
+ *   <li>{@code GET /v1/config/history?limit=} - remembered changes, newest first
+ *   <li>{@code POST /v1/config/preview} - checks a change, {@link ApplyResult}
+ *   <li>{@code POST /v1/config/changes} - publishes a change, {@link ApplyResult}
+ *   <li>{@code GET /v1/targets} - drained targets of this host with their reasons
+ *   <li>{@code GET /v1/targets/{id}} - {@link DrainStatus} over all hosts
+ * </ul>
+ */
+public final class ConfigPages {
+    private static final int DEFAULT_HISTORY = 20;
+    private static final String TARGETS = "/v1/targets/";
+
+    private final String host;
+    private final ConfigReplica replica;
+    private final ConfigPublisher publisher;
+    private final Supplier<ImmutableMap<String, DrainCause>> drains;
+    private final Function<String, ImmutableMap<String, CompletableFuture<TargetReport>>> reports;
+
+    /**
+     * Creates the paths.
+     *
+     * @param host id of this host
+     * @param replica its copy of the configuration
+     * @param publisher publishes changes
+     * @param drains drained targets of this host
+     * @param reports asks every host, this one included, about a target
+     */
+    public ConfigPages(
+            String host,
+            ConfigReplica replica,
+            ConfigPublisher publisher,
+            Supplier<ImmutableMap<String, DrainCause>> drains,
+            Function<String, ImmutableMap<String, CompletableFuture<TargetReport>>> reports) {
+        this.host = host;
+        this.replica = replica;
+        this.publisher = publisher;
+        this.drains = drains;
+        this.reports = reports;
+    }
+
+    /** Registers every path. */
+    public void registerAt(OperatorApi operators) {
+        operators
+                .route("/v1/config", call -> only("GET", call, () -> show().now()))
+                .route(
+                        "/v1/config/history",
+                        call -> only("GET", call, () -> history(call).now()))
+                .route(
+                        "/v1/config/preview",
+                        call -> only(
+                                "POST",
+                                call,
+                                () -> reply(publisher.preview(call.body())).now()))
+                .route(
+                        "/v1/config/changes",
+                        call -> only(
+                                "POST", call, () -> publisher.apply(call.body()).thenApply(ConfigPages::reply)))
+                .route(
+                        "/v1/targets",
+                        call -> only(
+                                "GET",
+                                call,
+                                () -> OperatorApi.Reply.json(
+                                                ImmutableMap.of("host", host, "drained", describe(drains.get())))
+                                        .now()))
+                .route(
+                        TARGETS,
+                        call -> only("GET", call, () -> status(call.path().substring(TARGETS.length()))));
+    }
+
+    /**
+     * A remembered change.
+     *
+     * @param change id of the change
+     * @param offset offset of its record
+     * @param code why it was rejected, empty if it was accepted
+     * @param winner change that it lost to, empty if none
+     */
+    public record HistoryDocument(String change, long offset, String code, String winner) {}
+
+    /**
+     * A drained target.
+     *
+     * @param source what asks for the drain
+     * @param name name of the window or order
+     * @param end ISO instant at which it ends, empty if that is open
+     */
+    public record DrainDocument(String source, String name, String end) {}
+
+    private static CompletableFuture<OperatorApi.Reply> only(
+            String method, OperatorApi.Call call, Supplier<CompletableFuture<OperatorApi.Reply>> answer) {
+        if (!call.method().equals(method)) {
+            throw new CodedException(ErrorCode.NOT_FOUND, call.path() + " has the method " + method + " only");
+        }
+        return answer.get();
+    }
+
+    private OperatorApi.Reply show() {
+        ConfigState state = replica.state();
+        ImmutableList<Map<String, Object>> entities =
+                state.entities().values().stream().map(ConfigPages::describe).collect(ImmutableList.toImmutableList());
+        return OperatorApi.Reply.json(ImmutableMap.of(
+                "host", host, "ready", replica.ready(), "offset", state.offset(), "entities", entities));
+    }
+
+    private OperatorApi.Reply history(OperatorApi.Call call) {
+        int limit = call.parameter("limit").map(ConfigPages::number).orElse(DEFAULT_HISTORY);
+        ImmutableList<Outcome> newest = Lists.reverse(
+                        replica.state().outcomes().values().asList())
+                .stream()
+                .limit(limit)
+                .collect(ImmutableList.toImmutableList());
+        return OperatorApi.Reply.json(Lists.transform(
+                newest,
+                outcome -> new HistoryDocument(
+                        outcome.change(),
+                        outcome.offset(),
+                        outcome.code().map(Enum::name).orElse(""),
+                        outcome.winner().orElse(""))));
+    }
+
+    private CompletableFuture<OperatorApi.Reply> status(String target) {
+        boolean declared =
+                replica.view().targets().stream().anyMatch(spec -> spec.id().equals(target));
+        if (!declared) {
+            throw new CodedException(ErrorCode.NOT_FOUND, "no target is named " + target);
+        }
+        Map<String, Optional<TargetReport>> answers = new LinkedHashMap<>();
+        CompletableFuture<?>[] asked = reports.apply(target).entrySet().stream()
+                .map(entry -> entry.getValue().handle((report, _failure) -> {
+                    synchronized (answers) {
+                        answers.put(entry.getKey(), Optional.ofNullable(report));
+                    }
+                    return null;
+                }))
+                .toArray(CompletableFuture<?>[]::new);
+        return CompletableFuture.allOf(asked)
+                .thenApply(_done -> OperatorApi.Reply.json(DrainStatus.of(target, answers)));
+    }
+
+    private static OperatorApi.Reply reply(ApplyResult result) {
+        int status =
+                switch (result.result()) {
+                    case IN_FORCE -> 200;
+                    case PARTIAL, UNSETTLED -> 202;
+                    case REJECTED -> 409;
+                    case NOT_APPENDED, NOT_READY -> 503;
+                };
+        return OperatorApi.Reply.json(status, result);
+    }
+
+    private static Map<String, Object> describe(Entity entity) {
+        return ImmutableMap.of(
+                "kind", entity.key().kind(),
+                "name", entity.key().name(),
+                "revision", entity.revision(),
+                "change", entity.change(),
+                "schema", entity.newest().schema(),
+                "body", entity.newest().body());
+    }
+
+    private static Map<String, DrainDocument> describe(ImmutableMap<String, DrainCause> causes) {
+        return causes.entrySet().stream()
+                .collect(ImmutableMap.toImmutableMap(
+                        Map.Entry::getKey,
+                        entry -> new DrainDocument(
+                                entry.getValue().source().name(),
+                                entry.getValue().name(),
+                                entry.getValue().end().map(Object::toString).orElse(""))));
+    }
+
+    private static int number(String text) {
+        try {
+            return Integer.parseInt(text);
+        } catch (NumberFormatException e) {
+            throw new CodedException(ErrorCode.BAD_REQUEST, "not a number: " + text, e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/config/replica/ConfigService.java
@@ -0,0 +1,58 @@
+package org.mustardlink.config.replica;
+
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.mustardlink.platform.LogService;
+
+/** Keeps a replica current: the reader, the questions to peers and the snapshots, on one thread. */
+public final class ConfigService implements AutoCloseable {
+    private final ScheduledExecutorService executor;
+    private final PeerPull pull;
+
+    private ConfigService(ScheduledExecutorService executor, PeerPull pull) {
+        this.executor = executor;
+        this.pull = pull;
+    }
+
+    /**
+     * Starts to keep a replica current.
+     *
+     * @param replica the copy
+     * @param log the platform's log
+     * @param peers the other entry hosts
+     * @param settings times and bounds
+     * @param random chooses peers and jitter
+     */
+    public static ConfigService start(
+            ConfigReplica replica, LogService log, ConfigPeers peers, ReplicaSettings settings, Random random) {
+        ScheduledExecutorService executor = Executors.newSingleThreadScheduledExecutor(task -> {
+            Thread thread = new Thread(task, "config");
+            thread.setDaemon(true);
+            return thread;
+        });
+        ConfigReader reader = new ConfigReader(log, replica, settings, executor);
+        PeerPull pull = new PeerPull(peers, replica, settings, executor, reader::reachable, random);
+        if (settings.readsLog()) {
+            reader.start();
+            new SnapshotWriter(log, reader, replica, settings, executor, random).start();
+        }
+        pull.start();
+        return new ConfigService(executor, pull);
+    }
+
+    /**
+     * Asks a peer at once, after it reported an offset ahead of the replica's.
+     *
+     * @return whether it answered with its configuration
+     */
+    public CompletableFuture<Boolean> pull(ConfigPeers.Peer peer) {
+        return pull.pull(peer);
+    }
+
+    @Override
+    public void close() {
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/config/replica/SnapshotWriter.java
@@ -0,0 +1,109 @@
+package org.mustardlink.config.replica;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.mustardlink.config.records.ConfigState;
+import org.mustardlink.config.records.Snapshots;
+import org.mustardlink.platform.LogService;
+
+/**
+ * Writes a snapshot to the log when one is due.
+ *
+ * <p>Each host waits a random time and looks again before it writes, so that usually one host writes; it looks
+ * at the end of the stream alone, because reading snapshots to decide would cost more than writing them. Several
+ * snapshots of one offset are equal and do no harm.
+ */
+final class SnapshotWriter {
+    private static final Logger LOG = LogManager.getLogger(SnapshotWriter.class);
+
+    /** Share of the jitter between two looks at whether a snapshot is due. */
+    private static final int CHECKS_PER_JITTER = 3;
+
+    private final LogService log;
+    private final ConfigReader reader;
+    private final ConfigReplica replica;
+    private final ReplicaSettings settings;
+    private final ScheduledExecutorService executor;
+    private final Random random;
+    private long covered;
+    private long coveredNanos = System.nanoTime();
+
+    SnapshotWriter(
+            LogService log,
+            ConfigReader reader,
+            ConfigReplica replica,
+            ReplicaSettings settings,
+            ScheduledExecutorService executor,
+            Random random) {
+        this.log = log;
+        this.reader = reader;
+        this.replica = replica;
+        this.settings = settings;
+        this.executor = executor;
+        this.random = random;
+    }
+
+    void start() {
+        later(this::check, settings.snapshotJitter().dividedBy(CHECKS_PER_JITTER));
+    }
+
+    private void check() {
+        if (isDue()) {
+            Duration jitter = settings.snapshotJitter().multipliedBy(random.nextInt(1000));
+            CompletableFuture<Void> _next = ConfigReader.snapshotsEnd(log)
+                    .handleAsync(
+                            (end, failure) -> {
+                                if (failure == null) {
+                                    later(() -> writeUnlessWritten(end), jitter.dividedBy(1000));
+                                } else {
+                                    start();
+                                }
+                                return null;
+                            },
+                            executor);
+        } else {
+            start();
+        }
+    }
+
+    private boolean isDue() {
+        long offset = replica.offset();
+        boolean old = System.nanoTime() - coveredNanos > settings.snapshotAge().toNanos();
+        long base = Math.max(covered, reader.covered());
+        return replica.ready() && offset > 0 && (offset - base >= settings.snapshotRecords() || old);
+    }
+
+    private void writeUnlessWritten(long end) {
+        ConfigState state = replica.state();
+        CompletableFuture<Void> _written = ConfigReader.snapshotsEnd(log)
+                .thenCompose(now -> now > end ? CompletableFuture.completedFuture(null) : write(state))
+                .handleAsync(
+                        (_done, failure) -> {
+                            if (failure == null) {
+                                covered = state.offset();
+                                coveredNanos = System.nanoTime();
+                            }
+                            start();
+                            return null;
+                        },
+                        executor);
+    }
+
+    private CompletableFuture<Void> write(ConfigState state) {
+        return log.append(ConfigReader.SNAPSHOTS, ImmutableList.of(Snapshots.write(state)))
+                .thenAccept(_offset -> LOG.info("wrote a snapshot of offset {}", state.offset()));
+    }
+
+    private void later(Runnable step, Duration pause) {
+        if (!executor.isShutdown()) {
+            Future<?> _next = executor.schedule(step, pause.toNanos(), TimeUnit.NANOSECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/drain/CapacityCheck.java
@@ -0,0 +1,75 @@
+package org.mustardlink.drain;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
+import org.mustardlink.config.records.ConfigView;
+import org.mustardlink.config.records.ServiceBody;
+import org.mustardlink.core.TargetSpec;
+
+/** Warns when drains leave a service without enough capacity in a failure domain. */
+public final class CapacityCheck {
+    private CapacityCheck() {}
+
+    /**
+     * Returns the warnings of a configuration for the week from an instant on.
+     *
+     * <p>Capacity is looked at whenever a window opens, because a drain set only grows at such an instant. A service
+     * without {@code minSlots} draws a warning when no target of a domain is left.
+     */
+    public static ImmutableList<String> warnings(ConfigView view, Instant now) {
+        return Stream.concat(Stream.of(now), openings(view, now))
+                .flatMap(time -> shortages(view, time))
+                .distinct()
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static Stream<Instant> openings(ConfigView view, Instant now) {
+        return view.windows().values().stream()
+                .map(window -> WeeklySchedule.next(window, now).start())
+                .distinct()
+                .sorted(Comparator.naturalOrder());
+    }
+
+    private static Stream<String> shortages(ConfigView view, Instant time) {
+        Set<String> drained = new DrainPlanner()
+                .decide(view, ImmutableSet.of(), _service -> Duration.ZERO, time)
+                .keySet();
+        Map<Group, Integer> left = view.targets().stream()
+                .collect(Collectors.groupingBy(
+                        target -> new Group(target.service(), target.domain()),
+                        Collectors.summingInt(target -> drained.contains(target.id()) ? 0 : target.slots())));
+        return left.entrySet().stream()
+                .filter(entry -> entry.getValue() < wanted(view, entry.getKey()))
+                .filter(entry -> losesSlots(view, entry.getKey(), drained))
+                .map(entry -> "service %s has %d slots left in domain %s at %s, below its minimum of %d"
+                        .formatted(
+                                entry.getKey().service(),
+                                entry.getValue(),
+                                entry.getKey().domain(),
+                                time,
+                                wanted(view, entry.getKey())))
+                .sorted();
+    }
+
+    private static boolean losesSlots(ConfigView view, Group group, Set<String> drained) {
+        return view.targets().stream().anyMatch(target -> isIn(target, group) && drained.contains(target.id()));
+    }
+
+    private static boolean isIn(TargetSpec target, Group group) {
+        return target.service().equals(group.service()) && target.domain().equals(group.domain());
+    }
+
+    private static int wanted(ConfigView view, Group group) {
+        ServiceBody service = view.services().get(group.service());
+        return Math.max(1, service == null ? 1 : service.minSlots());
+    }
+
+    private record Group(String service, String domain) {}
+}
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -17,7 +18,7 @@
 import org.mustardlink.api.JobAnswer;
 import org.mustardlink.api.OperatorApi;
 import org.mustardlink.api.SessionAnswer;
-import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.replica.ReplicaSettings;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.Command;
 import org.mustardlink.core.CoreSettings;
@@ -28,6 +29,7 @@
 import org.mustardlink.core.Reason;
 import org.mustardlink.core.SessionId;
 import org.mustardlink.core.SubmissionId;
+import org.mustardlink.core.TargetSpec;
 import org.mustardlink.core.Verdict;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
@@ -50,7 +52,7 @@
     private final CallerApi callerApi;
     private final OperatorApi operatorApi;
     private final PeerServer peerServer;
-    private final ConfigFeed configFeed;
+    private final HostConfig config;
     private final AtomicLong nextRequester = new AtomicLong();
     private final Map<Long, Consumer<Command>> requesters = new ConcurrentHashMap<>();
     private volatile ImmutableMap<String, InetSocketAddress> peerAddresses = ImmutableMap.of();
@@ -68,14 +70,15 @@
         DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), PlacementPolicy.fastestFree());
         loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute);
         loop.start();
-        peerServer = PeerServer.start(settings.peer(), incarnation, this);
+        config = new HostConfig(settings, Clock.systemUTC(), loop::post, this::closeIdle);
+        peerServer = PeerServer.start(settings.peer(), incarnation, this, config);
         callerApi = CallerApi.start(
                 settings.caller(),
                 settings.limits().callerThreads(),
                 settings.limits().maxBodyBytes(),
                 this);
         operatorApi = OperatorApi.start(settings.operator());
-        configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(declared)));
+        config.start(platform, ReplicaSettings.defaults(), operatorApi, Clock.systemUTC(), peerAddress());
         refreshPeers();
     }
 
@@ -109,6 +112,16 @@
         return loop.openJobs();
     }
 
+    /** Returns whether the configuration is known, so that work can be taken. */
+    public boolean ready() {
+        return config.ready();
+    }
+
+    /** Returns the offset of the first configuration record that this host does not hold. */
+    public long configOffset() {
+        return config.offset();
+    }
+
     /** Returns the number of entry hosts that this one can forward to. */
     public int knownPeers() {
         return peerAddresses.size();
@@ -116,6 +129,9 @@
 
     @Override
     public CompletableFuture<SessionAnswer> openSession() {
+        if (!config.ready()) {
+            return CompletableFuture.completedFuture(new SessionAnswer.Refused(Reason.NOT_READY));
+        }
         CompletableFuture<SessionAnswer> answer = new CompletableFuture<>();
         long requester = register(command -> {
             if (command instanceof Command.SessionGranted granted) {
@@ -182,7 +198,7 @@
     /** Ends everything at once, as a crash would. */
     @Override
     public void close() {
-        configFeed.close();
+        config.close();
         callerApi.close();
         operatorApi.close();
         peerServer.close();
@@ -250,8 +266,7 @@
 
     private void execute(Command command) {
         if (command instanceof Command.StartTask start) {
-            CompletableFuture<Void> _posted = targets.start(start)
-                    .thenAccept(result -> loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result)));
+            start(start);
         } else if (command instanceof Command.StopTask stop) {
             targets.stop(stop);
         } else if (command instanceof Command.DeliverVerdict delivered) {
@@ -265,6 +280,19 @@
         }
     }
 
+    private void start(Command.StartTask start) {
+        long began = System.nanoTime();
+        config.drains().started(start);
+        CompletableFuture<Void> _posted = targets.start(start).thenAccept(result -> {
+            config.drains().ended(start, Duration.ofNanos(System.nanoTime() - began));
+            loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result));
+        });
+    }
+
+    private void closeIdle(TargetSpec target) {
+        targetRequester.closeIdle(Addresses.parse(target.address()));
+    }
+
     private void answer(long requester, Command command) {
         Optional.ofNullable(requesters.remove(requester)).ifPresent(consumer -> consumer.accept(command));
     }
@@ -274,6 +302,7 @@
             return;
         }
         CompletableFuture<HostListing> _refreshed = platform.hosts().whenComplete((listing, failure) -> {
+            config.listed(failure == null ? Optional.of(listing) : Optional.empty());
             if (failure == null) {
                 peerAddresses = listing.hosts().stream()
                         .filter(host -> host.kind() == HostListing.Kind.ENTRY)
--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -198,6 +198,11 @@
         exchange.reply().completeExceptionally(new CodedException(ErrorCode.NO_ANSWER, why));
     }
 
+    /** Closes the connections to an address that no call uses; calls in flight go on. */
+    public void closeIdle(InetSocketAddress address) {
+        pool.close(Endpoint.Factory.<SocketAddress>create(address, connector));
+    }
+
     /** Closes every connection and stops the I/O threads. */
     @Override
     public void close() {
--- /dev/null
+++ b/src/main/java/org/mustardlink/peer/ConfigPeerClient.java
@@ -0,0 +1,121 @@
+package org.mustardlink.peer;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Deque;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import org.apache.thrift.TException;
+import org.apache.thrift.async.AsyncMethodCallback;
+import org.apache.thrift.async.TAsyncClientManager;
+import org.apache.thrift.protocol.TBinaryProtocol;
+import org.apache.thrift.transport.TNonblockingSocket;
+import org.mustardlink.config.replica.ConfigPage;
+import org.mustardlink.drain.TargetReport;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.peer.thrift.Peer;
+
+/**
+ * Asks other entry hosts about configuration and drains. Thread-safe.
+ *
+ * <p>A failed call completes with {@link ErrorCode#NO_ANSWER}. Connections are separate from those of submissions, so
+ * that a question does not wait behind a large job.
+ */
+public final class ConfigPeerClient implements AutoCloseable {
+    private static final int MAX_IDLE_PER_PEER = 2;
+
+    private final TAsyncClientManager manager;
+    private final Map<InetSocketAddress, Deque<Peer.AsyncClient>> idle = new ConcurrentHashMap<>();
+
+    private ConfigPeerClient(TAsyncClientManager manager) {
+        this.manager = manager;
+    }
+
+    /** Starts a client. */
+    public static ConfigPeerClient start() {
+        try {
+            return new ConfigPeerClient(new TAsyncClientManager());
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "cannot start the peer client", e);
+        }
+    }
+
+    /** Asks a host for its configuration from an offset on. */
+    public CompletableFuture<ConfigPage> since(InetSocketAddress host, long from, String change, Duration timeout) {
+        return this.<org.mustardlink.peer.thrift.ConfigPage>call(
+                        host, timeout, (client, callback) -> client.configSince(from, change, callback))
+                .thenApply(ConfigCalls::fromThrift);
+    }
+
+    /** Asks a host what it still has at a target. */
+    public CompletableFuture<TargetReport> report(InetSocketAddress host, String target, Duration timeout) {
+        return this.<org.mustardlink.peer.thrift.DrainReport>call(
+                        host, timeout, (client, callback) -> client.drainReport(target, callback))
+                .thenApply(ConfigCalls::fromThrift);
+    }
+
+    @Override
+    public void close() {
+        manager.stop();
+    }
+
+    private <T> CompletableFuture<T> call(InetSocketAddress host, Duration timeout, Call<T> call) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        try {
+            Peer.AsyncClient client = take(host, timeout);
+            call.send(client, new AsyncMethodCallback<>() {
+                @Override
+                public void onComplete(T response) {
+                    release(host, client);
+                    answer.complete(response);
+                }
+
+                @Override
+                public void onError(Exception failure) {
+                    answer.completeExceptionally(failed(host, failure));
+                }
+            });
+        } catch (IOException | TException | RuntimeException e) {
+            answer.completeExceptionally(failed(host, e));
+        }
+        // The client's own timeout does not cover a connection that is never accepted.
+        return answer.orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private static CodedException failed(InetSocketAddress host, Exception cause) {
+        return new CodedException(ErrorCode.NO_ANSWER, "no answer from " + host, cause);
+    }
+
+    private Peer.AsyncClient take(InetSocketAddress host, Duration timeout) throws IOException, TException {
+        Peer.AsyncClient pooled = connections(host).pollLast();
+        Peer.AsyncClient client = pooled != null
+                ? pooled
+                : new Peer.AsyncClient(
+                        new TBinaryProtocol.Factory(),
+                        manager,
+                        new TNonblockingSocket(host.getAddress().getHostAddress(), host.getPort(), 0));
+        client.setTimeout(timeout.toMillis());
+        return client;
+    }
+
+    private void release(InetSocketAddress host, Peer.AsyncClient client) {
+        Deque<Peer.AsyncClient> connections = connections(host);
+        if (connections.size() < MAX_IDLE_PER_PEER) {
+            connections.addLast(client);
+        }
+    }
+
+    private Deque<Peer.AsyncClient> connections(InetSocketAddress host) {
+        return idle.computeIfAbsent(host, _unused -> new ConcurrentLinkedDeque<>());
+    }
+
+    @FunctionalInterface
+    private interface Call<T> {
+        void send(Peer.AsyncClient client, AsyncMethodCallback<T> callback) throws TException;
+    }
+}
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -19,6 +19,8 @@
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.peer.thrift.AnswerKind;
+import org.mustardlink.peer.thrift.ConfigPage;
+import org.mustardlink.peer.thrift.DrainReport;
 import org.mustardlink.peer.thrift.Peer;
 import org.mustardlink.peer.thrift.PeerAnswer;
 
@@ -44,8 +46,10 @@
      * @param address where to listen
      * @param incarnation incarnation of this process
      * @param backend answers for the sessions that this process owns
+     * @param config answers about configuration and drains
      */
-    public static PeerServer start(InetSocketAddress address, long incarnation, CallerBackend backend) {
+    public static PeerServer start(
+            InetSocketAddress address, long incarnation, CallerBackend backend, ConfigResponder config) {
         try {
             TNonblockingServerSocket socket =
                     new TNonblockingServerSocket(new TNonblockingServerSocket.NonblockingAbstractServerSocketArgs()
@@ -56,7 +60,7 @@
                     .workerThreads(WORKERS)
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                     .protocolFactory(new TBinaryProtocol.Factory())
-                    .processor(new Peer.AsyncProcessor<>(new Handler(incarnation, backend)));
+                    .processor(new Peer.AsyncProcessor<>(new Handler(incarnation, backend, config)));
             args.maxReadBufferBytes = MAX_FRAME_BYTES;
             TServer server = new TThreadedSelectorServer(args);
             Thread thread = new Thread(server::serve, "peer-server");
@@ -82,10 +86,22 @@
     private static final class Handler implements Peer.AsyncIface {
         private final long incarnation;
         private final CallerBackend backend;
+        private final ConfigResponder config;
 
-        private Handler(long incarnation, CallerBackend backend) {
+        private Handler(long incarnation, CallerBackend backend, ConfigResponder config) {
             this.incarnation = incarnation;
             this.backend = backend;
+            this.config = config;
+        }
+
+        @Override
+        public void configSince(long offset, String change, AsyncMethodCallback<ConfigPage> callback) {
+            callback.onComplete(ConfigCalls.toThrift(config.since(offset, change)));
+        }
+
+        @Override
+        public void drainReport(String target, AsyncMethodCallback<DrainReport> callback) {
+            callback.onComplete(ConfigCalls.toThrift(config.report(target)));
         }
 
         @Override
--- a/src/main/java/org/mustardlink/peer/thrift/Peer.java
+++ b/src/main/java/org/mustardlink/peer/thrift/Peer.java
@@ -33,6 +33,21 @@
      */
     public PeerAnswer cancel(java.lang.String submission) throws org.apache.thrift.TException;
 
+    /**
+     * Returns the configuration from an offset on, and where a change stands if its id is not empty.
+     * 
+     * @param offset
+     * @param change
+     */
+    public ConfigPage configSince(long offset, java.lang.String change) throws org.apache.thrift.TException;
+
+    /**
+     * Returns what the host still has at a target.
+     * 
+     * @param target
+     */
+    public DrainReport drainReport(java.lang.String target) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
@@ -43,6 +58,10 @@
 
     public void cancel(java.lang.String submission, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException;
 
+    public void configSince(long offset, java.lang.String change, org.apache.thrift.async.AsyncMethodCallback<ConfigPage> resultHandler) throws org.apache.thrift.TException;
+
+    public void drainReport(java.lang.String target, org.apache.thrift.async.AsyncMethodCallback<DrainReport> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -140,6 +159,55 @@
       throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "cancel failed: unknown result");
     }
 
+    @Override
+    public ConfigPage configSince(long offset, java.lang.String change) throws org.apache.thrift.TException
+    {
+      send_configSince(offset, change);
+      return recv_configSince();
+    }
+
+    public void send_configSince(long offset, java.lang.String change) throws org.apache.thrift.TException
+    {
+      configSince_args args = new configSince_args();
+      args.setOffset(offset);
+      args.setChange(change);
+      sendBase("configSince", args);
+    }
+
+    public ConfigPage recv_configSince() throws org.apache.thrift.TException
+    {
+      configSince_result result = new configSince_result();
+      receiveBase(result, "configSince");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "configSince failed: unknown result");
+    }
+
+    @Override
+    public DrainReport drainReport(java.lang.String target) throws org.apache.thrift.TException
+    {
+      send_drainReport(target);
+      return recv_drainReport();
+    }
+
+    public void send_drainReport(java.lang.String target) throws org.apache.thrift.TException
+    {
+      drainReport_args args = new drainReport_args();
+      args.setTarget(target);
+      sendBase("drainReport", args);
+    }
+
+    public DrainReport recv_drainReport() throws org.apache.thrift.TException
+    {
+      drainReport_result result = new drainReport_result();
+      receiveBase(result, "drainReport");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "drainReport failed: unknown result");
+    }
+
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -267,6 +335,79 @@
       }
     }
 
+    @Override
+    public void configSince(long offset, java.lang.String change, org.apache.thrift.async.AsyncMethodCallback<ConfigPage> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      configSince_call method_call = new configSince_call(offset, change, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class configSince_call extends org.apache.thrift.async.TAsyncMethodCall<ConfigPage> {
+      private long offset;
+      private java.lang.String change;
+      public configSince_call(long offset, java.lang.String change, org.apache.thrift.async.AsyncMethodCallback<ConfigPage> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.offset = offset;
+        this.change = change;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("configSince", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        configSince_args args = new configSince_args();
+        args.setOffset(offset);
+        args.setChange(change);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public ConfigPage getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_configSince();
+      }
+    }
+
+    @Override
+    public void drainReport(java.lang.String target, org.apache.thrift.async.AsyncMethodCallback<DrainReport> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      drainReport_call method_call = new drainReport_call(target, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class drainReport_call extends org.apache.thrift.async.TAsyncMethodCall<DrainReport> {
+      private java.lang.String target;
+      public drainReport_call(java.lang.String target, org.apache.thrift.async.AsyncMethodCallback<DrainReport> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.target = target;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("drainReport", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        drainReport_args args = new drainReport_args();
+        args.setTarget(target);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public DrainReport getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_drainReport();
+      }
+    }
+
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -283,6 +424,8 @@
       processMap.put("submit", new submit());
       processMap.put("lookUp", new lookUp());
       processMap.put("cancel", new cancel());
+      processMap.put("configSince", new configSince());
+      processMap.put("drainReport", new drainReport());
       return processMap;
     }
 
@@ -370,6 +513,62 @@
       }
     }
 
+    public static class configSince<I extends Iface> extends org.apache.thrift.ProcessFunction<I, configSince_args> {
+      public configSince() {
+        super("configSince");
+      }
+
+      @Override
+      public configSince_args getEmptyArgsInstance() {
+        return new configSince_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public configSince_result getResult(I iface, configSince_args args) throws org.apache.thrift.TException {
+        configSince_result result = new configSince_result();
+        result.success = iface.configSince(args.offset, args.change);
+        return result;
+      }
+    }
+
+    public static class drainReport<I extends Iface> extends org.apache.thrift.ProcessFunction<I, drainReport_args> {
+      public drainReport() {
+        super("drainReport");
+      }
+
+      @Override
+      public drainReport_args getEmptyArgsInstance() {
+        return new drainReport_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public drainReport_result getResult(I iface, drainReport_args args) throws org.apache.thrift.TException {
+        drainReport_result result = new drainReport_result();
+        result.success = iface.drainReport(args.target);
+        return result;
+      }
+    }
+
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -386,6 +585,8 @@
       processMap.put("submit", new submit());
       processMap.put("lookUp", new lookUp());
       processMap.put("cancel", new cancel());
+      processMap.put("configSince", new configSince());
+      processMap.put("drainReport", new drainReport());
       return processMap;
     }
 
@@ -590,6 +791,140 @@
       }
     }
 
+    public static class configSince<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, configSince_args, ConfigPage> {
+      public configSince() {
+        super("configSince");
+      }
+
+      @Override
+      public configSince_args getEmptyArgsInstance() {
+        return new configSince_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<ConfigPage> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<ConfigPage>() { 
+          @Override
+          public void onComplete(ConfigPage o) {
+            configSince_result result = new configSince_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            configSince_result result = new configSince_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, configSince_args args, org.apache.thrift.async.AsyncMethodCallback<ConfigPage> resultHandler) throws org.apache.thrift.TException {
+        iface.configSince(args.offset, args.change,resultHandler);
+      }
+    }
+
+    public static class drainReport<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, drainReport_args, DrainReport> {
+      public drainReport() {
+        super("drainReport");
+      }
+
+      @Override
+      public drainReport_args getEmptyArgsInstance() {
+        return new drainReport_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<DrainReport> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<DrainReport>() { 
+          @Override
+          public void onComplete(DrainReport o) {
+            drainReport_result result = new drainReport_result();
+            result.success = o;
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            drainReport_result result = new drainReport_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, drainReport_args args, org.apache.thrift.async.AsyncMethodCallback<DrainReport> resultHandler) throws org.apache.thrift.TException {
+        iface.drainReport(args.target,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -2983,4 +3318,1628 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class configSince_args implements org.apache.thrift.TBase<configSince_args, configSince_args._Fields>, java.io.Serializable, Cloneable, Comparable<configSince_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("configSince_args");
+
+    private static final org.apache.thrift.protocol.TField OFFSET_FIELD_DESC = new org.apache.thrift.protocol.TField("offset", org.apache.thrift.protocol.TType.I64, (short)1);
+    private static final org.apache.thrift.protocol.TField CHANGE_FIELD_DESC = new org.apache.thrift.protocol.TField("change", org.apache.thrift.protocol.TType.STRING, (short)2);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new configSince_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new configSince_argsTupleSchemeFactory();
+
+    public long offset; // required
+    public @org.apache.thrift.annotation.Nullable java.lang.String change; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      OFFSET((short)1, "offset"),
+      CHANGE((short)2, "change");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // OFFSET
+            return OFFSET;
+          case 2: // CHANGE
+            return CHANGE;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    private static final int __OFFSET_ISSET_ID = 0;
+    private byte __isset_bitfield = 0;
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.OFFSET, new org.apache.thrift.meta_data.FieldMetaData("offset", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+      tmpMap.put(_Fields.CHANGE, new org.apache.thrift.meta_data.FieldMetaData("change", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(configSince_args.class, metaDataMap);
+    }
+
+    public configSince_args() {
+    }
+
+    public configSince_args(
+      long offset,
+      java.lang.String change)
+    {
+      this();
+      this.offset = offset;
+      setOffsetIsSet(true);
+      this.change = change;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public configSince_args(configSince_args other) {
+      __isset_bitfield = other.__isset_bitfield;
+      this.offset = other.offset;
+      if (other.isSetChange()) {
+        this.change = other.change;
+      }
+    }
+
+    @Override
+    public configSince_args deepCopy() {
+      return new configSince_args(this);
+    }
+
+    @Override
+    public void clear() {
+      setOffsetIsSet(false);
+      this.offset = 0;
+      this.change = null;
+    }
+
+    public long getOffset() {
+      return this.offset;
+    }
+
+    public configSince_args setOffset(long offset) {
+      this.offset = offset;
+      setOffsetIsSet(true);
+      return this;
+    }
+
+    public void unsetOffset() {
+      __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __OFFSET_ISSET_ID);
+    }
+
+    /** Returns true if field offset is set (has been assigned a value) and false otherwise */
+    public boolean isSetOffset() {
+      return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __OFFSET_ISSET_ID);
+    }
+
+    public void setOffsetIsSet(boolean value) {
+      __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __OFFSET_ISSET_ID, value);
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.lang.String getChange() {
+      return this.change;
+    }
+
+    public configSince_args setChange(@org.apache.thrift.annotation.Nullable java.lang.String change) {
+      this.change = change;
+      return this;
+    }
+
+    public void unsetChange() {
+      this.change = null;
+    }
+
+    /** Returns true if field change is set (has been assigned a value) and false otherwise */
+    public boolean isSetChange() {
+      return this.change != null;
+    }
+
+    public void setChangeIsSet(boolean value) {
+      if (!value) {
+        this.change = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case OFFSET:
+        if (value == null) {
+          unsetOffset();
+        } else {
+          setOffset((java.lang.Long)value);
+        }
+        break;
+
+      case CHANGE:
+        if (value == null) {
+          unsetChange();
+        } else {
+          setChange((java.lang.String)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case OFFSET:
+        return getOffset();
+
+      case CHANGE:
+        return getChange();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case OFFSET:
+        return isSetOffset();
+      case CHANGE:
+        return isSetChange();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof configSince_args)
+        return this.equals((configSince_args)that);
+      return false;
+    }
+
+    public boolean equals(configSince_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_offset = true;
+      boolean that_present_offset = true;
+      if (this_present_offset || that_present_offset) {
+        if (!(this_present_offset && that_present_offset))
+          return false;
+        if (this.offset != that.offset)
+          return false;
+      }
+
+      boolean this_present_change = true && this.isSetChange();
+      boolean that_present_change = true && that.isSetChange();
+      if (this_present_change || that_present_change) {
+        if (!(this_present_change && that_present_change))
+          return false;
+        if (!this.change.equals(that.change))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(offset);
+
+      hashCode = hashCode * 8191 + ((isSetChange()) ? 131071 : 524287);
+      if (isSetChange())
+        hashCode = hashCode * 8191 + change.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(configSince_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetOffset(), other.isSetOffset());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetOffset()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.offset, other.offset);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      lastComparison = java.lang.Boolean.compare(isSetChange(), other.isSetChange());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetChange()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.change, other.change);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("configSince_args(");
+      boolean first = true;
+
+      sb.append("offset:");
+      sb.append(this.offset);
+      first = false;
+      if (!first) sb.append(", ");
+      sb.append("change:");
+      if (this.change == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.change);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+        __isset_bitfield = 0;
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class configSince_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public configSince_argsStandardScheme getScheme() {
+        return new configSince_argsStandardScheme();
+      }
+    }
+
+    private static class configSince_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<configSince_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, configSince_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // OFFSET
+              if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                struct.offset = iprot.readI64();
+                struct.setOffsetIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            case 2: // CHANGE
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+                struct.change = iprot.readString();
+                struct.setChangeIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, configSince_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        oprot.writeFieldBegin(OFFSET_FIELD_DESC);
+        oprot.writeI64(struct.offset);
+        oprot.writeFieldEnd();
+        if (struct.change != null) {
+          oprot.writeFieldBegin(CHANGE_FIELD_DESC);
+          oprot.writeString(struct.change);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class configSince_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public configSince_argsTupleScheme getScheme() {
+        return new configSince_argsTupleScheme();
+      }
+    }
+
+    private static class configSince_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<configSince_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, configSince_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetOffset()) {
+          optionals.set(0);
+        }
+        if (struct.isSetChange()) {
+          optionals.set(1);
+        }
+        oprot.writeBitSet(optionals, 2);
+        if (struct.isSetOffset()) {
+          oprot.writeI64(struct.offset);
+        }
+        if (struct.isSetChange()) {
+          oprot.writeString(struct.change);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, configSince_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(2);
+        if (incoming.get(0)) {
+          struct.offset = iprot.readI64();
+          struct.setOffsetIsSet(true);
+        }
+        if (incoming.get(1)) {
+          struct.change = iprot.readString();
+          struct.setChangeIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class configSince_result implements org.apache.thrift.TBase<configSince_result, configSince_result._Fields>, java.io.Serializable, Cloneable, Comparable<configSince_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("configSince_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new configSince_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new configSince_resultTupleSchemeFactory();
+
+    public @org.apache.thrift.annotation.Nullable ConfigPage success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, ConfigPage.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(configSince_result.class, metaDataMap);
+    }
+
+    public configSince_result() {
+    }
+
+    public configSince_result(
+      ConfigPage success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public configSince_result(configSince_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new ConfigPage(other.success);
+      }
+    }
+
+    @Override
+    public configSince_result deepCopy() {
+      return new configSince_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public ConfigPage getSuccess() {
+      return this.success;
+    }
+
+    public configSince_result setSuccess(@org.apache.thrift.annotation.Nullable ConfigPage success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((ConfigPage)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof configSince_result)
+        return this.equals((configSince_result)that);
+      return false;
+    }
+
+    public boolean equals(configSince_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(configSince_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("configSince_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class configSince_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public configSince_resultStandardScheme getScheme() {
+        return new configSince_resultStandardScheme();
+      }
+    }
+
+    private static class configSince_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<configSince_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, configSince_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new ConfigPage();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, configSince_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class configSince_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public configSince_resultTupleScheme getScheme() {
+        return new configSince_resultTupleScheme();
+      }
+    }
+
+    private static class configSince_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<configSince_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, configSince_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, configSince_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new ConfigPage();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class drainReport_args implements org.apache.thrift.TBase<drainReport_args, drainReport_args._Fields>, java.io.Serializable, Cloneable, Comparable<drainReport_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("drainReport_args");
+
+    private static final org.apache.thrift.protocol.TField TARGET_FIELD_DESC = new org.apache.thrift.protocol.TField("target", org.apache.thrift.protocol.TType.STRING, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new drainReport_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new drainReport_argsTupleSchemeFactory();
+
+    public @org.apache.thrift.annotation.Nullable java.lang.String target; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      TARGET((short)1, "target");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // TARGET
+            return TARGET;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.TARGET, new org.apache.thrift.meta_data.FieldMetaData("target", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(drainReport_args.class, metaDataMap);
+    }
+
+    public drainReport_args() {
+    }
+
+    public drainReport_args(
+      java.lang.String target)
+    {
+      this();
+      this.target = target;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public drainReport_args(drainReport_args other) {
+      if (other.isSetTarget()) {
+        this.target = other.target;
+      }
+    }
+
+    @Override
+    public drainReport_args deepCopy() {
+      return new drainReport_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.target = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.lang.String getTarget() {
+      return this.target;
+    }
+
+    public drainReport_args setTarget(@org.apache.thrift.annotation.Nullable java.lang.String target) {
+      this.target = target;
+      return this;
+    }
+
+    public void unsetTarget() {
+      this.target = null;
+    }
+
+    /** Returns true if field target is set (has been assigned a value) and false otherwise */
+    public boolean isSetTarget() {
+      return this.target != null;
+    }
+
+    public void setTargetIsSet(boolean value) {
+      if (!value) {
+        this.target = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case TARGET:
+        if (value == null) {
+          unsetTarget();
+        } else {
+          setTarget((java.lang.String)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case TARGET:
+        return getTarget();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case TARGET:
+        return isSetTarget();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof drainReport_args)
+        return this.equals((drainReport_args)that);
+      return false;
+    }
+
+    public boolean equals(drainReport_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_target = true && this.isSetTarget();
+      boolean that_present_target = true && that.isSetTarget();
+      if (this_present_target || that_present_target) {
+        if (!(this_present_target && that_present_target))
+          return false;
+        if (!this.target.equals(that.target))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetTarget()) ? 131071 : 524287);
+      if (isSetTarget())
+        hashCode = hashCode * 8191 + target.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(drainReport_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetTarget(), other.isSetTarget());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetTarget()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.target, other.target);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("drainReport_args(");
+      boolean first = true;
+
+      sb.append("target:");
+      if (this.target == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.target);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class drainReport_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public drainReport_argsStandardScheme getScheme() {
+        return new drainReport_argsStandardScheme();
+      }
+    }
+
+    private static class drainReport_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<drainReport_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, drainReport_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // TARGET
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+                struct.target = iprot.readString();
+                struct.setTargetIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, drainReport_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.target != null) {
+          oprot.writeFieldBegin(TARGET_FIELD_DESC);
+          oprot.writeString(struct.target);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class drainReport_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public drainReport_argsTupleScheme getScheme() {
+        return new drainReport_argsTupleScheme();
+      }
+    }
+
+    private static class drainReport_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<drainReport_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, drainReport_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetTarget()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetTarget()) {
+          oprot.writeString(struct.target);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, drainReport_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.target = iprot.readString();
+          struct.setTargetIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class drainReport_result implements org.apache.thrift.TBase<drainReport_result, drainReport_result._Fields>, java.io.Serializable, Cloneable, Comparable<drainReport_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("drainReport_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.STRUCT, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new drainReport_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new drainReport_resultTupleSchemeFactory();
+
+    public @org.apache.thrift.annotation.Nullable DrainReport success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, DrainReport.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(drainReport_result.class, metaDataMap);
+    }
+
+    public drainReport_result() {
+    }
+
+    public drainReport_result(
+      DrainReport success)
+    {
+      this();
+      this.success = success;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public drainReport_result(drainReport_result other) {
+      if (other.isSetSuccess()) {
+        this.success = new DrainReport(other.success);
+      }
+    }
+
+    @Override
+    public drainReport_result deepCopy() {
+      return new drainReport_result(this);
+    }
+
+    @Override
+    public void clear() {
+      this.success = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public DrainReport getSuccess() {
+      return this.success;
+    }
+
+    public drainReport_result setSuccess(@org.apache.thrift.annotation.Nullable DrainReport success) {
+      this.success = success;
+      return this;
+    }
+
+    public void unsetSuccess() {
+      this.success = null;
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return this.success != null;
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      if (!value) {
+        this.success = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((DrainReport)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return getSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof drainReport_result)
+        return this.equals((drainReport_result)that);
+      return false;
+    }
+
+    public boolean equals(drainReport_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true && this.isSetSuccess();
+      boolean that_present_success = true && that.isSetSuccess();
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (!this.success.equals(that.success))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetSuccess()) ? 131071 : 524287);
+      if (isSetSuccess())
+        hashCode = hashCode * 8191 + success.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(drainReport_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("drainReport_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      if (this.success == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.success);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (success != null) {
+        success.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class drainReport_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public drainReport_resultStandardScheme getScheme() {
+        return new drainReport_resultStandardScheme();
+      }
+    }
+
+    private static class drainReport_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<drainReport_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, drainReport_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.success = new DrainReport();
+                struct.success.read(iprot);
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, drainReport_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.success != null) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          struct.success.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class drainReport_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public drainReport_resultTupleScheme getScheme() {
+        return new drainReport_resultTupleScheme();
+      }
+    }
+
+    private static class drainReport_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<drainReport_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, drainReport_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          struct.success.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, drainReport_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = new DrainReport();
+          struct.success.read(iprot);
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -12,7 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.replica.ConfigReader;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.entry.EntryHost;
@@ -78,7 +79,8 @@
                 String id = domain + "-target-" + i;
                 TargetSpec spec = new TargetSpec(
                         id, SERVICE, domain, Addresses.format(target.address()), shape.slots(), 64, speed);
-                records.add(Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec)));
+                records.add(Json.write(ImmutableMap.of(
+                        "schema", 1, "change", "change-" + id, "kind", "target", "name", id, "body", spec)));
             }
         }
         publish(platform, ImmutableList.copyOf(records));
@@ -138,7 +140,7 @@
 
     private static void awaitPeers(List<EntryHost> entries) {
         long end = System.nanoTime() + READY_TIMEOUT.toNanos();
-        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size())) {
+        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size() || !entry.ready())) {
             checkState(System.nanoTime() < end, "the entry hosts do not know each other after %s", READY_TIMEOUT);
             Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
         }
@@ -147,7 +149,7 @@
     private static void publish(StandInPlatform platform, ImmutableList<String> records) {
         try (HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small())) {
             PlatformClient.create(requester, platform.address())
-                    .append(ConfigFeed.STREAM, records)
+                    .append(ConfigReader.STREAM, records)
                     .join();
         }
     }
