--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -13,7 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
-import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.replica.ConfigReader;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.PlacementPolicy;
 import org.mustardlink.core.TargetSpec;
@@ -104,7 +105,8 @@
                         shape.slots(),
                         64,
                         options.speedsDeclared() ? speed : 1.0);
-                records.add(Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec)));
+                records.add(Json.write(ImmutableMap.of(
+                        "schema", 1, "change", "change-" + id, "kind", "target", "name", id, "body", spec)));
             }
         }
         publish(platform, ImmutableList.copyOf(records));
@@ -165,7 +167,7 @@
 
     private static void awaitPeers(List<EntryHost> entries) {
         long end = System.nanoTime() + READY_TIMEOUT.toNanos();
-        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size())) {
+        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size() || !entry.ready())) {
             checkState(System.nanoTime() < end, "the entry hosts do not know each other after %s", READY_TIMEOUT);
             Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
         }
@@ -174,7 +176,7 @@
     private static void publish(StandInPlatform platform, ImmutableList<String> records) {
         try (HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small())) {
             PlatformClient.create(requester, platform.address())
-                    .append(ConfigFeed.STREAM, records)
+                    .append(ConfigReader.STREAM, records)
                     .join();
         }
     }
