Keep stack traces of library threads away from operators

Cause: a planned stop closed Grizzly's pools while its own shutdown thread still used them, and the JVM printed the stack trace between the log lines. StatusClient is named after the document that it reads.

--- a/src/main/java/org/mustardlink/cli/HostsCommand.java
+++ b/src/main/java/org/mustardlink/cli/HostsCommand.java
@@ -18,7 +18,7 @@
                 .help("show the entry hosts that others know")
                 .description("Shows each asked entry host and the entry hosts that it knows.")
                 .epilog("example: mustardlink hosts --operator 127.0.0.1:7202");
-        OperatorClient.addArgument(parser);
+        StatusClient.addArgument(parser);
         parser.addArgument("--json").action(Arguments.storeTrue()).help("print JSON");
         parser.setDefault(Main.COMMAND, this);
     }
@@ -26,7 +26,7 @@
     @Override
     public int run(Namespace arguments) {
         List<InetSocketAddress> operators = arguments.getList("operator");
-        try (OperatorClient client = new OperatorClient()) {
+        try (StatusClient client = new StatusClient()) {
             for (InetSocketAddress operator : operators) {
                 JsonNode status = client.status(operator);
                 if (arguments.getBoolean("json")) {
--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -1,6 +1,8 @@
 package org.mustardlink.cli;
 
 import com.google.common.collect.ImmutableList;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
 import java.util.concurrent.CompletionException;
 import net.sourceforge.argparse4j.ArgumentParsers;
 import net.sourceforge.argparse4j.helper.HelpScreenException;
@@ -10,6 +12,8 @@
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.observe.EventLog;
+import org.mustardlink.observe.LogEvent;
+import org.mustardlink.observe.LogField;
 
 /** Entry point of the {@code mustardlink} executable. */
 public final class Main {
@@ -41,6 +45,7 @@
     public static void main(String[] args) {
         // Grizzly logs through java.util.logging, which must be redirected before its first use.
         System.setProperty("java.util.logging.manager", "org.apache.logging.log4j.jul.LogManager");
+        Thread.setDefaultUncaughtExceptionHandler(Main::report);
         System.exit(run(args));
     }
 
@@ -69,7 +74,10 @@
         } catch (HelpScreenException e) {
             return ExitCode.OK;
         } catch (ArgumentParserException e) {
-            parser.handleError(e);
+            PrintWriter writer = new PrintWriter(System.err, true, StandardCharsets.UTF_8);
+            e.getParser().printUsage(writer);
+            writer.println("mustardlink: " + e.getMessage());
+            writer.flush();
             return ExitCode.USAGE;
         } catch (RuntimeException e) {
             System.err.println("mustardlink: " + describe(e));
@@ -86,6 +94,15 @@
         return "internal error: " + cause;
     }
 
+    /** Keeps stack traces of library threads away from operators; daemons write a log line instead. */
+    private static void report(Thread thread, Throwable error) {
+        EventLog.create("", "", 1)
+                .line(LogEvent.THREAD_FAILED)
+                .with(LogField.THREAD, thread.getName())
+                .with(LogField.ERROR, error)
+                .write();
+    }
+
     private static Throwable cause(Throwable error) {
         return error instanceof CompletionException && error.getCause() != null ? error.getCause() : error;
     }
--- a/src/main/java/org/mustardlink/cli/OperatorClient.java
+++ b/src/main/java/org/mustardlink/cli/StatusClient.java
@@ -15,7 +15,7 @@
 import org.mustardlink.http.Json;
 
 /** Reads the operators' JSON documents of entry hosts. */
-final class OperatorClient implements AutoCloseable {
+final class StatusClient implements AutoCloseable {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
 
     private final HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small());
--- a/src/main/java/org/mustardlink/cli/TopCommand.java
+++ b/src/main/java/org/mustardlink/cli/TopCommand.java
@@ -30,7 +30,7 @@
                 .description("Shows the asked entry hosts in a table that refreshes. Rates are per second since the"
                         + " last refresh; response times are since the start of the host, in milliseconds.")
                 .epilog("example: mustardlink top --operator 127.0.0.1:7202 --interval-ms 2000");
-        OperatorClient.addArgument(parser);
+        StatusClient.addArgument(parser);
         parser.addArgument("--interval-ms")
                 .type(new CountArgument(100, 3_600_000))
                 .setDefault(1000)
@@ -52,7 +52,7 @@
         boolean json = arguments.getBoolean("json");
         boolean clear = !json && Terminal.isPresent();
         int reached = 0;
-        try (OperatorClient client = new OperatorClient()) {
+        try (StatusClient client = new StatusClient()) {
             for (int i = 0; count == 0 || i < count; i++) {
                 if (i > 0) {
                     Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(arguments.getInt("interval_ms")));
@@ -70,7 +70,7 @@
     }
 
     /** Adds one entry host to the screen and returns whether it was reached. */
-    private boolean show(OperatorClient client, InetSocketAddress operator, boolean json, StringBuilder screen) {
+    private boolean show(StatusClient client, InetSocketAddress operator, boolean json, StringBuilder screen) {
         JsonNode status;
         try {
             status = client.status(operator);
--- a/src/main/java/org/mustardlink/observe/LogEvent.java
+++ b/src/main/java/org/mustardlink/observe/LogEvent.java
@@ -29,6 +29,8 @@
     TARGETS_DECLARED("targets.declared", StandardLevel.INFO),
     /** The set of draining targets changed. */
     TARGETS_DRAINING("targets.draining", StandardLevel.INFO),
+    /** A thread of the process ended with an error that nothing handled. */
+    THREAD_FAILED("thread.failed", StandardLevel.ERROR),
     /** The event loop handled an event late. */
     LOOP_LATE("loop.late", StandardLevel.WARN),
     /** The platform's list of hosts cannot be read. */
--- a/src/main/java/org/mustardlink/observe/LogField.java
+++ b/src/main/java/org/mustardlink/observe/LogField.java
@@ -40,6 +40,8 @@
     COUNT,
     /** A time in milliseconds. */
     ELAPSED_MS,
+    /** Name of a thread. */
+    THREAD,
     /** Text of an error. */
     ERROR,
     /** Lines of the same event that the rate limit dropped since the line before. */
--- a/src/main/java/org/mustardlink/observe/OperatorPages.java
+++ b/src/main/java/org/mustardlink/observe/OperatorPages.java
@@ -108,7 +108,7 @@
                         "id", settings.id(),
                         "domain", settings.domain(),
                         "region", settings.region(),
-                        "incarnation", incarnation,
+                        "incarnation", Long.toString(incarnation),
                         "started", started.toString(),
                         "leaving", leaving.getAsBoolean(),
                         "ready", observer.configured() && !leaving.getAsBoolean(),
