Learn speeds and run times and weigh a wait against a slow slot

Cause: placement took the highest declared speed that was free. Declared speeds and run times are wrong by several times, and a start on a slow target cannot be repaired because no second start is allowed.

Change: the core learns each target's speed and each class's run time in logarithms. ExpectedFinish waits for a faster slot when the weighted wait (next expected release and the work ahead in the queue) is shorter than what it saves, and puts tasks that end well before their job on slow slots. Random, round robin, least outstanding and fastest free sit behind the same interface; the load tool uses them from here.

--- a/src/main/java/org/mustardlink/core/AttemptOutcomes.java
+++ b/src/main/java/org/mustardlink/core/AttemptOutcomes.java
@@ -15,7 +15,7 @@
 
     void apply(Event.AttemptEnded event, long now, Consumer<Command> out) {
         tables.attempts().remove(event.task(), event.attempt()).ifPresent(attempt -> {
-            attempt.target().attemptEnded();
+            attempt.target().attemptEnded(attempt);
             apply(attempt, event.result(), now, out);
         });
     }
@@ -26,6 +26,9 @@
         if (result instanceof AttemptResult.NotStarted) {
             attempt.target().block(now + REFUSAL_PAUSE_NANOS);
         }
+        if (result instanceof AttemptResult.Completed) {
+            tables.estimates().learn(attempt, now);
+        }
         if (!job.isOpen()) {
             return;
         }
--- a/src/main/java/org/mustardlink/core/AttemptTable.java
+++ b/src/main/java/org/mustardlink/core/AttemptTable.java
@@ -15,8 +15,18 @@
      * @param attempt number of the attempt
      * @param target the target
      * @param startedNanos when it was started
+     * @param expectedNanos expected run time
      */
-    record AttemptRow(TaskRow task, int attempt, TargetRow target, long startedNanos) {}
+    record AttemptRow(TaskRow task, int attempt, TargetRow target, long startedNanos, long expectedNanos) {
+        /**
+         * Returns when the attempt is expected to end. An overdue attempt is expected to need a quarter of its age
+         * more, because the longer a task runs past its estimate, the worse the estimate was.
+         */
+        long expectedEnd(long now) {
+            long end = startedNanos + expectedNanos;
+            return end > now ? end : now + (now - startedNanos) / 4;
+        }
+    }
 
     void add(AttemptRow row) {
         rows.put(row.task().id(), row);
--- a/src/main/java/org/mustardlink/core/DispatchCore.java
+++ b/src/main/java/org/mustardlink/core/DispatchCore.java
@@ -67,6 +67,11 @@
         return tables.jobs().open();
     }
 
+    /** Returns the learned speed of a declared target, relative to 1. */
+    double targetSpeed(String id) {
+        return tables.targets().find(id).orElseThrow().speed();
+    }
+
     private void apply(Event event, long now, Consumer<Command> out) {
         if (event instanceof Event.AttemptEnded ended) {
             outcomes.apply(ended, now, out);
--- /dev/null
+++ b/src/main/java/org/mustardlink/core/Estimates.java
@@ -0,0 +1,53 @@
+package org.mustardlink.core;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/** Learned run times by (service, class). Soft state: it is relearned after a restart. */
+final class Estimates {
+    /** Classes kept; callers choose class names, so the table must have a bound. */
+    private static final int MAX_CLASSES = 1000;
+
+    /** Samples of a class after which its tasks teach a target's speed with half of their weight. */
+    private static final double TRUSTED_SAMPLES = 4;
+
+    /** Shortest run time that teaches anything, in milliseconds; below it the round trip is all that is seen. */
+    private static final double MIN_RUN_MS = 0.2;
+
+    private record Key(String service, String jobClass) {}
+
+    private final Map<Key, ClassEstimate> classes = new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Key, ClassEstimate> _eldest) {
+            return size() > MAX_CLASSES;
+        }
+    };
+
+    ClassEstimate of(JobRequest request) {
+        return classes.computeIfAbsent(new Key(request.service(), request.jobClass()), _unused -> new ClassEstimate());
+    }
+
+    /** Sets the expected work of every task of a job. */
+    void expect(JobRow job, double fastestSpeed, long now) {
+        ClassEstimate estimate = of(job.request().orElseThrow());
+        // The mean of a log-normal value lies above its median by exp(variance / 2).
+        double mean = estimate.logError() * estimate.logError() / 2;
+        double longest = 0;
+        for (TaskRow task : job.tasks()) {
+            task.expect(Math.exp(estimate.logWork(task.spec().declaredMs()) + mean));
+            longest = Math.max(longest, task.expectedWork());
+        }
+        job.expect(estimate.logError(), longest, fastestSpeed, now);
+    }
+
+    /** Learns the class's run time and the target's speed from a completed attempt. */
+    void learn(AttemptTable.AttemptRow attempt, long now) {
+        ClassEstimate estimate = of(attempt.task().job().request().orElseThrow());
+        long declaredMs = attempt.task().spec().declaredMs();
+        double logRun = Math.log(Math.max(MIN_RUN_MS, (now - attempt.startedNanos()) / 1e6));
+        double logSpeed = Math.log(attempt.target().speed());
+        double trust = estimate.samples() / (estimate.samples() + TRUSTED_SAMPLES);
+        attempt.target().learnSpeed(estimate.logWork(declaredMs) - logRun, trust);
+        estimate.learn(declaredMs, logRun + logSpeed);
+    }
+}
--- a/src/main/java/org/mustardlink/core/Intake.java
+++ b/src/main/java/org/mustardlink/core/Intake.java
@@ -50,6 +50,11 @@
         job.waiters().add(event.requester());
         tables.jobs().addOpen(job);
         session.jobOpened();
+        double fastest = tables.targets().of(event.request().service()).stream()
+                .mapToDouble(TargetRow::speed)
+                .max()
+                .orElse(1);
+        tables.estimates().expect(job, fastest, now);
         tables.queue().add(event.request().service(), job);
     }
 
--- a/src/main/java/org/mustardlink/core/JobQueue.java
+++ b/src/main/java/org/mustardlink/core/JobQueue.java
@@ -44,6 +44,15 @@
         return tasks.get(tasks.size() - 1 - rank);
     }
 
+    /** Returns the expected work of the tasks before a rank. */
+    double workBefore(int rank) {
+        double before = 0;
+        for (int i = 0; i < rank; i++) {
+            before += task(i).expectedWork();
+        }
+        return before;
+    }
+
     TaskRow take(int rank) {
         TaskRow taken = tasks.remove(tasks.size() - 1 - rank);
         work = tasks.isEmpty() ? 0 : work - taken.expectedWork();
--- a/src/main/java/org/mustardlink/core/JobRow.java
+++ b/src/main/java/org/mustardlink/core/JobRow.java
@@ -16,6 +16,9 @@
     private Optional<Verdict> verdict = Optional.empty();
     private long settledNanos;
     private int remaining;
+    private double error;
+    private double longestWork;
+    private long expectedEndNanos;
 
     JobRow(SubmissionId id, JobRequest request, long now) {
         this.id = id;
@@ -79,6 +82,34 @@
         return tasks.stream().anyMatch(task -> task.state().mayHaveRun());
     }
 
+    /**
+     * Sets when the job is expected to end if its longest task starts at once on the fastest target.
+     *
+     * @param logError expected error of the tasks' work, as a standard deviation of the logarithm
+     */
+    void expect(double logError, double longest, double fastest, long now) {
+        error = logError;
+        longestWork = longest;
+        expectedEndNanos = now + (long) (longest / fastest * 1e6);
+    }
+
+    /** Moves the expected end of the job to that of one of its tasks if that is later. */
+    void expectEnd(long nanos) {
+        expectedEndNanos = Math.max(expectedEndNanos, nanos);
+    }
+
+    double error() {
+        return error;
+    }
+
+    /** Returns the time until the rest of the job is expected to end, in milliseconds; 0 for its longest task. */
+    double slackMs(TaskRow task, long now) {
+        if (tasks.size() == 1 || task.expectedWork() >= longestWork) {
+            return 0;
+        }
+        return Math.max(0, (expectedEndNanos - now) / 1e6);
+    }
+
     /** Counts one finished task and returns whether it was the last. */
     boolean taskDone() {
         remaining--;
--- a/src/main/java/org/mustardlink/core/ServiceQueue.java
+++ b/src/main/java/org/mustardlink/core/ServiceQueue.java
@@ -11,10 +11,15 @@
     private final TreeSet<JobQueue> jobs = new TreeSet<>(Comparator.comparingLong(JobQueue::sequence));
     private final IdentityHashMap<JobRow, JobQueue> byJob = new IdentityHashMap<>();
     private final Deque<TaskRow> retries = new ArrayDeque<>();
+    private final ServiceLoad load = new ServiceLoad();
     private long nextSequence;
     private int size;
     private double work;
 
+    ServiceLoad load() {
+        return load;
+    }
+
     int size() {
         return size;
     }
--- a/src/main/java/org/mustardlink/core/Tables.java
+++ b/src/main/java/org/mustardlink/core/Tables.java
@@ -8,6 +8,7 @@
     private final TargetTable targets = new TargetTable();
     private final AttemptTable attempts = new AttemptTable();
     private final QueueTable queue = new QueueTable();
+    private final Estimates estimates = new Estimates();
     private boolean stopping;
 
     Tables(CoreSettings settings) {
@@ -39,6 +40,10 @@
         return queue;
     }
 
+    Estimates estimates() {
+        return estimates;
+    }
+
     boolean stopping() {
         return stopping;
     }
--- a/src/main/java/org/mustardlink/core/TargetView.java
+++ b/src/main/java/org/mustardlink/core/TargetView.java
@@ -10,4 +10,14 @@
 
     /** Returns the slots that this entry host may use now and does not use. */
     int freeSlots();
+
+    /** Returns the learned speed, relative to 1; the declared speed until answers arrive. */
+    double speed();
+
+    /**
+     * Returns when the next running task is expected to end, as monotonic time in nanoseconds; {@code now} if none runs.
+     *
+     * @param now monotonic time in nanoseconds
+     */
+    long nextRelease(long now);
 }
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -30,6 +30,7 @@
 import org.mustardlink.core.SessionId;
 import org.mustardlink.core.SubmissionId;
 import org.mustardlink.core.Verdict;
+import org.mustardlink.core.policy.ExpectedFinish;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.observe.EntryObserver;
@@ -106,7 +107,7 @@
      * @param incarnation number that no earlier process with this host id has used; later ones are greater
      */
     public static EntryHost start(EntrySettings settings, long incarnation) {
-        return start(settings, incarnation, PlacementPolicy.fastestFree());
+        return start(settings, incarnation, ExpectedFinish.create());
     }
 
     /**
--- a/src/main/java/org/mustardlink/load/Policies.java
+++ b/src/main/java/org/mustardlink/load/Policies.java
@@ -2,15 +2,12 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import java.util.Comparator;
-import java.util.List;
-import java.util.Optional;
 import java.util.SplittableRandom;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.LongFunction;
 import java.util.function.Supplier;
 import org.mustardlink.core.PlacementPolicy;
-import org.mustardlink.core.TargetView;
+import org.mustardlink.core.policy.Baselines;
+import org.mustardlink.core.policy.ExpectedFinish;
 
 /** Placement policies by name. */
 public final class Policies {
@@ -19,11 +16,11 @@
 
     private static final ImmutableMap<String, LongFunction<Supplier<PlacementPolicy>>> BY_NAME =
             ImmutableMap.<String, LongFunction<Supplier<PlacementPolicy>>>builder()
-                    .put(DEFAULT, _seed -> PlacementPolicy::fastestFree)
+                    .put(DEFAULT, _seed -> ExpectedFinish::create)
                     .put("random", Policies::random)
-                    .put("round-robin", _seed -> Policies::roundRobin)
-                    .put("least-outstanding", _seed -> Policies::leastOutstanding)
-                    .put("fastest-free", _seed -> PlacementPolicy::fastestFree)
+                    .put("round-robin", _seed -> Baselines::roundRobin)
+                    .put("least-outstanding", _seed -> Baselines::leastOutstanding)
+                    .put("fastest-free", _seed -> Baselines::fastestFree)
                     .buildOrThrow();
 
     private Policies() {}
@@ -45,31 +42,6 @@
 
     private static Supplier<PlacementPolicy> random(long seed) {
         SplittableRandom seeds = new SplittableRandom(seed);
-        return () -> {
-            SplittableRandom random = seeds.split();
-            return (_task, candidates, _now) -> Optional.of(candidates.get(random.nextInt(candidates.size())));
-        };
-    }
-
-    private static PlacementPolicy roundRobin() {
-        AtomicInteger next = new AtomicInteger();
-        return (_task, candidates, _now) -> pick(candidates, next.getAndIncrement());
-    }
-
-    private static PlacementPolicy leastOutstanding() {
-        AtomicInteger turn = new AtomicInteger();
-        return (_task, candidates, _now) -> {
-            int least =
-                    candidates.stream().mapToInt(TargetView::outstanding).min().orElse(0);
-            List<? extends TargetView> equal = candidates.stream()
-                    .filter(view -> view.outstanding() == least)
-                    .sorted(Comparator.comparing(view -> view.spec().id()))
-                    .toList();
-            return pick(equal, turn.getAndIncrement());
-        };
-    }
-
-    private static Optional<? extends TargetView> pick(List<? extends TargetView> views, int turn) {
-        return Optional.of(views.get(Math.floorMod(turn, views.size())));
+        return () -> Baselines.random(seeds.nextLong());
     }
 }
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -17,6 +17,7 @@
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.PlacementPolicy;
 import org.mustardlink.core.TargetSpec;
+import org.mustardlink.core.policy.ExpectedFinish;
 import org.mustardlink.entry.EntryHost;
 import org.mustardlink.entry.Incarnations;
 import org.mustardlink.http.Addresses;
@@ -73,7 +74,7 @@
     public record Options(Supplier<PlacementPolicy> policies, boolean speedsDeclared) {
         /** Returns the policy of the daemon with declared speeds. */
         public static Options defaults() {
-            return new Options(PlacementPolicy::fastestFree, true);
+            return new Options(ExpectedFinish::create, true);
         }
     }
 
--- a/src/test/java/org/mustardlink/core/CoreBenchmark.java
+++ b/src/test/java/org/mustardlink/core/CoreBenchmark.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
+import org.mustardlink.core.policy.ExpectedFinish;
 
 /**
  * Measures decisions per second of the core alone on one thread: 30 targets with 8 slots, jobs of 210 tasks and a queue
@@ -21,8 +22,7 @@
     private static final long STEP_NANOS = 40_000;
 
     private final Random random = new Random(SEED);
-    private final DispatchCore core =
-            DispatchCore.create(CoreSettings.defaults("bench", 1), PlacementPolicy.fastestFree());
+    private final DispatchCore core = DispatchCore.create(CoreSettings.defaults("bench", 1), ExpectedFinish.create());
     private final List<Command.StartTask> running = new ArrayList<>();
     private final int wanted;
     private SessionId session;
