Ask for a shared secret before an operator's change

Cause: whoever reached the operator address could change configuration. Change: with operator.secret-file, every request other than GET to the operator address must carry the secret; the file is read again for each change, and an unreadable or empty one refuses every change. Tests also hold health and readiness, the page without outside references, the rate limit of the log and the shape of its lines.

--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -193,6 +193,7 @@
     static int statusOf(ErrorCode code) {
         return switch (code) {
             case BAD_REQUEST -> 400;
+            case UNAUTHORIZED -> 401;
             case NOT_FOUND -> 404;
             case BODY_TOO_LARGE -> 413;
             default -> 500;
--- a/src/main/java/org/mustardlink/api/OperatorApi.java
+++ b/src/main/java/org/mustardlink/api/OperatorApi.java
@@ -5,7 +5,12 @@
 
 import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.security.MessageDigest;
 import java.time.Duration;
 import java.util.Comparator;
 import java.util.Map;
@@ -32,11 +37,14 @@
 public final class OperatorApi implements AutoCloseable {
     private static final int MAX_BODY_BYTES = 4 << 20;
     private static final int THREADS = 2;
+    private static final String BEARER = "Bearer ";
 
     private final Map<String, Handler> routes = new ConcurrentHashMap<>();
+    private final Optional<Path> secretFile;
     private final HttpServer server;
 
-    private OperatorApi(InetSocketAddress address) {
+    private OperatorApi(InetSocketAddress address, Optional<Path> secretFile) {
+        this.secretFile = secretFile;
         this.server = HttpServers.start(address, THREADS, new HttpHandler() {
             @Override
             public void service(Request request, Response response) {
@@ -51,7 +59,18 @@
      * @param address where to listen; port 0 takes a free one
      */
     public static OperatorApi start(InetSocketAddress address) {
-        return new OperatorApi(address);
+        return new OperatorApi(address, Optional.empty());
+    }
+
+    /**
+     * Starts a server without any path.
+     *
+     * @param address where to listen; port 0 takes a free one
+     * @param secretFile file with the secret that every request but GET must carry as {@code Authorization: Bearer};
+     *     it is read again for each such request, so a new secret is in force at once
+     */
+    public static OperatorApi start(InetSocketAddress address, Optional<Path> secretFile) {
+        return new OperatorApi(address, secretFile);
     }
 
     /** Answers the requests to a path. */
@@ -158,6 +177,7 @@
         CompletableFuture<Reply> reply;
         try {
             Call call = call(request);
+            authorize(call);
             reply = handlerOf(call).handle(call);
         } catch (CodedException e) {
             reply = CompletableFuture.failedFuture(e);
@@ -166,6 +186,33 @@
         CompletableFuture<Reply> _answered = reply.whenComplete((value, failure) -> answer(response, value, failure));
     }
 
+    private void authorize(Call call) {
+        if (secretFile.isEmpty() || call.method().equals("GET")) {
+            return;
+        }
+        String given = Optional.ofNullable(call.headers().get("authorization")).orElse("");
+        // An unreadable or empty file refuses every change, so that a lost secret never opens the way.
+        boolean allowed = secret(secretFile.get())
+                .map(secret -> BEARER + secret)
+                .filter(expected -> MessageDigest.isEqual(bytes(expected), bytes(given)))
+                .isPresent();
+        if (!allowed) {
+            throw new CodedException(ErrorCode.UNAUTHORIZED, "a change needs the secret of operator.secret-file");
+        }
+    }
+
+    private static Optional<String> secret(Path file) {
+        try {
+            return Optional.of(Files.readString(file).trim()).filter(text -> !text.isEmpty());
+        } catch (IOException e) {
+            return Optional.empty();
+        }
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(StandardCharsets.UTF_8);
+    }
+
     private Handler handlerOf(Call call) {
         return Optional.ofNullable(routes.get(call.path()))
                 .or(() -> routes.keySet().stream()
--- a/src/main/java/org/mustardlink/config/settings/EntrySettings.java
+++ b/src/main/java/org/mustardlink/config/settings/EntrySettings.java
@@ -5,8 +5,10 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import org.mustardlink.http.Addresses;
 
 /**
@@ -17,6 +19,7 @@
  * @param region region of the failure domain
  * @param caller address for callers
  * @param operator address for operators
+ * @param operatorSecret file with the secret that operators' changes must carry
  * @param peer address for other entry hosts
  * @param platform address of the platform
  * @param peers peer addresses known without the platform's list
@@ -32,6 +35,7 @@
         String region,
         InetSocketAddress caller,
         InetSocketAddress operator,
+        Optional<Path> operatorSecret,
         InetSocketAddress peer,
         InetSocketAddress platform,
         ImmutableList<InetSocketAddress> peers,
@@ -46,6 +50,7 @@
         checkNotNull(region, "region");
         checkNotNull(caller, "caller");
         checkNotNull(operator, "operator");
+        checkNotNull(operatorSecret, "operatorSecret");
         checkNotNull(peer, "peer");
         checkNotNull(platform, "platform");
         checkNotNull(peers, "peers");
@@ -139,6 +144,7 @@
                 settings.value(SettingKeys.HOST_REGION),
                 settings.value(SettingKeys.CALLER_ADDRESS),
                 settings.value(SettingKeys.OPERATOR_ADDRESS),
+                settings.value(SettingKeys.OPERATOR_SECRET),
                 settings.value(SettingKeys.PEER_ADDRESS),
                 settings.value(SettingKeys.PLATFORM_ADDRESS),
                 settings.value(SettingKeys.PEER_SEEDS),
--- a/src/main/java/org/mustardlink/config/settings/SettingKeys.java
+++ b/src/main/java/org/mustardlink/config/settings/SettingKeys.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.time.Duration;
 import java.util.Optional;
 
@@ -21,6 +22,12 @@
             "caller", "max-body", ValueType.size("1 KiB", "4 MiB"), "4 MiB", "largest body of a caller's request");
     static final SettingKey<InetSocketAddress> OPERATOR_ADDRESS =
             required("operator", "address", ValueType.address(), "address for operators, metrics and health checks");
+    static final SettingKey<Optional<Path>> OPERATOR_SECRET = optional(
+            "operator",
+            "secret-file",
+            ValueType.file(),
+            "",
+            "file with the secret that operators' changes must carry; without it no secret is asked for");
     static final SettingKey<InetSocketAddress> PEER_ADDRESS =
             required("peer", "address", ValueType.address(), "address for other entry hosts (Thrift)");
     static final SettingKey<InetSocketAddress> PLATFORM_ADDRESS =
@@ -153,6 +160,7 @@
             CALLER_THREADS,
             CALLER_MAX_BODY,
             OPERATOR_ADDRESS,
+            OPERATOR_SECRET,
             PEER_ADDRESS,
             PLATFORM_ADDRESS,
             PLATFORM_TIMEOUT,
--- a/src/main/java/org/mustardlink/config/settings/ValueType.java
+++ b/src/main/java/org/mustardlink/config/settings/ValueType.java
@@ -8,7 +8,10 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.primitives.Longs;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -81,6 +84,14 @@
         });
     }
 
+    static ValueType<Optional<Path>> file() {
+        return new ValueType<>("a file that can be read, or nothing", text -> {
+            Optional<Path> path = text.isEmpty() ? Optional.empty() : Optional.of(Path.of(text));
+            checkArgument(path.map(Files::isReadable).orElse(true), "not readable");
+            return path;
+        });
+    }
+
     private static long quantity(String text, ImmutableMap<String, Long> units) {
         Matcher matcher = QUANTITY.matcher(text);
         checkArgument(matcher.matches() && units.containsKey(matcher.group(2)), "no number with a known unit");
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -86,7 +86,7 @@
                 settings.limits().callerThreads(),
                 settings.limits().maxBodyBytes(),
                 this);
-        operatorApi = OperatorApi.start(settings.operator());
+        operatorApi = OperatorApi.start(settings.operator(), settings.operatorSecret());
         pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
         pages.section("hosts", () -> Maps.transformValues(peerAddresses, Addresses::format));
         pages.registerAt(operatorApi);
--- a/src/main/java/org/mustardlink/errors/ErrorCode.java
+++ b/src/main/java/org/mustardlink/errors/ErrorCode.java
@@ -6,6 +6,8 @@
     BAD_REQUEST,
     /** A body is larger than the configured bound. */
     BODY_TOO_LARGE,
+    /** A change was sent to an operators' path without the shared secret. */
+    UNAUTHORIZED,
     /** The path or method is unknown. */
     NOT_FOUND,
     /** No byte of a request was sent. */
--- /dev/null
+++ b/src/test/java/org/mustardlink/observe/EventLogTest.java
@@ -0,0 +1,91 @@
+package org.mustardlink.observe;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.io.StringWriter;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.core.Appender;
+import org.apache.logging.log4j.core.Logger;
+import org.apache.logging.log4j.core.appender.WriterAppender;
+import org.apache.logging.log4j.core.config.Configurator;
+import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlink.http.Json;
+
+class EventLogTest {
+    private final StringWriter written = new StringWriter();
+    private final Logger logger = (Logger) LogManager.getLogger("org.mustardlink.events");
+    private Appender appender;
+
+    @BeforeEach
+    void capture() {
+        JsonTemplateLayout layout = JsonTemplateLayout.newBuilder()
+                .setConfiguration(logger.getContext().getConfiguration())
+                .setEventTemplateUri("classpath:LogEventTemplate.json")
+                .build();
+        appender = WriterAppender.newBuilder()
+                .setName("test")
+                .setLayout(layout)
+                .setTarget(written)
+                .build();
+        appender.start();
+        logger.addAppender(appender);
+        Configurator.setLevel("org.mustardlink", Level.INFO);
+    }
+
+    @AfterEach
+    void release() {
+        logger.removeAppender(appender);
+        EventLog.silence();
+    }
+
+    /** Guards against a flood of one event that hides the others or fills the collector. */
+    @Test
+    void a_flood_of_one_event_is_cut_and_counted() throws JsonProcessingException, InterruptedException {
+        EventLog log = EventLog.create("host-1", "galpon", 3);
+        for (int i = 0; i < 100; i++) {
+            log.line(LogEvent.ATTEMPT_LOST).with(LogField.ATTEMPT, i).write();
+        }
+        log.line(LogEvent.HOST_LEAVING).with(LogField.OPEN_JOBS, 4).write();
+        Thread.sleep(1100);
+        log.line(LogEvent.ATTEMPT_LOST).with(LogField.ATTEMPT, 100).write();
+
+        List<String> lines = Splitter.on('\n').omitEmptyStrings().splitToList(written.toString());
+        assertThat(lines).hasSize(5);
+        JsonNode leaving = Json.mapper().readTree(lines.get(3));
+        assertThat(leaving.path("event").asText()).isEqualTo("host.leaving");
+        assertThat(leaving.path("host").asText()).isEqualTo("host-1");
+        assertThat(leaving.path("domain").asText()).isEqualTo("galpon");
+        assertThat(leaving.path("open_jobs").isNumber()).isTrue();
+        assertThat(Json.mapper().readTree(lines.get(4)).path("suppressed").asInt())
+                .isEqualTo(97);
+    }
+
+    /** Guards against fields that no page lists, and against hostile text that breaks out of its line. */
+    @Test
+    void a_line_is_one_json_object_with_listed_fields_only() throws JsonProcessingException {
+        EventLog log = EventLog.create("host-1", "galpon", 3);
+        log.line(LogEvent.PLATFORM_LOST)
+                .with(LogField.ERROR, "a\"b\n{\"event\":\"host.stopped\"}")
+                .write();
+
+        List<String> lines = Splitter.on('\n').omitEmptyStrings().splitToList(written.toString());
+        assertThat(lines).hasSize(1);
+        Set<String> names =
+                ImmutableSet.copyOf(Json.mapper().readTree(lines.get(0)).fieldNames());
+        Set<String> listed = Arrays.stream(LogField.values()).map(LogField::id).collect(Collectors.toSet());
+        assertThat(Sets.difference(names, listed)).containsExactly("time", "level", "event");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mustardlink/observe/OperatorPagesTest.java
@@ -0,0 +1,108 @@
+package org.mustardlink.observe;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.mustardlink.api.OperatorApi;
+import org.mustardlink.config.settings.EntrySettings;
+import org.mustardlink.core.Event;
+import org.mustardlink.http.HttpCall;
+import org.mustardlink.http.HttpReply;
+import org.mustardlink.http.HttpRequester;
+
+class OperatorPagesTest {
+    private static final InetSocketAddress FREE = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+
+    @TempDir
+    private Path directory;
+
+    private final AtomicBoolean leaving = new AtomicBoolean();
+    private HttpRequester requester;
+    private EntryObserver observer;
+    private Path secret;
+    private OperatorApi api;
+
+    @BeforeEach
+    void start() throws IOException {
+        secret = Files.writeString(directory.resolve("secret"), "first\n");
+        EntrySettings settings = EntrySettings.local("host-1", "galpon", FREE, Map.of());
+        observer = EntryObserver.create(settings);
+        requester = HttpRequester.start(HttpRequester.Limits.small());
+        api = OperatorApi.start(FREE, Optional.of(secret));
+        OperatorPages.create(settings, 7, observer, leaving::get).registerAt(api);
+        api.route("/change", _call -> OperatorApi.Reply.json("done").now());
+    }
+
+    @AfterEach
+    void stop() {
+        requester.close();
+        api.close();
+    }
+
+    /** Guards against a balancer that sends callers to a host without configuration or to one that leaves. */
+    @Test
+    void health_and_readiness_follow_the_state_of_the_host() {
+        assertThat(get("/health").status()).isEqualTo(200);
+        assertThat(get("/ready").status()).isEqualTo(503);
+
+        observer.posted(new Event.TargetsDeclared(ImmutableList.of()));
+        assertThat(get("/ready").status()).isEqualTo(200);
+
+        leaving.set(true);
+        assertThat(get("/health").status()).isEqualTo(503);
+        assertThat(get("/ready").status()).isEqualTo(503);
+    }
+
+    /** Guards against a page that asks another server for anything. */
+    @Test
+    void the_page_refers_to_nothing_outside() {
+        HttpReply page = get("/");
+
+        assertThat(page.header("Content-Type").orElse("")).startsWith("text/html");
+        assertThat(page.body()).containsMatch("fetch\\('/status'");
+        assertThat(page.body()).doesNotContainMatch("https?://|src=|@import|url\\(");
+    }
+
+    /** Guards against changes by anyone who reaches the operator address, also after the secret changed. */
+    @Test
+    void a_change_needs_the_secret_that_the_file_holds_now() throws IOException {
+        assertThat(change("").status()).isEqualTo(401);
+        assertThat(change("Bearer firs").status()).isEqualTo(401);
+        assertThat(change("Bearer first").status()).isEqualTo(200);
+
+        Files.writeString(secret, "second");
+        assertThat(change("Bearer first").status()).isEqualTo(401);
+        assertThat(change("Bearer second").status()).isEqualTo(200);
+
+        Files.delete(secret);
+        assertThat(change("Bearer ").status()).isEqualTo(401);
+        assertThat(get("/status").status()).isEqualTo(200);
+    }
+
+    private HttpReply get(String path) {
+        return requester
+                .send(api.address(), HttpCall.get(path, Duration.ofSeconds(5)))
+                .join();
+    }
+
+    private HttpReply change(String authorization) {
+        ImmutableMap<String, String> headers = ImmutableMap.of("Authorization", authorization);
+        return requester
+                .send(api.address(), new HttpCall("POST", "/change", headers, "", Duration.ofSeconds(5)))
+                .join();
+    }
+}
