Divide slots between entry hosts and let unused parts be lent

Cause: every entry host used every slot of every target of every failure domain by its own view, so hosts raced for the same slots and work crossed domains without need.

Change: the entry hosts of a domain hold equal parts of its targets' slots and connections. With SlotSharing.MOVING a host whose tasks wait asks one peer at a time (ReportLoad) and gets unused slots for a term of 1 s (OfferShares); loans end by themselves on both sides, so a lost message costs idle slots for one term at most. Messages draw on an allowance of 0.05 a start for each sender. Load reports lower what is offered. Another domain's targets are used when it lends slots or when the own domain has no target that takes work.

--- a/src/main/java/org/mustardlink/core/Command.java
+++ b/src/main/java/org/mustardlink/core/Command.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 
 /** Something that the core asks the I/O layer to do. */
@@ -66,4 +67,21 @@
      * @param reason why
      */
     record SessionRefused(long requester, Reason reason) implements Command {}
+
+    /**
+     * Tells another entry host which slots waiting tasks lack. A lost message costs nothing but the slots.
+     *
+     * @param to id of that host; it gets an {@link Event.PeerLoadReported}
+     * @param needs what is lacking
+     */
+    record ReportLoad(String to, ImmutableList<SlotNeed> needs) implements Command {}
+
+    /**
+     * Lends slots to another entry host. A lost message leaves the slots unused for the term.
+     *
+     * @param to id of that host; it gets an {@link Event.SharesOffered}
+     * @param loans what is lent
+     * @param term how long
+     */
+    record OfferShares(String to, ImmutableList<SlotLoan> loans, Duration term) implements Command {}
 }
--- a/src/main/java/org/mustardlink/core/DispatchCore.java
+++ b/src/main/java/org/mustardlink/core/DispatchCore.java
@@ -19,13 +19,15 @@
     private final Tables tables;
     private final Intake intake;
     private final AttemptOutcomes outcomes;
+    private final ShareSystem shareSystem = new ShareSystem();
     private final ImmutableList<DispatchSystem> systems;
 
-    private DispatchCore(CoreSettings settings, PlacementPolicy placement) {
-        this.tables = new Tables(settings);
+    private DispatchCore(CoreSettings settings, PlacementPolicy placement, SlotSharing sharing) {
+        this.tables = new Tables(settings, sharing);
         this.intake = new Intake(tables);
         this.outcomes = new AttemptOutcomes(tables);
-        this.systems = ImmutableList.of(new DeadlineSystem(), new PlacementSystem(placement), new RetentionSystem());
+        this.systems = ImmutableList.of(
+                new DeadlineSystem(), new PlacementSystem(placement), shareSystem, new RetentionSystem());
     }
 
     /**
@@ -35,7 +37,18 @@
      * @param placement chooses targets
      */
     public static DispatchCore create(CoreSettings settings, PlacementPolicy placement) {
-        return new DispatchCore(settings, placement);
+        return create(settings, placement, SlotSharing.FIXED);
+    }
+
+    /**
+     * Creates an empty core.
+     *
+     * @param settings every bound
+     * @param placement chooses targets
+     * @param sharing how slots are divided between the entry hosts of a failure domain
+     */
+    public static DispatchCore create(CoreSettings settings, PlacementPolicy placement, SlotSharing sharing) {
+        return new DispatchCore(settings, placement, sharing);
     }
 
     /**
@@ -72,6 +85,11 @@
         return tables.targets().find(id).orElseThrow().speed();
     }
 
+    /** Returns the slots of a declared target that this host may use. */
+    int targetShare(String id) {
+        return tables.targets().find(id).orElseThrow().share();
+    }
+
     private void apply(Event event, long now, Consumer<Command> out) {
         if (event instanceof Event.AttemptEnded ended) {
             outcomes.apply(ended, now, out);
@@ -87,8 +105,16 @@
             intake.forget(gone);
         } else if (event instanceof Event.TargetsDeclared declared) {
             tables.targets().declare(declared.targets());
+            tables.shares().assign(tables.targets());
         } else if (event instanceof Event.TargetsDraining draining) {
             tables.targets().drain(draining.targets());
+        } else if (event instanceof Event.EntryHostsKnown known) {
+            tables.shares().hosts(known);
+            tables.shares().assign(tables.targets());
+        } else if (event instanceof Event.PeerLoadReported reported) {
+            shareSystem.lend(tables, reported, now, out);
+        } else if (event instanceof Event.SharesOffered offered) {
+            shareSystem.borrow(tables, offered, now);
         } else if (event instanceof Event.StopRequested) {
             tables.stop();
         }
--- a/src/main/java/org/mustardlink/core/Event.java
+++ b/src/main/java/org/mustardlink/core/Event.java
@@ -3,7 +3,9 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
 
 /** Something that happened outside the core. Events are handled one at a time, in the order given. */
 public sealed interface Event {
@@ -81,6 +83,31 @@
      */
     record TargetsDraining(ImmutableSet<String> targets) implements Event {}
 
+    /**
+     * These entry hosts are alive, in place of any earlier set; this host is one of them.
+     *
+     * @param ownDomain failure domain of this host
+     * @param domainByHost failure domain of each host, by host id
+     */
+    record EntryHostsKnown(String ownDomain, ImmutableMap<String, String> domainByHost) implements Event {}
+
+    /**
+     * Another entry host asks for slots that its waiting tasks could use.
+     *
+     * @param from id of that host
+     * @param needs what it lacks
+     */
+    record PeerLoadReported(String from, ImmutableList<SlotNeed> needs) implements Event {}
+
+    /**
+     * Another entry host lends slots.
+     *
+     * @param from id of that host
+     * @param loans what it lends
+     * @param term how long, from the moment of the offer
+     */
+    record SharesOffered(String from, ImmutableList<SlotLoan> loans, Duration term) implements Event {}
+
     /** The entry host was asked to stop: no new session or submission is accepted from now on. */
     record StopRequested() implements Event {}
 }
--- a/src/main/java/org/mustardlink/core/TargetRow.java
+++ b/src/main/java/org/mustardlink/core/TargetRow.java
@@ -11,16 +11,27 @@
     /** Smallest weight of a new sample, so that a target that changes its speed is followed within 20 tasks. */
     private static final double MIN_GAIN = 0.05;
 
+    /** Age at which a load report says nothing about the present, in nanoseconds; about one task. */
+    private static final long REPORT_LIFE_NANOS = 100_000_000;
+
     private final List<AttemptTable.AttemptRow> running = new ArrayList<>();
     private TargetSpec spec;
     private double logSpeed;
     private double speed;
     private int samples;
+    private int share;
+    private int spillShare;
+    private boolean spilling;
+    private int connections;
+    private int othersBusy;
+    private long reportedNanos = Long.MIN_VALUE;
     private boolean draining;
     private long blockedUntilNanos = Long.MIN_VALUE;
 
     TargetRow(TargetSpec spec) {
         this.spec = spec;
+        this.share = spec.slots();
+        this.connections = spec.connections();
         this.speed = spec.declaredSpeed();
         this.logSpeed = Math.log(speed);
     }
@@ -37,7 +48,7 @@
 
     @Override
     public int freeSlots() {
-        return Math.max(0, spec.slots() - running.size());
+        return Math.max(0, Math.min(Math.min(share(), connections), spec.slots() - othersBusy) - running.size());
     }
 
     @Override
@@ -55,12 +66,61 @@
     }
 
     boolean accepts(long now) {
-        return !draining && freeSlots() > 0 && blockedUntilNanos <= now;
+        forgetOldReport(now);
+        return usable(now) && freeSlots() > 0;
     }
 
     /** Returns whether the target may take a task now or once a running one ends. */
     boolean usable(long now) {
-        return !draining && blockedUntilNanos <= now;
+        return isAlive() && share() > 0 && blockedUntilNanos <= now;
+    }
+
+    /** Returns whether the target belongs to the own failure domain or has lent slots. */
+    boolean isOwn() {
+        return share > 0;
+    }
+
+    void spill(boolean allowed) {
+        spilling = allowed;
+    }
+
+    /** Returns whether the target takes new work, whoever may use it. */
+    boolean isAlive() {
+        return !draining;
+    }
+
+    /** Returns the slots that this host may use. */
+    int share() {
+        return spilling && share == 0 ? spillShare : share;
+    }
+
+    /**
+     * Sets what this host may use.
+     *
+     * @param slots slots
+     * @param spillSlots slots while the own failure domain has no usable target of the service
+     * @param connectionLimit connections
+     */
+    void share(int slots, int spillSlots, int connectionLimit) {
+        share = slots;
+        spillShare = spillSlots;
+        connections = connectionLimit;
+    }
+
+    void addShare(int slots) {
+        share += slots;
+    }
+
+    /** Takes over the target's own view of its load. Slots that others use are not offered until the report is old. */
+    void report(LoadReport load, long now) {
+        othersBusy = Math.min(spec.slots(), Math.max(0, load.busy() - running.size()));
+        reportedNanos = now;
+    }
+
+    private void forgetOldReport(long now) {
+        if (othersBusy > 0 && now - reportedNanos > REPORT_LIFE_NANOS) {
+            othersBusy = 0;
+        }
     }
 
     void declare(TargetSpec declared) {
--- a/src/main/java/org/mustardlink/core/TargetTable.java
+++ b/src/main/java/org/mustardlink/core/TargetTable.java
@@ -48,6 +48,7 @@
 
     /** Returns the targets of a service that may take a task now. */
     List<TargetRow> accepting(String service, long now) {
+        allowSpill(service);
         List<TargetRow> accepting = new ArrayList<>();
         for (TargetRow row : of(service)) {
             if (row.accepts(now)) {
@@ -57,6 +58,26 @@
         return accepting;
     }
 
+    /** Opens the targets of other domains while the own domain has no target that takes new work. */
+    private void allowSpill(String service) {
+        boolean deserted = true;
+        for (TargetRow row : of(service)) {
+            deserted &= !(row.isOwn() && row.isAlive());
+        }
+        for (TargetRow row : of(service)) {
+            row.spill(deserted);
+        }
+    }
+
+    /** Returns the work per millisecond that this host's slots at the targets of a service do, at speed 1. */
+    double capacity(String service) {
+        double capacity = 0;
+        for (TargetRow row : of(service)) {
+            capacity += row.share() * row.speed();
+        }
+        return capacity;
+    }
+
     boolean serves(String service) {
         return byService.containsKey(service);
     }
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.Maps;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -312,6 +313,15 @@
                 .ifPresentOrElse(consumer -> consumer.accept(command), () -> observer.dropped(command));
     }
 
+    private ImmutableMap<String, String> entryDomains(HostListing listing) {
+        Map<String, String> domains = new HashMap<>();
+        listing.hosts().stream()
+                .filter(host -> host.kind() == HostListing.Kind.ENTRY && host.state() == HostListing.State.LIVE)
+                .forEach(host -> domains.put(host.id(), host.domain()));
+        domains.put(settings.id(), settings.domain());
+        return ImmutableMap.copyOf(domains);
+    }
+
     private void refreshPeers() {
         if (leaving) {
             return;
@@ -319,6 +329,7 @@
         CompletableFuture<HostListing> _refreshed = platform.hosts().whenComplete((listing, failure) -> {
             observer.platformRead(Optional.ofNullable(failure));
             if (failure == null) {
+                loop.post(new Event.EntryHostsKnown(settings.domain(), entryDomains(listing)));
                 peerAddresses = listing.hosts().stream()
                         .filter(host -> host.kind() == HostListing.Kind.ENTRY)
                         .collect(ImmutableMap.toImmutableMap(
