--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/ConfigCommand.java
@@ -0,0 +1,130 @@
+package org.mustardlink.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Streams;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.config.replica.ApplyResult.Result;
+
+/** {@code config}: checks, compares, publishes and shows configuration. A rollback is a change to an earlier body. */
+final class ConfigCommand implements Subcommand {
+    private static final ImmutableSet<String> WITH_FILE = ImmutableSet.of("validate", "diff", "apply");
+
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser = parsers.addParser("config").help("check, publish and show configuration");
+        parser.addArgument("action").choices("validate", "diff", "apply", "history", "show");
+        parser.addArgument("--entry").required(true).help("operator address of an entry host, ip:port");
+        parser.addArgument("--file").help("JSON file with the change, for validate, diff and apply");
+        parser.addArgument("--change")
+                .help("id of the change; give the id of an earlier try to settle it, a random one is drawn otherwise");
+        parser.addArgument("--limit").type(Integer.class).setDefault(20).help("changes shown by history");
+        parser.addArgument("--kind").help("kind shown by show");
+        parser.addArgument("--name").help("name shown by show");
+        parser.setDefault(Main.COMMAND, this);
+    }
+
+    @Override
+    public int run(Namespace arguments) {
+        String action = arguments.getString("action");
+        String file = arguments.getString("file");
+        if (WITH_FILE.contains(action) && file == null) {
+            System.err.println("config " + action + " needs --file");
+            return ExitCode.USAGE;
+        }
+        try (OperatorClient client = new OperatorClient(arguments.getString("entry"))) {
+            return switch (action) {
+                case "history" -> history(client, arguments.getInt("limit"));
+                case "show" -> show(client, arguments.getString("kind"), arguments.getString("name"));
+                default -> withFile(client, action, file, arguments.getString("change"));
+            };
+        }
+    }
+
+    /** Prints the result of a change and returns the exit code. */
+    static int report(JsonNode result) {
+        System.out.println(result.toPrettyString());
+        return switch (Result.valueOf(result.path("result").asText())) {
+            case IN_FORCE -> ExitCode.OK;
+            case PARTIAL, REJECTED -> ExitCode.FAILED;
+            case UNSETTLED, NOT_APPENDED, NOT_READY -> ExitCode.UNAVAILABLE;
+        };
+    }
+
+    private static int withFile(OperatorClient client, String action, String file, String id) {
+        JsonNode config = client.get("/v1/config");
+        ObjectNode change = ChangeFile.complete(ChangeFile.read(file), id, config);
+        return switch (action) {
+            case "validate" -> report(client.post("/v1/config/preview", change));
+            case "apply" -> {
+                // The id is told first, so that an interrupted try can be settled.
+                System.err.println("change " + change.path("change").asText());
+                yield report(client.post("/v1/config/changes", change));
+            }
+            default -> diff(change, config);
+        };
+    }
+
+    private static int diff(ObjectNode change, JsonNode config) {
+        ChangeFile.entities(change).forEach(entity -> {
+            Optional<JsonNode> current = ChangeFile.current(entity, config);
+            System.out.println(entity.path("kind").asText()
+                    + '/'
+                    + entity.path("name").asText()
+                    + current.map(found -> " at revision " + found.path("revision"))
+                            .orElse(" is new"));
+            print(current.map(found -> found.path("body")).orElse(null), entity.path("body"));
+        });
+        return ExitCode.OK;
+    }
+
+    private static void print(JsonNode before, JsonNode after) {
+        Set<String> fields = new TreeSet<>();
+        after.fieldNames().forEachRemaining(fields::add);
+        if (before != null) {
+            before.fieldNames().forEachRemaining(fields::add);
+        }
+        for (String field : fields) {
+            JsonNode old = before == null ? null : before.get(field);
+            JsonNode next = after.get(field);
+            if (old != null && !old.equals(next)) {
+                System.out.println("- " + field + ": " + old);
+            }
+            if (next != null && !next.equals(old)) {
+                System.out.println("+ " + field + ": " + next);
+            }
+        }
+    }
+
+    private static int history(OperatorClient client, int limit) {
+        System.out.printf("%-40s %10s  %-16s %s%n", "change", "offset", "result", "lost to");
+        client.get("/v1/config/history?limit=" + limit)
+                .forEach(each -> System.out.printf(
+                        "%-40s %10d  %-16s %s%n",
+                        each.path("change").asText(),
+                        each.path("offset").asLong(),
+                        each.path("code").asText().isEmpty()
+                                ? "accepted"
+                                : each.path("code").asText(),
+                        each.path("winner").asText()));
+        return ExitCode.OK;
+    }
+
+    private static int show(OperatorClient client, String kind, String name) {
+        JsonNode config = client.get("/v1/config");
+        System.err.printf(
+                "host %s at offset %d%n",
+                config.path("host").asText(), config.path("offset").asLong());
+        Streams.stream(config.path("entities"))
+                .filter(each -> kind == null || each.path("kind").asText().equals(kind))
+                .filter(each -> name == null || each.path("name").asText().equals(name))
+                .forEach(System.out::println);
+        return ExitCode.OK;
+    }
+}
--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -19,7 +19,9 @@
             new DemoCommand(),
             new StandInCommand(),
             new CapacityCommand(),
-            new LoadCommand());
+            new LoadCommand(),
+            new ConfigCommand(),
+            new TargetCommand());
 
     private Main() {}
 
--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/OperatorClient.java
@@ -0,0 +1,56 @@
+package org.mustardlink.cli;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.Addresses;
+import org.mustardlink.http.HttpCall;
+import org.mustardlink.http.HttpReply;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.http.Json;
+
+/** Calls the operator interface of an entry host. */
+final class OperatorClient implements AutoCloseable {
+    /** Longer than the server takes to settle a change and to watch it spread. */
+    private static final Duration TIMEOUT = Duration.ofSeconds(12);
+
+    private final HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small());
+    private final InetSocketAddress entry;
+
+    OperatorClient(String entry) {
+        this.entry = Addresses.parse(entry);
+    }
+
+    JsonNode get(String path) {
+        return read(requester.send(entry, HttpCall.get(path, TIMEOUT)).join());
+    }
+
+    JsonNode post(String path, JsonNode body) {
+        return read(requester
+                .send(entry, HttpCall.post(path, Json.write(body), TIMEOUT))
+                .join());
+    }
+
+    @Override
+    public void close() {
+        requester.close();
+    }
+
+    private static JsonNode read(HttpReply reply) {
+        try {
+            JsonNode node = Json.read(reply.body(), JsonNode.class);
+            if (node.has("error")) {
+                throw new CodedException(
+                        ErrorCode.BAD_REQUEST,
+                        node.path("error").asText() + ": "
+                                + node.path("message").asText());
+            }
+            return node;
+        } catch (JsonProcessingException e) {
+            throw new CodedException(ErrorCode.NO_ANSWER, "unexpected answer: " + reply.body(), e);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/TargetCommand.java
@@ -0,0 +1,92 @@
+package org.mustardlink.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.drain.DrainStatus;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.Json;
+
+/** {@code target}: shows and orders drains of one target. */
+final class TargetCommand implements Subcommand {
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser = parsers.addParser("target").help("show and order the drain of a target");
+        parser.addArgument("action").choices("status", "drain", "undrain");
+        parser.addArgument("target").help("id of the target");
+        parser.addArgument("--entry").required(true).help("operator address of an entry host, ip:port");
+        parser.addArgument("--until").help("ISO instant at which an ordered drain ends by itself");
+        parser.addArgument("--reason").setDefault("").help("why, for other operators");
+        parser.addArgument("--change").help("id of the change, to settle an earlier try");
+        parser.setDefault(Main.COMMAND, this);
+    }
+
+    @Override
+    public int run(Namespace arguments) {
+        try (OperatorClient client = new OperatorClient(arguments.getString("entry"))) {
+            return switch (arguments.getString("action")) {
+                case "drain" -> apply(client, arguments, drain(arguments));
+                case "undrain" -> undrain(client, arguments);
+                default -> status(client, arguments.getString("target"));
+            };
+        }
+    }
+
+    private static int status(OperatorClient client, String target) {
+        JsonNode status = client.get("/v1/targets/" + target);
+        System.out.println(status.toPrettyString());
+        boolean isKnown = !status.path("state").asText().equals(DrainStatus.State.UNKNOWN.name());
+        return isKnown ? ExitCode.OK : ExitCode.UNAVAILABLE;
+    }
+
+    private static int undrain(OperatorClient client, Namespace arguments) {
+        String target = arguments.getString("target");
+        JsonNode cause = client.get("/v1/targets").path("drained").path(target);
+        return switch (cause.path("source").asText()) {
+            case "ORDER" -> apply(client, arguments, entity(cause.path("name").asText()));
+            case "WINDOW" ->
+                apply(client, arguments, release(target, cause.path("end").asText()));
+            case "LEAVING" ->
+                throw new CodedException(
+                        ErrorCode.BAD_REQUEST,
+                        "the platform marks " + target + " as leaving; only it can take that back");
+            default -> throw new CodedException(ErrorCode.BAD_REQUEST, target + " is not drained");
+        };
+    }
+
+    private static int apply(OperatorClient client, Namespace arguments, ObjectNode change) {
+        JsonNode config = client.get("/v1/config");
+        ChangeFile.complete(change, arguments.getString("change"), config);
+        System.err.println("change " + change.path("change").asText());
+        return ConfigCommand.report(client.post("/v1/config/changes", change));
+    }
+
+    private static ObjectNode drain(Namespace arguments) {
+        ObjectNode change = entity(arguments.getString("target"));
+        change.putObject("body")
+                .put("target", arguments.getString("target"))
+                .put("action", "DRAIN")
+                .put("until", arguments.getString("until"))
+                .put("reason", arguments.getString("reason"));
+        return change;
+    }
+
+    private static ObjectNode release(String target, String end) {
+        ObjectNode change = entity(target);
+        change.putObject("body")
+                .put("target", target)
+                .put("action", "RELEASE")
+                .put("until", end)
+                .put("reason", "returned early");
+        return change;
+    }
+
+    private static ObjectNode entity(String name) {
+        ObjectNode change = Json.mapper().createObjectNode();
+        change.put("kind", "drain").put("name", name).putNull("body");
+        return change;
+    }
+}
