--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -33,6 +33,8 @@
             new StandInCommand(),
             new LoadCommand(),
             new CapacityCommand(),
+            new ConfigCommand(),
+            new TargetCommand(),
             new VersionCommand());
 
     private Main() {}
