Show the configuration's offset and send the secret with changes

Cause: readiness followed the first set of targets instead of the configuration, the status document had no revision, the bounds of the configuration's replica were constants, and the commands that change configuration could not carry the shared secret. Change: /ready and /status ask the replica; /status, top and the page show its offset; a [configuration] section holds six of its bounds; config and target send the secret of the file that MUSTARDLINK_SECRET_FILE names. Conclusion: the wait for a peer's configuration stays a constant, because two places use it.

--- a/src/main/java/org/mustardlink/cli/ConfigClient.java
+++ b/src/main/java/org/mustardlink/cli/ConfigClient.java
@@ -30,7 +30,7 @@
 
     JsonNode post(String path, JsonNode body) {
         return read(requester
-                .send(entry, HttpCall.post(path, Json.write(body), TIMEOUT))
+                .send(entry, new HttpCall("POST", path, OperatorSecret.headers(), Json.write(body), TIMEOUT))
                 .join());
     }
 
--- a/src/main/java/org/mustardlink/config/settings/EntrySettings.java
+++ b/src/main/java/org/mustardlink/config/settings/EntrySettings.java
@@ -25,6 +25,7 @@
  * @param peers peer addresses known without the platform's list
  * @param limits bounds on counts and sizes
  * @param timeouts times
+ * @param configuration how configuration is followed
  * @param dispatch bounds of the event loop and of the I/O towards targets
  * @param logs what is logged
  * @param metrics bounds of the metrics
@@ -41,6 +42,7 @@
         ImmutableList<InetSocketAddress> peers,
         Limits limits,
         Timeouts timeouts,
+        Configuration configuration,
         Dispatch dispatch,
         Logs logs,
         Metrics metrics) {
@@ -56,6 +58,7 @@
         checkNotNull(peers, "peers");
         checkNotNull(limits, "limits");
         checkNotNull(timeouts, "timeouts");
+        checkNotNull(configuration, "configuration");
         checkNotNull(dispatch, "dispatch");
         checkNotNull(logs, "logs");
         checkNotNull(metrics, "metrics");
@@ -111,6 +114,24 @@
             Duration hostsRefresh,
             Duration stopGrace) {}
 
+    /**
+     * How configuration is followed.
+     *
+     * @param logWait longest wait of one read of the stream
+     * @param retryPause pause after a failed read
+     * @param pullPeriod mean time between two questions to a random peer
+     * @param snapshotRecords records after the newest snapshot that make a new one due
+     * @param snapshotAge age at which a snapshot is written again
+     * @param snapshotJitter longest random delay before a due snapshot is written
+     */
+    public record Configuration(
+            Duration logWait,
+            Duration retryPause,
+            Duration pullPeriod,
+            int snapshotRecords,
+            Duration snapshotAge,
+            Duration snapshotJitter) {}
+
     /**
      * Bounds of the event loop and of the I/O towards targets.
      *
@@ -150,6 +171,7 @@
                 settings.value(SettingKeys.PEER_SEEDS),
                 limits(settings),
                 timeouts(settings),
+                configuration(settings),
                 new Dispatch(
                         settings.value(SettingKeys.EVENTS_PER_TICK), settings.value(SettingKeys.TARGET_IO_THREADS)),
                 new Logs(
@@ -180,6 +202,16 @@
                 .buildKeepingLast()));
     }
 
+    private static Configuration configuration(Settings settings) {
+        return new Configuration(
+                settings.value(SettingKeys.LOG_WAIT),
+                settings.value(SettingKeys.RETRY_PAUSE),
+                settings.value(SettingKeys.PULL_PERIOD),
+                settings.value(SettingKeys.SNAPSHOT_RECORDS),
+                settings.value(SettingKeys.SNAPSHOT_AGE),
+                settings.value(SettingKeys.SNAPSHOT_JITTER));
+    }
+
     private static Limits limits(Settings settings) {
         return new Limits(
                 settings.value(SettingKeys.CALLER_THREADS),
--- a/src/main/java/org/mustardlink/config/settings/SettingKeys.java
+++ b/src/main/java/org/mustardlink/config/settings/SettingKeys.java
@@ -119,6 +119,43 @@
             "30 s",
             "longest time that a planned stop waits for open jobs");
 
+    static final SettingKey<Duration> LOG_WAIT = optional(
+            "configuration",
+            "log-wait",
+            ValueType.duration("10 ms", "1 min"),
+            "5 s",
+            "longest wait of one read of the configuration stream");
+    static final SettingKey<Duration> RETRY_PAUSE = optional(
+            "configuration",
+            "retry-pause",
+            ValueType.duration("1 ms", "1 min"),
+            "200 ms",
+            "pause after a failed read of the configuration stream");
+    static final SettingKey<Duration> PULL_PERIOD = optional(
+            "configuration",
+            "pull-period",
+            ValueType.duration("10 ms", "1 min"),
+            "500 ms",
+            "mean time between two questions to a random peer");
+    static final SettingKey<Integer> SNAPSHOT_RECORDS = optional(
+            "configuration",
+            "snapshot-records",
+            ValueType.count(1, 100_000),
+            "100",
+            "records after the newest snapshot that make a new one due");
+    static final SettingKey<Duration> SNAPSHOT_AGE = optional(
+            "configuration",
+            "snapshot-age",
+            ValueType.duration("1 s", "24 h"),
+            "10 min",
+            "age at which a snapshot is written again; far below the retention of the log");
+    static final SettingKey<Duration> SNAPSHOT_JITTER = optional(
+            "configuration",
+            "snapshot-jitter",
+            ValueType.duration("0 ms", "1 h"),
+            "30 s",
+            "longest random delay before a due snapshot is written");
+
     static final SettingKey<Integer> EVENTS_PER_TICK = optional(
             "dispatch", "events-per-tick", ValueType.count(1, 100_000), "1024", "most events handled in one tick");
     static final SettingKey<Integer> TARGET_IO_THREADS = optional(
@@ -181,6 +218,12 @@
             FORWARD_MARGIN,
             HOSTS_REFRESH,
             STOP_GRACE,
+            LOG_WAIT,
+            RETRY_PAUSE,
+            PULL_PERIOD,
+            SNAPSHOT_RECORDS,
+            SNAPSHOT_AGE,
+            SNAPSHOT_JITTER,
             EVENTS_PER_TICK,
             TARGET_IO_THREADS,
             LOG_LEVEL,
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -88,12 +88,13 @@
                 settings.limits().maxBodyBytes(),
                 this);
         operatorApi = OperatorApi.start(settings.operator(), settings.operatorSecret());
-        pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
+        pages = OperatorPages.create(settings, incarnation, observer, () -> leaving, config::ready);
+        pages.section("configuration", () -> ImmutableMap.of("revision", config.offset(), "ready", config.ready()));
         pages.section("hosts", () -> Maps.transformValues(peerAddresses, Addresses::format));
         pages.registerAt(operatorApi);
         observer.metrics().gauge("open_jobs", loop::openJobs);
         observer.metrics().gauge("known_hosts", this::knownPeers);
-        config.start(platform, ReplicaSettings.defaults(), operatorApi, Clock.systemUTC(), peerAddress());
+        config.start(platform, replicaSettings(settings), operatorApi, Clock.systemUTC(), peerAddress());
         refreshPeers();
         observer.log()
                 .line(LogEvent.HOST_STARTED)
@@ -256,6 +257,20 @@
                 settings.dispatch().targetIoThreads());
     }
 
+    private static ReplicaSettings replicaSettings(EntrySettings settings) {
+        EntrySettings.Configuration from = settings.configuration();
+        ReplicaSettings defaults = ReplicaSettings.defaults();
+        return new ReplicaSettings(
+                defaults.readsLog(),
+                from.logWait(),
+                from.retryPause(),
+                from.pullPeriod(),
+                defaults.peerTimeout(),
+                from.snapshotRecords(),
+                from.snapshotAge(),
+                from.snapshotJitter());
+    }
+
     private static CoreSettings coreSettings(EntrySettings settings, long incarnation) {
         return new CoreSettings(
                 settings.id(),
--- a/src/main/java/org/mustardlink/observe/EntryObserver.java
+++ b/src/main/java/org/mustardlink/observe/EntryObserver.java
@@ -31,7 +31,6 @@
     private final Map<Long, Waiting> waiting = new ConcurrentHashMap<>();
     private final Map<TaskId, TargetSpec> inFlight = new ConcurrentHashMap<>();
     private final AtomicBoolean platformLost = new AtomicBoolean();
-    private volatile boolean configured;
     private volatile ImmutableSet<String> draining = ImmutableSet.of();
 
     private EntryObserver(EntryMetrics metrics, EventLog log) {
@@ -60,11 +59,6 @@
         return log;
     }
 
-    /** Returns whether a configuration has been read. */
-    public boolean configured() {
-        return configured;
-    }
-
     /** Returns what was seen of each declared target. */
     ImmutableList<TargetBoard.Row> targets() {
         return targets.rows();
@@ -195,7 +189,6 @@
     }
 
     private void declared(ImmutableList<TargetSpec> specs) {
-        configured = true;
         targets.declare(specs);
         log.line(LogEvent.TARGETS_DECLARED).with(LogField.COUNT, specs.size()).write();
     }
--- a/src/main/java/org/mustardlink/observe/OperatorPages.java
+++ b/src/main/java/org/mustardlink/observe/OperatorPages.java
@@ -29,10 +29,17 @@
     private final EntryObserver observer;
     private final MetricsText metrics;
     private final BooleanSupplier leaving;
+    private final BooleanSupplier configured;
     private final Instant started = Instant.now();
     private final Map<String, Supplier<?>> sections = new ConcurrentSkipListMap<>();
 
-    private OperatorPages(EntrySettings settings, long incarnation, EntryObserver observer, BooleanSupplier leaving) {
+    private OperatorPages(
+            EntrySettings settings,
+            long incarnation,
+            EntryObserver observer,
+            BooleanSupplier leaving,
+            BooleanSupplier configured) {
+        this.configured = checkNotNull(configured, "configured");
         this.settings = checkNotNull(settings, "settings");
         this.incarnation = incarnation;
         this.observer = checkNotNull(observer, "observer");
@@ -49,10 +56,15 @@
      * @param incarnation its incarnation
      * @param observer what it has seen
      * @param leaving whether a planned stop has begun
+     * @param configured whether a configuration is in force
      */
     public static OperatorPages create(
-            EntrySettings settings, long incarnation, EntryObserver observer, BooleanSupplier leaving) {
-        return new OperatorPages(settings, incarnation, observer, leaving);
+            EntrySettings settings,
+            long incarnation,
+            EntryObserver observer,
+            BooleanSupplier leaving,
+            BooleanSupplier configured) {
+        return new OperatorPages(settings, incarnation, observer, leaving, configured);
     }
 
     /**
@@ -95,7 +107,7 @@
         if (leaving.getAsBoolean()) {
             return new OperatorApi.Reply(503, TEXT, "leaving");
         }
-        return observer.configured()
+        return configured.getAsBoolean()
                 ? new OperatorApi.Reply(200, TEXT, "ready")
                 : new OperatorApi.Reply(503, TEXT, "no configuration yet");
     }
@@ -111,7 +123,7 @@
                         "incarnation", Long.toString(incarnation),
                         "started", started.toString(),
                         "leaving", leaving.getAsBoolean(),
-                        "ready", observer.configured() && !leaving.getAsBoolean(),
+                        "ready", configured.getAsBoolean() && !leaving.getAsBoolean(),
                         "platformReachable", observer.platformReachable()));
         sections.forEach((name, value) -> document.put(name, value.get()));
         return document;
--- a/src/test/java/org/mustardlink/observe/OperatorPagesTest.java
+++ b/src/test/java/org/mustardlink/observe/OperatorPagesTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -19,7 +18,6 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.mustardlink.api.OperatorApi;
 import org.mustardlink.config.settings.EntrySettings;
-import org.mustardlink.core.Event;
 import org.mustardlink.http.HttpCall;
 import org.mustardlink.http.HttpReply;
 import org.mustardlink.http.HttpRequester;
@@ -30,9 +28,9 @@
     @TempDir
     private Path directory;
 
+    private final AtomicBoolean configured = new AtomicBoolean();
     private final AtomicBoolean leaving = new AtomicBoolean();
     private HttpRequester requester;
-    private EntryObserver observer;
     private Path secret;
     private OperatorApi api;
 
@@ -40,10 +38,11 @@
     void start() throws IOException {
         secret = Files.writeString(directory.resolve("secret"), "first\n");
         EntrySettings settings = EntrySettings.local("host-1", "galpon", FREE, Map.of());
-        observer = EntryObserver.create(settings);
+        EntryObserver observer = EntryObserver.create(settings);
         requester = HttpRequester.start(HttpRequester.Limits.small());
         api = OperatorApi.start(FREE, Optional.of(secret));
-        OperatorPages.create(settings, 7, observer, leaving::get).registerAt(api);
+        OperatorPages.create(settings, 7, observer, leaving::get, configured::get)
+                .registerAt(api);
         api.route("/change", _call -> OperatorApi.Reply.json("done").now());
     }
 
@@ -59,7 +58,7 @@
         assertThat(get("/health").status()).isEqualTo(200);
         assertThat(get("/ready").status()).isEqualTo(503);
 
-        observer.posted(new Event.TargetsDeclared(ImmutableList.of()));
+        configured.set(true);
         assertThat(get("/ready").status()).isEqualTo(200);
 
         leaving.set(true);
