Run the membership over Thrift and route to owners by it

Cause: the entry host forwarded by a polled list that lags and knows no incarnations, so the owner of a session was either "listed" or "unreachable". Change: calls exchange and check in peer.thrift, ExchangeClient and ExchangeService around them, Membership as the thread that runs the table, and EntryMembership as its wiring. The platform's list now only feeds addresses to it. Exchanges carry the configuration offset; /status and the hosts command show id, domain, incarnation, state, since and offset. A planned stop announces that the host is leaving. A host that is replaced fails its health check.

--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -1,7 +1,6 @@
 package org.mustardlink.entry;
 
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.Maps;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
@@ -36,6 +35,8 @@
 import org.mustardlink.core.policy.ExpectedFinish;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
+import org.mustardlink.membership.Membership;
+import org.mustardlink.membership.Owner;
 import org.mustardlink.observe.EntryObserver;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
@@ -56,6 +57,7 @@
     private final TargetClient targets;
     private final PlatformClient platform;
     private final PeerClient peers;
+    private final EntryMembership members;
     private final EntryLoop loop;
     private final CallerApi callerApi;
     private final OperatorApi operatorApi;
@@ -64,7 +66,6 @@
     private final HostConfig config;
     private final AtomicLong nextRequester = new AtomicLong();
     private final Map<Long, Consumer<Command>> requesters = new ConcurrentHashMap<>();
-    private volatile ImmutableMap<String, InetSocketAddress> peerAddresses = ImmutableMap.of();
     private volatile boolean leaving;
 
     private EntryHost(EntrySettings settings, long incarnation, PlacementPolicy placement) {
@@ -77,11 +78,12 @@
         platform = PlatformClient.create(
                 platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
+        members = new EntryMembership(observer.log());
         DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
         loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
         config = new HostConfig(settings, Clock.systemUTC(), loop::post, this::closeIdle);
-        peerServer = PeerServer.start(settings.peer(), incarnation, this, config);
+        peerServer = PeerServer.start(settings.peer(), incarnation, this, config, members.membership());
         callerApi = CallerApi.start(
                 settings.caller(),
                 settings.limits().callerThreads(),
@@ -89,11 +91,13 @@
                 this);
         operatorApi = OperatorApi.start(settings.operator(), settings.operatorSecret());
         pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
-        pages.section("hosts", () -> Maps.transformValues(peerAddresses, Addresses::format));
+        pages.section("hosts", () -> membership().report());
+        members.sendOffset(config::offset);
         pages.registerAt(operatorApi);
         observer.metrics().gauge("open_jobs", loop::openJobs);
         observer.metrics().gauge("known_hosts", this::knownPeers);
         config.start(platform, ReplicaSettings.defaults(), operatorApi, Clock.systemUTC(), peerAddress());
+        members.start(settings, incarnation, peerAddress(), callerAddress());
         refreshPeers();
         observer.log()
                 .line(LogEvent.HOST_STARTED)
@@ -157,7 +161,12 @@
 
     /** Returns the number of entry hosts that this one can forward to. */
     public int knownPeers() {
-        return peerAddresses.size();
+        return members.aliveHosts();
+    }
+
+    /** Returns what this host knows of all entry hosts. */
+    public Membership membership() {
+        return members.membership();
     }
 
     @Override
@@ -204,7 +213,7 @@
 
     @Override
     public boolean healthy() {
-        return !leaving;
+        return !leaving && !membership().view().replaced();
     }
 
     @Override
@@ -221,6 +230,7 @@
         leaving = true;
         logOpenJobs(LogEvent.HOST_LEAVING);
         loop.post(new Event.StopRequested());
+        CompletableFuture<Void> _announced = membership().leaving(Optional.empty());
         long end = System.nanoTime() + grace.toNanos();
         while (System.nanoTime() < end && loop.openJobs() > 0) {
             sleep(Duration.ofMillis(20));
@@ -238,6 +248,7 @@
         operatorApi.close();
         peerServer.close();
         loop.close();
+        members.close();
         peers.close();
         targetRequester.close();
         platformRequester.close();
@@ -289,15 +300,19 @@
 
     private CompletableFuture<JobAnswer> forward(
             SubmissionId id, Function<InetSocketAddress, CompletableFuture<JobAnswer>> call) {
-        if (id.session().host().equals(settings.id())) {
-            return CompletableFuture.completedFuture(new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE)));
+        Owner owner = membership().find(id.session().host(), id.session().incarnation());
+        if (owner instanceof Owner.Alive alive) {
+            observer.forwarded();
+            return call.apply(alive.peer());
+        }
+        if (owner instanceof Owner.HandedOver handedOver) {
+            observer.forwarded();
+            return call.apply(handedOver.peer());
         }
-        return Optional.ofNullable(peerAddresses.get(id.session().host()))
-                .map(owner -> {
-                    observer.forwarded();
-                    return call.apply(owner);
-                })
-                .orElseGet(() -> CompletableFuture.completedFuture(PeerClient.unreachable()));
+        return CompletableFuture.completedFuture(
+                owner instanceof Owner.Gone
+                        ? new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE))
+                        : PeerClient.unreachable());
     }
 
     private long register(Consumer<Command> consumer) {
@@ -358,13 +373,8 @@
             observer.platformRead(Optional.ofNullable(failure));
             config.listed(failure == null ? Optional.of(listing) : Optional.empty());
             if (failure == null) {
+                members.listed(listing);
                 loop.post(new Event.EntryHostsKnown(settings.domain(), entryDomains(listing)));
-                peerAddresses = listing.hosts().stream()
-                        .filter(host -> host.kind() == HostListing.Kind.ENTRY)
-                        .collect(ImmutableMap.toImmutableMap(
-                                HostListing.Host::id,
-                                host -> Addresses.parse(host.address()),
-                                (_older, newer) -> newer));
             }
             CompletableFuture.delayedExecutor(settings.timeouts().hostsRefresh().toMillis(), TimeUnit.MILLISECONDS)
                     .execute(this::refreshPeers);
--- /dev/null
+++ b/src/main/java/org/mustardlink/entry/EntryMembership.java
@@ -0,0 +1,86 @@
+package org.mustardlink.entry;
+
+import com.google.common.collect.ImmutableSet;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+import java.util.function.Predicate;
+import java.util.stream.Stream;
+import org.mustardlink.config.settings.EntrySettings;
+import org.mustardlink.http.Addresses;
+import org.mustardlink.membership.Attachment;
+import org.mustardlink.membership.Member;
+import org.mustardlink.membership.MemberState;
+import org.mustardlink.membership.Membership;
+import org.mustardlink.membership.MembershipSettings;
+import org.mustardlink.observe.EventLog;
+import org.mustardlink.peer.ExchangeClient;
+import org.mustardlink.platform.HostListing;
+
+/** Connects the membership of an entry host to its settings, to Thrift and to the platform's list. */
+final class EntryMembership implements AutoCloseable {
+    private final ExchangeClient client = ExchangeClient.start();
+    private final Membership membership;
+
+    EntryMembership(EventLog log) {
+        membership = Membership.create(client, MembershipSettings.defaults(), new MembershipLog(log));
+    }
+
+    /** Returns the membership, which answers nothing until {@link #start} was called. */
+    Membership membership() {
+        return membership;
+    }
+
+    /**
+     * Starts the exchanges.
+     *
+     * @param peer address on which this host listens for entry hosts
+     * @param caller address on which this host listens for callers
+     */
+    void start(EntrySettings settings, long incarnation, InetSocketAddress peer, InetSocketAddress caller) {
+        Member self = Member.started(
+                settings.id(),
+                settings.domain(),
+                settings.region(),
+                Addresses.format(peer),
+                Addresses.format(caller),
+                incarnation);
+        membership.start(self, settings.peers().stream().map(Addresses::format).collect(ImmutableSet.toImmutableSet()));
+    }
+
+    /** Returns how many entry hosts are alive as far as this one knows, itself included. */
+    int aliveHosts() {
+        return Math.toIntExact(membership.view().hosts().values().stream()
+                .filter(host -> host.member().state() == MemberState.ALIVE)
+                .count());
+    }
+
+    @Override
+    public void close() {
+        membership.close();
+        client.close();
+    }
+
+    /** Sends this host's configuration offset along with the exchanges. */
+    void sendOffset(LongSupplier configOffset) {
+        membership.attach(
+                Membership.CONFIG_OFFSET,
+                Attachment.sending(() -> Optional.of(ByteBuffer.allocate(Long.BYTES)
+                        .putLong(configOffset.getAsLong())
+                        .flip())));
+    }
+
+    /** Takes the platform's list. */
+    void listed(HostListing listing) {
+        membership.listed(
+                entries(listing, _host -> true).map(HostListing.Host::address).collect(ImmutableSet.toImmutableSet()),
+                entries(listing, host -> host.state() == HostListing.State.LEAVING)
+                        .map(HostListing.Host::id)
+                        .collect(ImmutableSet.toImmutableSet()));
+    }
+
+    private static Stream<HostListing.Host> entries(HostListing listing, Predicate<HostListing.Host> fits) {
+        return listing.hosts().stream().filter(host -> host.kind() == HostListing.Kind.ENTRY && fits.test(host));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/entry/MembershipLog.java
@@ -0,0 +1,44 @@
+package org.mustardlink.entry;
+
+import org.mustardlink.membership.Member;
+import org.mustardlink.membership.MembershipListener;
+import org.mustardlink.observe.EventLog;
+import org.mustardlink.observe.LogEvent;
+import org.mustardlink.observe.LogField;
+
+/** Writes what the membership notices to the log. */
+final class MembershipLog implements MembershipListener {
+    private final EventLog log;
+
+    MembershipLog(EventLog log) {
+        this.log = log;
+    }
+
+    @Override
+    public void changed(Member member, String cause) {
+        log.line(LogEvent.MEMBER_CHANGED)
+                .with(LogField.MEMBER, member.id())
+                .with(LogField.INCARNATION, member.incarnation())
+                .with(LogField.STATE, member.state())
+                .with(LogField.CAUSE, cause)
+                .write();
+    }
+
+    @Override
+    public void selfReplaced(Member newer) {
+        log.line(LogEvent.HOST_REPLACED)
+                .with(LogField.INCARNATION, newer.incarnation())
+                .with(LogField.PEER_ADDRESS, newer.peer())
+                .write();
+    }
+
+    @Override
+    public void woke() {
+        log.line(LogEvent.HOST_WOKE).write();
+    }
+
+    @Override
+    public void failed(RuntimeException failure) {
+        log.line(LogEvent.MEMBERSHIP_FAILED).with(LogField.ERROR, failure).write();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/membership/Attachments.java
@@ -0,0 +1,71 @@
+package org.mustardlink.membership;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableMap;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** The values of other modules: those to send, and the last ones of each peer. Thread-safe. */
+final class Attachments {
+    /** Bytes of keys and values in a message; at four messages a second this is 4 KiB/s at most in each direction. */
+    static final int MAX_BYTES = 1 << 10;
+
+    private final Map<String, Attachment> modules = new ConcurrentHashMap<>();
+    private final Map<String, ImmutableMap<String, ByteBuffer>> latest = new ConcurrentHashMap<>();
+    private final AtomicLong dropped = new AtomicLong();
+
+    void register(String key, Attachment module) {
+        checkArgument(modules.putIfAbsent(key, module) == null, "key is registered already: %s", key);
+    }
+
+    /** Collects the values for a message; those that do not fit are left out. */
+    ImmutableMap<String, ByteBuffer> outgoing() {
+        ImmutableMap.Builder<String, ByteBuffer> collected = ImmutableMap.builder();
+        int bytes = 0;
+        for (Map.Entry<String, Attachment> module : modules.entrySet()) {
+            Optional<ByteBuffer> value = module.getValue().outgoing();
+            int size =
+                    module.getKey().length() + value.map(ByteBuffer::remaining).orElse(0);
+            if (value.isEmpty()) {
+                continue;
+            }
+            if (bytes + size > MAX_BYTES) {
+                dropped.incrementAndGet();
+                continue;
+            }
+            bytes += size;
+            collected.put(module.getKey(), value.get().asReadOnlyBuffer());
+        }
+        return collected.buildOrThrow();
+    }
+
+    /** Hands a peer's values to the modules that know their keys. */
+    void received(Member sender, ImmutableMap<String, ByteBuffer> values) {
+        latest.put(sender.id(), values);
+        values.forEach((key, value) -> Optional.ofNullable(modules.get(key))
+                .ifPresent(module -> module.received(sender.id(), sender.incarnation(), value.duplicate())));
+    }
+
+    /** Returns the value that a peer sent last, or that this host would send now if the key is its own. */
+    Optional<ByteBuffer> latest(String host, String key) {
+        return Optional.ofNullable(latest.getOrDefault(host, ImmutableMap.of()).get(key))
+                .map(ByteBuffer::duplicate);
+    }
+
+    Optional<ByteBuffer> own(String key) {
+        return Optional.ofNullable(modules.get(key)).flatMap(Attachment::outgoing);
+    }
+
+    /** Drops the values of hosts that are no longer known. */
+    void retain(MembershipView view) {
+        latest.keySet().retainAll(view.hosts().keySet());
+    }
+
+    long dropped() {
+        return dropped.get();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/membership/Membership.java
@@ -0,0 +1,285 @@
+package org.mustardlink.membership;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.LongFunction;
+
+/**
+ * The membership of one entry host: runs the table on a thread of its own and carries out its actions. Thread-safe.
+ *
+ * <p>What it says is a hint for routing and never a licence to start anything.
+ */
+public final class Membership implements OwnerDirectory, ExchangeHandler, AutoCloseable {
+    /** Key of the configuration offset in the exchanges: eight bytes, the most significant first. */
+    public static final String CONFIG_OFFSET = "config-offset";
+
+    private final ExchangeTransport transport;
+    private final MembershipSettings settings;
+    private final MembershipListener listener;
+    private final BlockingQueue<MembershipEvent> events = new LinkedBlockingQueue<>();
+    private final Thread thread = new Thread(this::run, "membership");
+    private final Attachments attachments = new Attachments();
+    private final AtomicLong nextToken = new AtomicLong();
+    private final Map<Long, CompletableFuture<ExchangeEnvelope>> exchanges = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<CheckResult>> checks = new ConcurrentHashMap<>();
+    private final Map<Long, CompletableFuture<Void>> leaves = new ConcurrentHashMap<>();
+    private MembershipTable table;
+    private long viewRevision = -1;
+    private volatile boolean closed;
+    private volatile Optional<MembershipView> view = Optional.empty();
+
+    private Membership(ExchangeTransport transport, MembershipSettings settings, MembershipListener listener) {
+        this.listener = listener;
+        this.transport = transport;
+        this.settings = settings;
+        thread.setDaemon(true);
+    }
+
+    /** Returns a membership that answers nothing until it is started. */
+    public static Membership create(
+            ExchangeTransport transport, MembershipSettings settings, MembershipListener listener) {
+        return new Membership(transport, settings, listener);
+    }
+
+    /**
+     * Starts to look for other entry hosts.
+     *
+     * @param self this host's first record, with the addresses that it listens on
+     * @param seeds peer addresses from the settings, {@code ip:port}
+     */
+    public void start(Member self, ImmutableSet<String> seeds) {
+        checkState(view.isEmpty(), "the membership is started already");
+        table = MembershipTable.create(self, settings, self.fingerprint(), System.nanoTime());
+        view = Optional.of(table.view());
+        post(new MembershipEvent.Seeded(seeds));
+        thread.start();
+    }
+
+    /** Returns what this host knows now. */
+    public MembershipView view() {
+        return view.orElseThrow(() -> new IllegalStateException("the membership is not started"));
+    }
+
+    @Override
+    public Owner find(String host, long incarnation) {
+        return view().find(host, incarnation);
+    }
+
+    /**
+     * Takes the platform's list of entry hosts.
+     *
+     * @param addresses peer addresses of the entry hosts in it, {@code ip:port}
+     * @param leaving ids of those marked as leaving
+     */
+    public void listed(ImmutableSet<String> addresses, ImmutableSet<String> leaving) {
+        post(new MembershipEvent.Listed(addresses, leaving));
+    }
+
+    /**
+     * Takes how a call of another module to an entry host ended.
+     *
+     * @param host id of the host
+     * @param incarnation the incarnation that was meant
+     * @param result how the call ended
+     */
+    public void report(String host, long incarnation, CheckResult result) {
+        post(new MembershipEvent.Reported(host, incarnation, result));
+    }
+
+    /**
+     * Registers a module that sends a value along with the exchanges.
+     *
+     * @param key key of the value, the same on every host; at most one module registers it
+     * @param module gives this host's value and takes those of peers
+     */
+    public void attach(String key, Attachment module) {
+        attachments.register(key, module);
+    }
+
+    /** Returns the value that a host sent last, or this host's own one. */
+    public Optional<ByteBuffer> attachment(String host, String key) {
+        return view().self().equals(host) ? attachments.own(key) : attachments.latest(host, key);
+    }
+
+    /** Returns every known host as operators see it, in the order of ids. */
+    public ImmutableList<HostReport> report() {
+        long now = System.nanoTime();
+        return view().hosts().values().stream()
+                .map(host -> HostReport.of(host, now, configOffset(host.member().id())))
+                .sorted(Comparator.comparing(HostReport::id))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private long configOffset(String host) {
+        return attachment(host, CONFIG_OFFSET)
+                .filter(value -> value.remaining() == Long.BYTES)
+                .map(ByteBuffer::getLong)
+                .orElse(-1L);
+    }
+
+    /** Returns how many values of other modules were left out because a message was full. */
+    public long droppedAttachments() {
+        return attachments.dropped();
+    }
+
+    /**
+     * Announces a planned stop: first without a successor, then with it once it has everything.
+     *
+     * @param successor id of the host that has taken over the answers
+     * @return completes when the announcement was sent to a few members
+     */
+    public CompletableFuture<Void> leaving(Optional<String> successor) {
+        CompletableFuture<Void> announced = new CompletableFuture<>();
+        long token = nextToken.incrementAndGet();
+        leaves.put(token, announced);
+        post(new MembershipEvent.LeaveRequested(token, successor));
+        return announced.completeOnTimeout(null, settings.callTimeout().toMillis() * 2, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public CompletableFuture<ExchangeEnvelope> exchange(ExchangeEnvelope received) {
+        return ask(exchanges, token -> new MembershipEvent.Asked(token, received.message()))
+                .whenComplete((_answer, failure) -> {
+                    if (failure == null) {
+                        attachments.received(received.message().sender(), received.attachments());
+                    }
+                });
+    }
+
+    @Override
+    public CompletableFuture<CheckResult> check(String host, long incarnation, String peer) {
+        return ask(checks, token -> new MembershipEvent.CheckAsked(token, host, incarnation, peer));
+    }
+
+    /** Ends the membership at once, without announcing anything. */
+    @Override
+    public void close() {
+        closed = true;
+        thread.interrupt();
+    }
+
+    private <T> CompletableFuture<T> ask(Map<Long, CompletableFuture<T>> waiting, LongFunction<MembershipEvent> event) {
+        if (view.isEmpty()) {
+            return CompletableFuture.failedFuture(new IllegalStateException("the membership is not started"));
+        }
+        long token = nextToken.incrementAndGet();
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        waiting.put(token, answer);
+        post(event.apply(token));
+        return answer.orTimeout(settings.callTimeout().toMillis() * 3, TimeUnit.MILLISECONDS)
+                .whenComplete((_answer, _failure) -> waiting.remove(token));
+    }
+
+    private void post(MembershipEvent event) {
+        events.add(event);
+    }
+
+    private void run() {
+        List<MembershipEvent> batch = new ArrayList<>();
+        while (!closed) {
+            try {
+                await(batch);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return;
+            }
+            tick(batch);
+            batch.clear();
+        }
+    }
+
+    private void await(List<MembershipEvent> batch) throws InterruptedException {
+        long wait = Math.max(0, table.nextDue() - System.nanoTime());
+        MembershipEvent first = events.poll(wait, TimeUnit.NANOSECONDS);
+        if (first != null) {
+            batch.add(first);
+            events.drainTo(batch);
+        }
+    }
+
+    private void tick(List<MembershipEvent> batch) {
+        try {
+            table.tick(batch, System.nanoTime()).forEach(this::execute);
+            publish();
+        } catch (RuntimeException e) {
+            // One bad message must not end the membership of this host.
+            listener.failed(e);
+        }
+    }
+
+    private void publish() {
+        if (table.revision() != viewRevision) {
+            viewRevision = table.revision();
+            MembershipView current = table.view();
+            view = Optional.of(current);
+            attachments.retain(current);
+        }
+    }
+
+    private void execute(MembershipAction action) {
+        if (action instanceof MembershipAction.SendExchange send) {
+            send(send);
+        } else if (action instanceof MembershipAction.SendCheck check) {
+            send(check);
+        } else if (action instanceof MembershipAction.Reply reply) {
+            complete(exchanges, reply.token(), envelope(reply.message()));
+        } else if (action instanceof MembershipAction.ReplyCheck reply) {
+            complete(checks, reply.token(), reply.result());
+        } else if (action instanceof MembershipAction.LeaveAnnounced announced) {
+            complete(leaves, announced.token(), null);
+        } else if (action instanceof MembershipAction.Changed changed) {
+            listener.changed(changed.member(), changed.cause());
+        } else if (action instanceof MembershipAction.SelfReplaced replaced) {
+            listener.selfReplaced(replaced.newer());
+        } else if (action instanceof MembershipAction.Woke) {
+            listener.woke();
+        }
+    }
+
+    private static <T> void complete(Map<Long, CompletableFuture<T>> waiting, long token, T value) {
+        Optional.ofNullable(waiting.remove(token)).ifPresent(future -> future.complete(value));
+    }
+
+    private ExchangeEnvelope envelope(ExchangeMessage message) {
+        return new ExchangeEnvelope(message, attachments.outgoing());
+    }
+
+    private void send(MembershipAction.SendExchange send) {
+        CompletableFuture<Void> _posted = transport
+                .exchange(send.address(), envelope(send.message()), settings.callTimeout())
+                .thenAccept(reply -> reply.answer()
+                        .ifPresentOrElse(
+                                answer -> answered(send.call(), answer),
+                                () -> post(new MembershipEvent.CallFailed(send.call(), reply.outcome()))));
+    }
+
+    private void answered(long call, ExchangeEnvelope answer) {
+        post(new MembershipEvent.Answered(call, answer.message()));
+        attachments.received(answer.message().sender(), answer.attachments());
+    }
+
+    private void send(MembershipAction.SendCheck check) {
+        CompletableFuture<Void> _posted = transport
+                .check(
+                        check.address(),
+                        check.subject(),
+                        settings.callTimeout().multipliedBy(3).dividedBy(2))
+                .thenAccept(reply -> post(reply.answer()
+                        .<MembershipEvent>map(found -> new MembershipEvent.CheckAnswered(check.call(), found))
+                        .orElseGet(() -> new MembershipEvent.CallFailed(check.call(), reply.outcome()))));
+    }
+}
--- a/src/main/java/org/mustardlink/membership/MembershipTable.java
+++ b/src/main/java/org/mustardlink/membership/MembershipTable.java
@@ -42,7 +42,7 @@
     private MembershipTable(Member self, MembershipSettings settings, long seed, long now) {
         this.settings = settings;
         Random random = new Random(seed);
-        roster = new Roster(self, settings, actions);
+        roster = new Roster(self, settings, actions, now);
         calls = new Calls(settings.maxCalls());
         suspicion = new Suspicion(roster, calls, settings, random, actions, now);
         contacts =
@@ -80,7 +80,7 @@
 
     /** Returns when the next tick is due, at the latest. */
     long nextDue() {
-        boolean hurried = joined && roster.hasFreshNews();
+        boolean hurried = joined ? roster.hasFreshNews() : !contacts.isEmpty();
         return lastRound + (hurried ? settings.hurriedPeriod() : settings.period()).toNanos();
     }
 
@@ -89,8 +89,8 @@
         return roster.revision();
     }
 
-    MembershipView view(long now) {
-        return roster.view(now, listedLeaving);
+    MembershipView view() {
+        return roster.view(listedLeaving);
     }
 
     private void noticeFreeze(long now) {
@@ -272,7 +272,7 @@
 
     private void leave(MembershipEvent.LeaveRequested leave, long now) {
         Member self = roster.self();
-        roster.raiseSelf(self.version(), MemberState.LEAVING, leave.successor(), "leaving as planned");
+        roster.raiseSelf(self.version(), MemberState.LEAVING, leave.successor(), "leaving as planned", now);
         List<String> receivers = new ArrayList<>(roster.running(true));
         receivers.addAll(roster.running(false));
         receivers.stream()
--- a/src/main/java/org/mustardlink/membership/Roster.java
+++ b/src/main/java/org/mustardlink/membership/Roster.java
@@ -29,9 +29,11 @@
     private boolean replaced;
     private int cursor;
     private long revision;
+    private long selfSince;
 
-    Roster(Member self, MembershipSettings settings, List<MembershipAction> actions) {
+    Roster(Member self, MembershipSettings settings, List<MembershipAction> actions, long now) {
         this.self = self;
+        selfSince = now;
         this.settings = settings;
         this.actions = actions;
     }
@@ -79,7 +81,8 @@
     }
 
     /** Raises this host's own version with a new state. */
-    void raiseSelf(long above, MemberState state, Optional<String> successor, String cause) {
+    void raiseSelf(long above, MemberState state, Optional<String> successor, String cause, long now) {
+        selfSince = state == self.state() ? selfSince : now;
         self = self.raised(above, state, successor);
         changed(self, cause);
     }
@@ -87,7 +90,7 @@
     /** Takes a record and returns what this host holds instead if the record is out of date. */
     Optional<Member> merge(Member told, String cause, long now) {
         if (told.id().equals(self.id())) {
-            return mergeSelf(told);
+            return mergeSelf(told, now);
         }
         Row row = rows.get(told.id());
         if (row == null) {
@@ -126,7 +129,7 @@
         }
     }
 
-    private Optional<Member> mergeSelf(Member told) {
+    private Optional<Member> mergeSelf(Member told, long now) {
         if (told.incarnation() > self.incarnation()) {
             if (!replaced) {
                 replaced = true;
@@ -136,7 +139,7 @@
             return Optional.empty();
         }
         if (told.supersedes(self)) {
-            raiseSelf(told.version(), self.state(), self.successor(), "retracted by the host itself");
+            raiseSelf(told.version(), self.state(), self.successor(), "retracted by the host itself", now);
         }
         return self.supersedes(told) ? Optional.of(self) : Optional.empty();
     }
@@ -216,9 +219,9 @@
         return rows.size() + 1;
     }
 
-    MembershipView view(long now, Set<String> listedLeaving) {
+    MembershipView view(Set<String> listedLeaving) {
         ImmutableMap.Builder<String, MembershipView.Host> hosts = ImmutableMap.builder();
-        hosts.put(self.id(), new MembershipView.Host(self, true, now));
+        hosts.put(self.id(), new MembershipView.Host(self, true, selfSince));
         rows.forEach((id, row) -> hosts.put(id, new MembershipView.Host(row.member(), row.reachable(), row.since())));
         return new MembershipView(
                 self.id(),
--- a/src/main/java/org/mustardlink/observe/LogEvent.java
+++ b/src/main/java/org/mustardlink/observe/LogEvent.java
@@ -36,7 +36,15 @@
     /** The platform's list of hosts cannot be read. */
     PLATFORM_LOST("platform.lost", StandardLevel.WARN),
     /** The platform's list of hosts can be read again. */
-    PLATFORM_BACK("platform.back", StandardLevel.INFO);
+    PLATFORM_BACK("platform.back", StandardLevel.INFO),
+    /** An entry host's record was added or changed. */
+    MEMBER_CHANGED("member.changed", StandardLevel.INFO),
+    /** Another process runs under this host's id with a later incarnation. */
+    HOST_REPLACED("host.replaced", StandardLevel.WARN),
+    /** The process was frozen; calls to peers that were under way are dropped. */
+    HOST_WOKE("host.woke", StandardLevel.WARN),
+    /** The membership could not handle an event and went on without it. */
+    MEMBERSHIP_FAILED("membership.failed", StandardLevel.ERROR);
 
     private final String id;
     private final StandardLevel level;
--- a/src/main/java/org/mustardlink/observe/LogField.java
+++ b/src/main/java/org/mustardlink/observe/LogField.java
@@ -16,6 +16,10 @@
     OPERATOR_ADDRESS,
     /** Address for other entry hosts. */
     PEER_ADDRESS,
+    /** Id of another entry host. */
+    MEMBER,
+    /** State of another entry host. */
+    STATE,
     /** Session id. */
     SESSION,
     /** Submission id. */
@@ -32,7 +36,7 @@
     TARGET_DOMAIN,
     /** Reason code of a verdict or a lost attempt. */
     REASON,
-    /** Why a start was refused. */
+    /** Why a start was refused or a record changed. */
     CAUSE,
     /** Number of jobs without a verdict. */
     OPEN_JOBS,
--- /dev/null
+++ b/src/main/java/org/mustardlink/peer/ExchangeClient.java
@@ -0,0 +1,245 @@
+package org.mustardlink.peer;
+
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.function.Function;
+import org.apache.thrift.TException;
+import org.apache.thrift.async.AsyncMethodCallback;
+import org.apache.thrift.async.TAsyncClientManager;
+import org.apache.thrift.protocol.TBinaryProtocol;
+import org.apache.thrift.transport.TNonblockingSocket;
+import org.apache.thrift.transport.TTransportException;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.Addresses;
+import org.mustardlink.membership.CheckResult;
+import org.mustardlink.membership.ExchangeEnvelope;
+import org.mustardlink.membership.ExchangeTransport;
+import org.mustardlink.membership.Member;
+import org.mustardlink.peer.thrift.CheckOutcome;
+import org.mustardlink.peer.thrift.Exchange;
+import org.mustardlink.peer.thrift.ExchangeFrame;
+
+/**
+ * Sends exchanges and checks to other entry hosts. Thread-safe.
+ *
+ * <p>A call that fails on a kept connection is sent once more on a new one; exchanges may be repeated. After a timeout
+ * every kept connection to the peer is dropped, because a middlebox may have forgotten them.
+ */
+public final class ExchangeClient implements ExchangeTransport, AutoCloseable {
+    private static final int MAX_KEPT_PER_PEER = 1;
+
+    /** Two turns through the members of the largest deployment; then a connection is not worth its memory. */
+    private static final long MAX_KEPT_NANOS = Duration.ofMinutes(2).toNanos();
+
+    private final TAsyncClientManager manager;
+    private final Map<String, Deque<Connection>> kept = new HashMap<>();
+    private final LongAdder bytes = new LongAdder();
+    private final LongAdder calls = new LongAdder();
+
+    private ExchangeClient(TAsyncClientManager manager) {
+        this.manager = manager;
+    }
+
+    private record Connection(Exchange.AsyncClient client, TNonblockingSocket socket, long since) {}
+
+    /** Starts a client. */
+    public static ExchangeClient start() {
+        try {
+            return new ExchangeClient(new TAsyncClientManager());
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "cannot start the exchange client", e);
+        }
+    }
+
+    @Override
+    public CompletableFuture<CallReply<ExchangeEnvelope>> exchange(
+            String address, ExchangeEnvelope sent, Duration timeout) {
+        ExchangeFrame frame = ExchangeFrames.toThrift(sent);
+        Attempt<ExchangeFrame, ExchangeEnvelope> attempt = new Attempt<>(
+                address, timeout, (client, callback) -> client.exchange(frame, callback), ExchangeFrames::fromThrift);
+        return attempt.start();
+    }
+
+    @Override
+    public CompletableFuture<CallReply<CheckResult>> check(String address, Member subject, Duration timeout) {
+        Attempt<CheckOutcome, CheckResult> attempt = new Attempt<>(
+                address,
+                timeout,
+                (client, callback) -> client.check(subject.id(), subject.incarnation(), subject.peer(), callback),
+                ExchangeFrames::fromThrift);
+        return attempt.start();
+    }
+
+    /** Returns the bytes sent and received by calls of this client so far, frames included. */
+    public long bytes() {
+        return bytes.sum();
+    }
+
+    /** Returns the calls made so far. */
+    public long calls() {
+        return calls.sum();
+    }
+
+    @Override
+    public void close() {
+        synchronized (kept) {
+            kept.values()
+                    .forEach(connections -> connections.forEach(
+                            connection -> connection.socket().close()));
+            kept.clear();
+        }
+        manager.stop();
+    }
+
+    private Optional<Connection> takeKept(String address) {
+        synchronized (kept) {
+            Deque<Connection> connections = kept.getOrDefault(address, new ArrayDeque<>());
+            for (Connection next = connections.pollLast(); next != null; next = connections.pollLast()) {
+                if (System.nanoTime() - next.since() <= MAX_KEPT_NANOS) {
+                    return Optional.of(next);
+                }
+                next.socket().close();
+            }
+            kept.remove(address);
+            return Optional.empty();
+        }
+    }
+
+    private void keep(String address, Connection connection) {
+        synchronized (kept) {
+            Deque<Connection> connections = kept.computeIfAbsent(address, _unused -> new ArrayDeque<>());
+            if (connections.size() < MAX_KEPT_PER_PEER) {
+                connections.addLast(new Connection(connection.client(), connection.socket(), System.nanoTime()));
+            } else {
+                connection.socket().close();
+            }
+        }
+    }
+
+    private void dropKept(String address) {
+        synchronized (kept) {
+            Optional.ofNullable(kept.remove(address))
+                    .ifPresent(connections -> connections.forEach(
+                            connection -> connection.socket().close()));
+        }
+    }
+
+    private Connection connect(String address) throws IOException, TTransportException {
+        InetSocketAddress peer = Addresses.parse(address);
+        TNonblockingSocket socket = new CountingSocket(peer.getAddress().getHostAddress(), peer.getPort(), bytes);
+        Exchange.AsyncClient client = new Exchange.AsyncClient(new TBinaryProtocol.Factory(), manager, socket);
+        return new Connection(client, socket, System.nanoTime());
+    }
+
+    /** Counts what a connection carries. */
+    private static final class CountingSocket extends TNonblockingSocket {
+        private final LongAdder bytes;
+
+        private CountingSocket(String host, int port, LongAdder bytes) throws IOException, TTransportException {
+            super(host, port, 0);
+            this.bytes = bytes;
+        }
+
+        @Override
+        public int read(ByteBuffer buffer) throws TTransportException {
+            int read = super.read(buffer);
+            bytes.add(Math.max(0, read));
+            return read;
+        }
+
+        @Override
+        public int write(ByteBuffer buffer) throws TTransportException {
+            int written = super.write(buffer);
+            bytes.add(Math.max(0, written));
+            return written;
+        }
+    }
+
+    @FunctionalInterface
+    private interface Call<R> {
+        void send(Exchange.AsyncClient client, AsyncMethodCallback<R> callback) throws TException;
+    }
+
+    private final class Attempt<R, T> {
+        private final String address;
+        private final Duration timeout;
+        private final Call<R> call;
+        private final Function<R, T> convert;
+        private final CompletableFuture<CallReply<T>> reply = new CompletableFuture<>();
+
+        private Attempt(String address, Duration timeout, Call<R> call, Function<R, T> convert) {
+            this.address = address;
+            this.timeout = timeout;
+            this.call = call;
+            this.convert = convert;
+        }
+
+        private CompletableFuture<CallReply<T>> start() {
+            calls.increment();
+            Optional<Connection> old = takeKept(address);
+            send(old, old.isPresent());
+            // The client manager looks for timeouts only between other work, so the bound is kept here as well.
+            return reply.completeOnTimeout(
+                            CallReply.failed(CheckResult.SILENT), timeout.toMillis(), TimeUnit.MILLISECONDS)
+                    .whenComplete((ended, _failure) -> {
+                        if (ended.outcome() == CheckResult.SILENT) {
+                            dropKept(address);
+                        }
+                    });
+        }
+
+        private void send(Optional<Connection> old, boolean retry) {
+            try {
+                Connection connection = old.isPresent() ? old.get() : connect(address);
+                connection.client().setTimeout(timeout.toMillis());
+                call.send(connection.client(), new AsyncMethodCallback<>() {
+                    @Override
+                    public void onComplete(R response) {
+                        keep(address, connection);
+                        complete(response);
+                    }
+
+                    @Override
+                    public void onError(Exception failure) {
+                        connection.socket().close();
+                        fail(failure, retry);
+                    }
+                });
+            } catch (IOException | TException | IllegalStateException e) {
+                fail(e, retry);
+            }
+        }
+
+        private void complete(R response) {
+            try {
+                reply.complete(CallReply.answered(convert.apply(response)));
+            } catch (IllegalArgumentException e) {
+                reply.complete(CallReply.failed(CheckResult.SILENT));
+            }
+        }
+
+        private void fail(Exception failure, boolean retry) {
+            if (failure instanceof TimeoutException) {
+                reply.complete(CallReply.failed(CheckResult.SILENT));
+            } else if (retry && !reply.isDone()) {
+                send(Optional.empty(), false);
+            } else {
+                boolean refused = failure instanceof ConnectException;
+                reply.complete(CallReply.failed(refused ? CheckResult.REFUSED : CheckResult.SILENT));
+            }
+        }
+    }
+}
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import org.apache.thrift.TException;
+import org.apache.thrift.TProcessor;
 import org.apache.thrift.async.AsyncMethodCallback;
 import org.apache.thrift.protocol.TBinaryProtocol;
 import org.apache.thrift.server.TServer;
@@ -18,9 +19,11 @@
 import org.mustardlink.core.Verdict;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.membership.ExchangeHandler;
 import org.mustardlink.peer.thrift.AnswerKind;
 import org.mustardlink.peer.thrift.ConfigPage;
 import org.mustardlink.peer.thrift.DrainReport;
+import org.mustardlink.peer.thrift.Exchange;
 import org.mustardlink.peer.thrift.Peer;
 import org.mustardlink.peer.thrift.PeerAnswer;
 
@@ -47,9 +50,23 @@
      * @param incarnation incarnation of this process
      * @param backend answers for the sessions that this process owns
      * @param config answers about configuration and drains
+     * @param exchanges answers for the membership
      */
     public static PeerServer start(
-            InetSocketAddress address, long incarnation, CallerBackend backend, ConfigResponder config) {
+            InetSocketAddress address,
+            long incarnation,
+            CallerBackend backend,
+            ConfigResponder config,
+            ExchangeHandler exchanges) {
+        return serve(address, new Peer.AsyncProcessor<>(new Handler(incarnation, backend, config, exchanges)));
+    }
+
+    /** Starts a server that answers for the membership only, for measurements of it. */
+    public static PeerServer startExchange(InetSocketAddress address, ExchangeHandler exchanges) {
+        return serve(address, new Exchange.AsyncProcessor<>(new ExchangeService(exchanges)));
+    }
+
+    private static PeerServer serve(InetSocketAddress address, TProcessor processor) {
         try {
             TNonblockingServerSocket socket =
                     new TNonblockingServerSocket(new TNonblockingServerSocket.NonblockingAbstractServerSocketArgs()
@@ -60,7 +77,7 @@
                     .workerThreads(WORKERS)
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                     .protocolFactory(new TBinaryProtocol.Factory())
-                    .processor(new Peer.AsyncProcessor<>(new Handler(incarnation, backend, config)));
+                    .processor(processor);
             args.maxReadBufferBytes = MAX_FRAME_BYTES;
             TServer server = new TThreadedSelectorServer(args);
             Thread thread = new Thread(server::serve, "peer-server");
@@ -83,12 +100,13 @@
         socket.close();
     }
 
-    private static final class Handler implements Peer.AsyncIface {
+    private static final class Handler extends ExchangeService implements Peer.AsyncIface {
         private final long incarnation;
         private final CallerBackend backend;
         private final ConfigResponder config;
 
-        private Handler(long incarnation, CallerBackend backend, ConfigResponder config) {
+        private Handler(long incarnation, CallerBackend backend, ConfigResponder config, ExchangeHandler exchanges) {
+            super(exchanges);
             this.incarnation = incarnation;
             this.backend = backend;
             this.config = config;
--- a/src/main/java/org/mustardlink/peer/thrift/ConfigPage.java
+++ b/src/main/java/org/mustardlink/peer/thrift/ConfigPage.java
@@ -723,13 +723,13 @@
           case 3: // RECORDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<java.lang.String>(_list8.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list26 = iprot.readListBegin();
+                struct.records = new java.util.ArrayList<java.lang.String>(_list26.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem27;
+                for (int _i28 = 0; _i28 < _list26.size; ++_i28)
                 {
-                  _elem9 = iprot.readString();
-                  struct.records.add(_elem9);
+                  _elem27 = iprot.readString();
+                  struct.records.add(_elem27);
                 }
                 iprot.readListEnd();
               }
@@ -781,9 +781,9 @@
           oprot.writeFieldBegin(RECORDS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.records.size()));
-            for (java.lang.String _iter11 : struct.records)
+            for (java.lang.String _iter29 : struct.records)
             {
-              oprot.writeString(_iter11);
+              oprot.writeString(_iter29);
             }
             oprot.writeListEnd();
           }
@@ -848,9 +848,9 @@
       if (struct.isSetRecords()) {
         {
           oprot.writeI32(struct.records.size());
-          for (java.lang.String _iter12 : struct.records)
+          for (java.lang.String _iter30 : struct.records)
           {
-            oprot.writeString(_iter12);
+            oprot.writeString(_iter30);
           }
         }
       }
@@ -876,13 +876,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list13 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.records = new java.util.ArrayList<java.lang.String>(_list13.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem14;
-          for (int _i15 = 0; _i15 < _list13.size; ++_i15)
+          org.apache.thrift.protocol.TList _list31 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.records = new java.util.ArrayList<java.lang.String>(_list31.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem32;
+          for (int _i33 = 0; _i33 < _list31.size; ++_i33)
           {
-            _elem14 = iprot.readString();
-            struct.records.add(_elem14);
+            _elem32 = iprot.readString();
+            struct.records.add(_elem32);
           }
         }
         struct.setRecordsIsSet(true);
--- a/src/main/java/org/mustardlink/peer/thrift/Peer.java
+++ b/src/main/java/org/mustardlink/peer/thrift/Peer.java
@@ -9,7 +9,7 @@
 @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
 public class Peer {
 
-  public interface Iface {
+  public interface Iface extends Exchange.Iface {
 
     /**
      * Submits a job to the owner of its session. The submission is session/sequence; the job is the caller's JSON.
@@ -50,7 +50,7 @@
 
   }
 
-  public interface AsyncIface {
+  public interface AsyncIface extends Exchange .AsyncIface {
 
     public void submit(java.lang.String submission, java.lang.String job, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException;
 
@@ -64,7 +64,7 @@
 
   }
 
-  public static class Client extends org.apache.thrift.TServiceClient implements Iface {
+  public static class Client extends Exchange.Client implements Iface {
     public static class Factory implements org.apache.thrift.TServiceClientFactory<Client> {
       public Factory() {}
       @Override
@@ -209,7 +209,7 @@
     }
 
   }
-  public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
+  public static class AsyncClient extends Exchange.AsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
       private org.apache.thrift.async.TAsyncClientManager clientManager;
       private org.apache.thrift.protocol.TProtocolFactory protocolFactory;
@@ -410,7 +410,7 @@
 
   }
 
-  public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
+  public static class Processor<I extends Iface> extends Exchange.Processor<I> implements org.apache.thrift.TProcessor {
     private static final org.slf4j.Logger _LOGGER = org.slf4j.LoggerFactory.getLogger(Processor.class.getName());
     public Processor(I iface) {
       super(iface, getProcessMap(new java.util.HashMap<java.lang.String, org.apache.thrift.ProcessFunction<I, ? extends org.apache.thrift.TBase>>()));
@@ -571,7 +571,7 @@
 
   }
 
-  public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
+  public static class AsyncProcessor<I extends AsyncIface> extends Exchange.AsyncProcessor<I> {
     private static final org.slf4j.Logger _LOGGER = org.slf4j.LoggerFactory.getLogger(AsyncProcessor.class.getName());
     public AsyncProcessor(I iface) {
       super(iface, getProcessMap(new java.util.HashMap<java.lang.String, org.apache.thrift.AsyncProcessFunction<I, ? extends org.apache.thrift.TBase, ?>>()));
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -22,6 +22,58 @@
   4: optional list<string> results
 }
 
+/** State of an entry host; of two records with the same incarnation and version, the later state takes precedence. */
+enum MemberRecordState {
+  ALIVE = 1,
+  LEAVING = 2,
+  SUSPECT = 3,
+  GONE = 4
+}
+
+/** What is known of one incarnation of an entry host. */
+struct MemberRecord {
+  1: string id
+  2: string domain
+  3: string region
+  /** ip:port for entry hosts. */
+  4: string peer
+  /** ip:port for callers. */
+  5: string caller
+  6: i64 incarnation
+  /** Raised by the host itself only. */
+  7: i64 version
+  8: MemberRecordState state
+  /** The entry host that its answers were handed over to. */
+  9: optional string successor
+}
+
+/** One direction of an exchange. */
+struct ExchangeFrame {
+  1: MemberRecord sender
+  2: list<MemberRecord> deltas
+  /** Sum of the fingerprints of the records of hosts that are not gone. */
+  3: i64 digest
+  /** Whether the sender asks for every record. */
+  4: bool join
+  /** Values of other modules by key; unknown keys are ignored. */
+  5: map<string, binary> attachments
+}
+
+/** What a call to an entry host showed. */
+enum CheckOutcome {
+  REACHED = 1,
+  REFUSED = 2,
+  SILENT = 3,
+  UNKNOWN = 4
+}
+
+service Exchange {
+  /** Tells what the caller knows and returns what the called host knows. */
+  ExchangeFrame exchange(1: ExchangeFrame frame)
+  /** Asks whether an incarnation answers the called host at a peer address. */
+  CheckOutcome check(1: string host, 2: i64 incarnation, 3: string peer)
+}
+
 /** Where a change stands at a host. */
 enum ConfigStanding {
   /** The host has not seen the change, or no longer remembers it. */
@@ -57,7 +109,7 @@
   4: string reason
 }
 
-service Peer {
+service Peer extends Exchange {
   /** Submits a job to the owner of its session. The submission is session/sequence; the job is the caller's JSON. */
   PeerAnswer submit(1: string submission, 2: string job)
   /** Waits for the verdict of an earlier submission. */
--- a/src/test/java/org/mustardlink/membership/FakeNetwork.java
+++ b/src/test/java/org/mustardlink/membership/FakeNetwork.java
@@ -111,7 +111,7 @@
     }
 
     MembershipView view(String viewer) {
-        return node(viewer).table.view(now);
+        return node(viewer).table.view();
     }
 
     void run(Duration time) {
