Close idle connections to drained targets and measure the readers

Cause: nothing showed that idle connections to a drained target close, what a frozen host does inside a window, or what following the log costs.

Change: tests for both; mustardlink config-probe runs replicas over real sockets, each reading the log or one of a domain relaying, and prints bytes, processor time and the delay from append to in force.

Conclusion: a busy connection finishes its call and closes after it.

--- /dev/null
+++ b/src/main/java/org/mustardlink/cli/ConfigProbeCommand.java
@@ -0,0 +1,47 @@
+package org.mustardlink.cli;
+
+import java.time.Duration;
+import net.sourceforge.argparse4j.inf.Namespace;
+import net.sourceforge.argparse4j.inf.Subparser;
+import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.standin.ReplicaFleet;
+
+/** {@code config-probe}: measures what following the configuration costs, read by each host or relayed. */
+final class ConfigProbeCommand implements Subcommand {
+    @Override
+    public void register(Subparsers parsers) {
+        Subparser parser =
+                parsers.addParser("config-probe").help("measure the cost and delay of configuration changes");
+        parser.addArgument("--hosts").type(Integer.class).nargs("+").setDefault(java.util.List.of(9, 24));
+        parser.addArgument("--changes").type(Integer.class).setDefault(40).help("changes in each run");
+        parser.addArgument("--idle-seconds").type(Integer.class).setDefault(10);
+        parser.addArgument("--pull-ms").type(Integer.class).setDefault(500).help("time between questions to a peer");
+        parser.setDefault(Main.COMMAND, this);
+    }
+
+    @Override
+    public int run(Namespace arguments) {
+        Duration pull = Duration.ofMillis(arguments.getInt("pull_ms"));
+        Duration idle = Duration.ofSeconds(arguments.getInt("idle_seconds"));
+        System.out.printf(
+                "%5s %-6s %12s %12s %12s %12s %8s %8s %8s%n",
+                "hosts", "reader", "idle B/s", "idle us/s", "B/change", "us/change", "p50 ms", "p99 ms", "max ms");
+        for (boolean relay : new boolean[] {false, true}) {
+            for (Integer hosts : arguments.<Integer>getList("hosts")) {
+                ReplicaFleet.Cost cost = ReplicaFleet.measure(hosts, relay, pull, idle, arguments.getInt("changes"));
+                System.out.printf(
+                        "%5d %-6s %12.0f %12.0f %12.0f %12.0f %8.1f %8.1f %8.1f%n",
+                        hosts,
+                        relay ? "relay" : "each",
+                        cost.idleBytes(),
+                        cost.idleCpu(),
+                        cost.changeBytes(),
+                        cost.changeCpu(),
+                        cost.p50Ms(),
+                        cost.p99Ms(),
+                        cost.maxMs());
+            }
+        }
+        return ExitCode.OK;
+    }
+}
--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -34,6 +34,7 @@
             new LoadCommand(),
             new CapacityCommand(),
             new ConfigCommand(),
+            new ConfigProbeCommand(),
             new TargetCommand(),
             new VersionCommand());
 
--- /dev/null
+++ b/src/main/java/org/mustardlink/standin/ReplicaFleet.java
@@ -0,0 +1,251 @@
+package org.mustardlink.standin;
+
+import com.google.common.base.CharMatcher;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.lang.management.ManagementFactory;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.mustardlink.config.records.ConfigView;
+import org.mustardlink.config.records.Schemas;
+import org.mustardlink.config.replica.ConfigPage;
+import org.mustardlink.config.replica.ConfigPeers;
+import org.mustardlink.config.replica.ConfigReader;
+import org.mustardlink.config.replica.ConfigReplica;
+import org.mustardlink.config.replica.ConfigService;
+import org.mustardlink.config.replica.ReplicaSettings;
+import org.mustardlink.drain.TargetReport;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.peer.ConfigPeerClient;
+import org.mustardlink.peer.ConfigResponder;
+import org.mustardlink.peer.PeerServer;
+import org.mustardlink.platform.PlatformClient;
+
+/**
+ * Configuration replicas over real sockets in one process, to measure what following the configuration costs and how
+ * fast a change spreads. With relay, one replica of each failure domain reads the log and the others ask it alone.
+ */
+public final class ReplicaFleet implements AutoCloseable {
+    private static final int DOMAINS = 3;
+
+    private final StandInPlatform platform = StandInPlatform.start(loopback());
+    private final List<Node> nodes = new CopyOnWriteArrayList<>();
+    private final Histogram delays =
+            new ConcurrentHistogram(Duration.ofMinutes(1).toNanos(), 3);
+    private final boolean relay;
+    private volatile long appendedNanos;
+
+    private ReplicaFleet(boolean relay) {
+        this.relay = relay;
+    }
+
+    /**
+     * What a fleet costs.
+     *
+     * @param nodes replicas
+     * @param relay whether one replica of each domain reads the log for it
+     * @param idleBytes bytes that the process reads and writes each second while nothing changes, platform included
+     * @param idleCpu processor time of the process while nothing changes, in microseconds each second
+     * @param changeBytes bytes for each change
+     * @param changeCpu processor time for each change, in microseconds
+     * @param p50Ms median time from append to in force, over all replicas, in milliseconds
+     * @param p99Ms 99th percentile of it, in milliseconds
+     * @param maxMs longest, in milliseconds
+     */
+    public record Cost(
+            int nodes,
+            boolean relay,
+            double idleBytes,
+            double idleCpu,
+            double changeBytes,
+            double changeCpu,
+            double p50Ms,
+            double p99Ms,
+            double maxMs) {}
+
+    private record Sample(long nanos, long bytes, long cpuNanos) {
+        private static Sample now() {
+            return new Sample(
+                    System.nanoTime(),
+                    ioBytes(),
+                    ((com.sun.management.OperatingSystemMXBean) ManagementFactory.getOperatingSystemMXBean())
+                            .getProcessCpuTime());
+        }
+
+        private static long ioBytes() {
+            try {
+                return Splitter.on('\n')
+                        .splitToStream(Files.readString(Path.of("/proc/self/io"), StandardCharsets.US_ASCII))
+                        .filter(line -> line.startsWith("rchar") || line.startsWith("wchar"))
+                        .mapToLong(line ->
+                                Long.parseLong(CharMatcher.inRange('0', '9').retainFrom(line)))
+                        .sum();
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /**
+     * Measures a fleet.
+     *
+     * @param count replicas
+     * @param relay whether one replica of each domain reads the log for it
+     * @param pullPeriod mean time between two questions to a peer
+     * @param idle time to measure without changes
+     * @param changes changes to append, one at a time at random intervals
+     */
+    public static Cost measure(int count, boolean relay, Duration pullPeriod, Duration idle, int changes) {
+        try (ReplicaFleet fleet = new ReplicaFleet(relay)) {
+            for (int i = 0; i < count; i++) {
+                fleet.add(i, pullPeriod);
+            }
+            fleet.awaitReady();
+            fleet.spread(changes / 4);
+            fleet.delays.reset();
+            Sample start = Sample.now();
+            Uninterruptibles.sleepUninterruptibly(idle);
+            Sample middle = Sample.now();
+            fleet.spread(changes);
+            Sample end = Sample.now();
+            return fleet.cost(start, middle, end, changes);
+        }
+    }
+
+    private Cost cost(Sample start, Sample middle, Sample end, int changes) {
+        double idleSeconds = (middle.nanos() - start.nanos()) / 1e9;
+        double busySeconds = (end.nanos() - middle.nanos()) / 1e9;
+        double idleBytes = (middle.bytes() - start.bytes()) / idleSeconds;
+        double idleCpu = (middle.cpuNanos() - start.cpuNanos()) / 1e3 / idleSeconds;
+        return new Cost(
+                nodes.size(),
+                relay,
+                idleBytes,
+                idleCpu,
+                (end.bytes() - middle.bytes() - idleBytes * busySeconds) / changes,
+                ((end.cpuNanos() - middle.cpuNanos()) / 1e3 - idleCpu * busySeconds) / changes,
+                delays.getValueAtPercentile(50) / 1e6,
+                delays.getValueAtPercentile(99) / 1e6,
+                delays.getMaxValue() / 1e6);
+    }
+
+    @Override
+    public void close() {
+        nodes.forEach(Node::close);
+        platform.close();
+    }
+
+    private void add(int index, Duration pullPeriod) {
+        boolean readsLog = !relay || index < DOMAINS;
+        ReplicaSettings defaults = ReplicaSettings.defaults();
+        ReplicaSettings settings = new ReplicaSettings(
+                readsLog,
+                defaults.logWait(),
+                defaults.retryPause(),
+                pullPeriod,
+                defaults.peerTimeout(),
+                defaults.snapshotRecords(),
+                defaults.snapshotAge(),
+                defaults.snapshotJitter());
+        nodes.add(new Node(index, settings));
+    }
+
+    private void awaitReady() {
+        while (nodes.stream().anyMatch(node -> !node.replica.ready())) {
+            Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
+        }
+    }
+
+    private void spread(int changes) {
+        Random random = new Random(1);
+        for (int i = 0; i < changes; i++) {
+            long next = nodes.get(0).replica.offset() + 1;
+            String record =
+                    "{\"schema\":2,\"change\":\"c%d\",\"kind\":\"team\",\"name\":\"t%d\",\"body\":{\"quota\":9,\"weight\":1}}"
+                            .formatted(next, next);
+            appendedNanos = System.nanoTime();
+            nodes.get(0)
+                    .platform
+                    .append(ConfigReader.STREAM, ImmutableList.of(record))
+                    .join();
+            while (nodes.stream().anyMatch(node -> node.replica.offset() < next)) {
+                Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(5));
+            }
+            Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(random.nextInt(300)));
+        }
+    }
+
+    private static InetSocketAddress loopback() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    /** One replica with its own server and clients. */
+    private final class Node implements ConfigPeers, ConfigResponder, AutoCloseable {
+        private final int index;
+        private final HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small());
+        private final PlatformClient platform =
+                PlatformClient.create(requester, ReplicaFleet.this.platform.address(), Duration.ofSeconds(3));
+        private final ConfigPeerClient client = ConfigPeerClient.start();
+        private final ConfigReplica replica = new ConfigReplica(Schemas.SUPPORTED, this::seen);
+        private final PeerServer server = PeerServer.start(loopback(), 1, null, this);
+        private final ConfigService service;
+
+        private Node(int index, ReplicaSettings settings) {
+            this.index = index;
+            this.service = ConfigService.start(replica, platform, this, settings, new Random(index));
+        }
+
+        private void seen(ConfigView _view) {
+            delays.recordValue(System.nanoTime() - appendedNanos);
+        }
+
+        @Override
+        public Optional<ImmutableList<Peer>> peers() {
+            return Optional.of(nodes.stream()
+                    .filter(node -> node != this)
+                    .filter(node -> !relay || (index >= DOMAINS && node.index == index % DOMAINS))
+                    .map(node -> new Peer(
+                            Integer.toString(node.index),
+                            "d" + node.index % DOMAINS,
+                            new InetSocketAddress(InetAddress.getLoopbackAddress(), node.server.port())))
+                    .collect(ImmutableList.toImmutableList()));
+        }
+
+        @Override
+        public CompletableFuture<ConfigPage> since(Peer peer, long from, String change, Duration timeout) {
+            return client.since(peer.address(), from, change, timeout);
+        }
+
+        @Override
+        public ConfigPage since(long from, String change) {
+            return replica.since(from, change);
+        }
+
+        @Override
+        public TargetReport report(String _target) {
+            return new TargetReport(false, 0, Duration.ZERO, "");
+        }
+
+        @Override
+        public void close() {
+            service.close();
+            server.close();
+            client.close();
+            requester.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mustardlink/entry/DrainWatchTest.java
@@ -0,0 +1,102 @@
+package org.mustardlink.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.time.Clock;
+import java.time.Instant;
+import java.time.ZoneId;
+import java.time.ZoneOffset;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.mustardlink.config.records.ConfigState;
+import org.mustardlink.config.records.ConfigView;
+import org.mustardlink.config.records.Schemas;
+import org.mustardlink.core.Event;
+import org.mustardlink.platform.HostListing;
+
+class DrainWatchTest {
+    private static final String TARGET = """
+            {"schema":1,"change":"t","kind":"target","name":"a","body":{"id":"a","service":"yard","domain":"d",
+             "address":"127.0.0.1:1","slots":8,"connections":64,"declaredSpeed":1}}""";
+    private static final String WINDOW = """
+            {"schema":1,"change":"w","kind":"window","name":"w","body":{"targets":["a"],"zone":"America/Montevideo",
+             "day":"MONDAY","start":"02:00","minutes":60}}""";
+    private static final Instant OPEN = Instant.parse("2026-12-07T05:00:00Z");
+
+    private final SetClock clock = new SetClock();
+    private final List<Event> events = new ArrayList<>();
+    private final DrainWatch watch = new DrainWatch(clock, events::add, _target -> {});
+
+    /** Guards against a host that was frozen before a window and gives its target work when it wakes inside it. */
+    @Test
+    void a_host_that_wakes_inside_a_window_drains_from_its_old_copy_alone() {
+        clock.now = OPEN.minusSeconds(3600);
+        watch.configured(view(TARGET, WINDOW));
+        assertThat(events)
+                .containsExactly(new Event.TargetsDeclared(view(TARGET).targets()));
+        events.clear();
+
+        clock.now = OPEN.plusSeconds(1200);
+        watch.decide();
+
+        assertThat(events).containsExactly(new Event.TargetsDraining(ImmutableSet.of("a")));
+    }
+
+    /** Guards against work between the declaration of a target and the drain that already covers it. */
+    @Test
+    void a_target_declared_inside_a_window_is_drained_before_it_is_declared() {
+        clock.now = OPEN;
+        watch.configured(view(TARGET, WINDOW));
+
+        assertThat(events)
+                .containsExactly(
+                        new Event.TargetsDraining(ImmutableSet.of("a")),
+                        new Event.TargetsDeclared(view(TARGET).targets()))
+                .inOrder();
+    }
+
+    /** Guards against new work on a host that the platform is about to stop. */
+    @Test
+    void a_leaving_mark_of_the_platform_drains_a_target_until_it_is_gone() {
+        clock.now = OPEN.minusSeconds(3600);
+        watch.configured(view(TARGET));
+        watch.listed(listing(HostListing.State.LEAVING));
+        watch.listed(listing(HostListing.State.LIVE));
+
+        assertThat(events.subList(1, 3))
+                .containsExactly(
+                        new Event.TargetsDraining(ImmutableSet.of("a")), new Event.TargetsDraining(ImmutableSet.of()))
+                .inOrder();
+    }
+
+    private static HostListing listing(HostListing.State state) {
+        return new HostListing(
+                0, ImmutableList.of(new HostListing.Host("a", HostListing.Kind.TARGET, "d", "127.0.0.1:1", state)));
+    }
+
+    private static ConfigView view(String... records) {
+        return ConfigView.of(ConfigState.empty().apply(List.of(records)), Schemas.SUPPORTED);
+    }
+
+    private static final class SetClock extends Clock {
+        private Instant now = Instant.EPOCH;
+
+        @Override
+        public ZoneId getZone() {
+            return ZoneOffset.UTC;
+        }
+
+        @Override
+        public Clock withZone(ZoneId _zone) {
+            return this;
+        }
+
+        @Override
+        public Instant instant() {
+            return now;
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mustardlink/http/CloseIdleTest.java
@@ -0,0 +1,81 @@
+package org.mustardlink.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+
+class CloseIdleTest {
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+    /** Guards against connections that stay open to a target that is being stopped, and against cutting a call. */
+    @Test
+    void idle_connections_close_at_once_and_busy_ones_after_their_call() throws IOException {
+        HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small());
+        try (ServerSocket server = new ServerSocket(0, 10, InetAddress.getLoopbackAddress())) {
+            InetSocketAddress address = new InetSocketAddress(InetAddress.getLoopbackAddress(), server.getLocalPort());
+            CompletableFuture<HttpReply> first = call(requester, address);
+            Peer busy = new Peer(server.accept());
+            CompletableFuture<HttpReply> second = call(requester, address);
+            Peer idle = new Peer(server.accept());
+            busy.readRequest();
+            idle.readRequest();
+            idle.answer();
+            assertThat(second.join().body()).isEqualTo("ok");
+
+            requester.closeIdle(address);
+
+            assertThat(idle.isClosedByClient()).isTrue();
+            busy.answer();
+            assertThat(first.join().body()).isEqualTo("ok");
+            assertThat(busy.isClosedByClient()).isTrue();
+
+            CompletableFuture<HttpReply> later = call(requester, address);
+            Peer fresh = new Peer(server.accept());
+            fresh.readRequest();
+            fresh.answer();
+            assertThat(later.join().body()).isEqualTo("ok");
+        } finally {
+            requester.close();
+        }
+    }
+
+    private static CompletableFuture<HttpReply> call(HttpRequester requester, InetSocketAddress address) {
+        return requester.send(address, HttpCall.get("/", Duration.ofSeconds(5)));
+    }
+
+    private static final class Peer {
+        private final Socket socket;
+        private final BufferedReader in;
+
+        private Peer(Socket socket) throws IOException {
+            this.socket = socket;
+            socket.setSoTimeout(3000);
+            this.in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        }
+
+        private void readRequest() throws IOException {
+            String line = in.readLine();
+            while (line != null && !line.isEmpty()) {
+                line = in.readLine();
+            }
+        }
+
+        private void answer() throws IOException {
+            socket.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+        }
+
+        private boolean isClosedByClient() throws IOException {
+            return in.read() == -1;
+        }
+    }
+}
