Take turns by team and refuse at once what cannot end in time

Cause: tasks started in order of arrival, so one team's flood delayed all others, and a job was held until its deadline even when the backlog already ruled it out.

Change: weighted fair turns over teams, equal turns over a team's classes, earliest deadline within a class; TeamSpec and TeamsDeclared carry weights and limits. Admission compares the team's backlog at its share with the deadline and names a time to come back, spread over equal refusals. Queued jobs whose deadline has become unreachable are settled at once. A team cannot fill more of the queue than it leaves free.

Conclusion: a flood no longer sets the order; equal parts replace the local view.

--- a/src/main/java/org/mustardlink/core/AttemptOutcomes.java
+++ b/src/main/java/org/mustardlink/core/AttemptOutcomes.java
@@ -16,6 +16,7 @@
     void apply(Event.AttemptEnded event, long now, Consumer<Command> out) {
         tables.attempts().remove(event.task(), event.attempt()).ifPresent(attempt -> {
             attempt.target().attemptEnded(attempt);
+            tables.teams().ended(attempt.task().job().request().orElseThrow().team());
             event.result().load().ifPresent(load -> attempt.target().report(load, now));
             apply(attempt, event.result(), now, out);
         });
--- /dev/null
+++ b/src/main/java/org/mustardlink/core/ClassFlow.java
@@ -0,0 +1,25 @@
+package org.mustardlink.core;
+
+import java.util.Comparator;
+import java.util.Set;
+import java.util.TreeSet;
+
+/** The queued jobs of one class of a team, earliest deadline first. Classes of a team have equal weights. */
+final class ClassFlow extends FairFlow {
+    private final TreeSet<JobQueue> jobs = new TreeSet<>(
+            Comparator.comparingLong((JobQueue queue) -> queue.job().deadlineNanos())
+                    .thenComparingLong(JobQueue::sequence));
+
+    ClassFlow(String jobClass) {
+        super(jobClass);
+    }
+
+    @Override
+    double weight() {
+        return 1;
+    }
+
+    Set<JobQueue> jobs() {
+        return jobs;
+    }
+}
--- a/src/main/java/org/mustardlink/core/DispatchCore.java
+++ b/src/main/java/org/mustardlink/core/DispatchCore.java
@@ -19,36 +19,40 @@
     private final Tables tables;
     private final Intake intake;
     private final AttemptOutcomes outcomes;
+    private final GiveUpSystem giveUp = new GiveUpSystem();
     private final ShareSystem shareSystem = new ShareSystem();
     private final ImmutableList<DispatchSystem> systems;
 
-    private DispatchCore(CoreSettings settings, PlacementPolicy placement, SlotSharing sharing) {
-        this.tables = new Tables(settings, sharing);
-        this.intake = new Intake(tables);
+    private DispatchCore(CoreSettings settings, Policies policies) {
+        this.tables = new Tables(settings, policies.sharing());
+        this.intake = new Intake(tables, policies.admission(), giveUp);
         this.outcomes = new AttemptOutcomes(tables);
         this.systems = ImmutableList.of(
-                new DeadlineSystem(), new PlacementSystem(placement), shareSystem, new RetentionSystem());
+                new DeadlineSystem(),
+                giveUp,
+                new PlacementSystem(policies.placement()),
+                shareSystem,
+                new RetentionSystem());
     }
 
     /**
-     * Creates an empty core.
+     * Creates an empty core that accepts every job.
      *
      * @param settings every bound
      * @param placement chooses targets
      */
     public static DispatchCore create(CoreSettings settings, PlacementPolicy placement) {
-        return create(settings, placement, SlotSharing.FIXED);
+        return create(settings, Policies.of(placement));
     }
 
     /**
      * Creates an empty core.
      *
      * @param settings every bound
-     * @param placement chooses targets
-     * @param sharing how slots are divided between the entry hosts of a failure domain
+     * @param policies every decision that can be exchanged
      */
-    public static DispatchCore create(CoreSettings settings, PlacementPolicy placement, SlotSharing sharing) {
-        return new DispatchCore(settings, placement, sharing);
+    public static DispatchCore create(CoreSettings settings, Policies policies) {
+        return new DispatchCore(settings, policies);
     }
 
     /**
@@ -72,7 +76,8 @@
         if (deadline.isEmpty() || tables.queue().size() == 0) {
             return deadline;
         }
-        return OptionalLong.of(Math.min(deadline.getAsLong(), now + MAX_WAIT_NANOS));
+        long giveUpDue = giveUp.nextDue().orElse(Long.MAX_VALUE);
+        return OptionalLong.of(Math.min(Math.min(deadline.getAsLong(), giveUpDue), now + MAX_WAIT_NANOS));
     }
 
     /** Returns the number of jobs without a verdict. */
@@ -108,6 +113,8 @@
             tables.shares().assign(tables.targets());
         } else if (event instanceof Event.TargetsDraining draining) {
             tables.targets().drain(draining.targets());
+        } else if (event instanceof Event.TeamsDeclared declared) {
+            tables.teams().declare(declared.teams());
         } else if (event instanceof Event.EntryHostsKnown known) {
             tables.shares().hosts(known);
             tables.shares().assign(tables.targets());
--- a/src/main/java/org/mustardlink/core/Event.java
+++ b/src/main/java/org/mustardlink/core/Event.java
@@ -83,6 +83,13 @@
      */
     record TargetsDraining(ImmutableSet<String> targets) implements Event {}
 
+    /**
+     * Configuration now declares these quotas, in place of any earlier set. Other teams have weight 1 and no limits.
+     *
+     * @param teams quotas of teams, one a team
+     */
+    record TeamsDeclared(ImmutableList<TeamSpec> teams) implements Event {}
+
     /**
      * These entry hosts are alive, in place of any earlier set; this host is one of them.
      *
--- a/src/main/java/org/mustardlink/core/Intake.java
+++ b/src/main/java/org/mustardlink/core/Intake.java
@@ -6,9 +6,13 @@
 /** Applies events that come from callers: sessions, submissions, lookups and cancellations. */
 final class Intake {
     private final Tables tables;
+    private final AdmissionPolicy admission;
+    private final GiveUpSystem giveUp;
 
-    Intake(Tables tables) {
+    Intake(Tables tables, AdmissionPolicy admission, GiveUpSystem giveUp) {
         this.tables = tables;
+        this.admission = admission;
+        this.giveUp = giveUp;
     }
 
     void openSession(Event.SessionRequested event, long now, Consumer<Command> out) {
@@ -39,35 +43,48 @@
     }
 
     private void accept(SessionRow session, Event.JobSubmitted event, long now, Consumer<Command> out) {
-        Optional<Reason> refusal = refusal(event.request());
+        JobRow job = new JobRow(event.id(), event.request(), now);
+        tables.estimates()
+                .expect(job, tables.targets().fastestSpeed(event.request().service()), now);
+        Optional<Verdict> refusal = refusal(job, event.request(), now);
         if (refusal.isPresent()) {
-            Verdict verdict = Verdict.failed(refusal.get(), tables.settings().retryAfter());
-            Settlement.seal(tables, event.id(), verdict, now);
-            deliver(event.requester(), event.id(), verdict, out);
+            Settlement.seal(tables, event.id(), refusal.get(), now);
+            deliver(event.requester(), event.id(), refusal.get(), out);
             return;
         }
-        JobRow job = new JobRow(event.id(), event.request(), now);
         job.waiters().add(event.requester());
         tables.jobs().addOpen(job);
         session.jobOpened();
-        double fastest = tables.targets().of(event.request().service()).stream()
-                .mapToDouble(TargetRow::speed)
-                .max()
-                .orElse(1);
-        tables.estimates().expect(job, fastest, now);
         tables.queue().add(event.request().service(), job);
+        giveUp.add(tables, job);
+    }
+
+    private Optional<Verdict> refusal(JobRow job, JobRequest request, long now) {
+        return limit(request)
+                .map(reason -> Verdict.failed(reason, tables.settings().retryAfter()))
+                .or(() -> crowded(request)
+                        .map(reason -> Verdict.failed(reason, tables.backlog().retryAfter(request, job.id()))))
+                .or(() -> admission
+                        .refuse(tables.backlog().estimate(job, now))
+                        .map(time -> Verdict.failed(Reason.DEADLINE_UNREACHABLE, Backlog.spread(time, job.id()))));
     }
 
-    private Optional<Reason> refusal(JobRequest request) {
+    private Optional<Reason> limit(JobRequest request) {
         if (tables.stopping()) {
             return Optional.of(Reason.HOST_LEAVING);
         }
-        if (!tables.targets().serves(request.service())) {
-            return Optional.of(Reason.NO_TARGET);
+        return tables.targets().takesWork(request.service()) ? Optional.empty() : Optional.of(Reason.NO_TARGET);
+    }
+
+    private Optional<Reason> crowded(JobRequest request) {
+        int tasks = request.tasks().size();
+        int ofTeam = tables.queue().queued(request.service(), request.team()) + tasks;
+        if (ofTeam > tables.teams().of(request.team()).maxQueued()) {
+            return Optional.of(Reason.QUOTA_EXCEEDED);
         }
-        boolean full = tables.jobs().open() >= tables.settings().maxOpenJobs()
-                || tables.queue().size() + request.tasks().size()
-                        > tables.settings().maxQueuedTasks();
+        // A team may fill at most as much of the queue as it leaves free, so that a flood leaves room for others.
+        int free = tables.settings().maxQueuedTasks() - tables.queue().size();
+        boolean full = tables.jobs().open() >= tables.settings().maxOpenJobs() || ofTeam > free;
         return full ? Optional.of(Reason.OVERLOADED) : Optional.empty();
     }
 
--- a/src/main/java/org/mustardlink/core/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/core/PlacementSystem.java
@@ -115,6 +115,7 @@
 
     private static void start(Tables tables, TaskRow task, TargetRow target, long now, Consumer<Command> out) {
         tables.messages().started();
+        tables.teams().started(task.job().request().orElseThrow().team());
         int attempt = task.start();
         long expectedNanos = (long) (task.expectedWork() / target.speed() * NANOS_PER_MS);
         AttemptTable.AttemptRow row = new AttemptTable.AttemptRow(task, attempt, target, now, expectedNanos);
--- a/src/main/java/org/mustardlink/core/QueueTable.java
+++ b/src/main/java/org/mustardlink/core/QueueTable.java
@@ -8,15 +8,20 @@
 /** Tasks waiting for a slot, by service. */
 final class QueueTable {
     private final Map<String, ServiceQueue> byService = new LinkedHashMap<>();
+    private final TeamTable teams;
+
+    QueueTable(TeamTable teams) {
+        this.teams = teams;
+    }
 
     /** Adds every task of a job. */
     void add(String service, JobRow job) {
-        byService.computeIfAbsent(service, _unused -> new ServiceQueue()).add(job);
+        byService.computeIfAbsent(service, _unused -> new ServiceQueue(teams)).add(job);
     }
 
     /** Puts a task that certainly did not start back in front. */
     void addRetry(String service, TaskRow task) {
-        byService.computeIfAbsent(service, _unused -> new ServiceQueue()).addRetry(task);
+        byService.computeIfAbsent(service, _unused -> new ServiceQueue(teams)).addRetry(task);
     }
 
     /** Removes every queued task of a job. */
@@ -24,6 +29,19 @@
         Optional.ofNullable(byService.get(service)).ifPresent(queue -> queue.remove(job));
     }
 
+    /** Returns the longest queued task of a job that was not tried before, if there is one. */
+    Optional<TaskRow> longest(JobRow job) {
+        return find(job.request().orElseThrow().service()).flatMap(queue -> queue.longest(job));
+    }
+
+    /** Returns the queued tasks of a team at a service. */
+    int queued(String service, String team) {
+        return find(service)
+                .flatMap(queue -> queue.team(team))
+                .map(TeamFlow::size)
+                .orElse(0);
+    }
+
     int size() {
         return byService.values().stream().mapToInt(ServiceQueue::size).sum();
     }
--- a/src/main/java/org/mustardlink/core/Tables.java
+++ b/src/main/java/org/mustardlink/core/Tables.java
@@ -10,7 +10,9 @@
     private final JobTable jobs = new JobTable();
     private final TargetTable targets = new TargetTable();
     private final AttemptTable attempts = new AttemptTable();
-    private final QueueTable queue = new QueueTable();
+    private final TeamTable teams = new TeamTable();
+    private final QueueTable queue = new QueueTable(teams);
+    private final Backlog backlog = new Backlog(this);
     private final Estimates estimates = new Estimates();
     private final MessageBudget messages = new MessageBudget(MESSAGES_PER_START, 20);
     private final ShareTable shares;
@@ -59,6 +61,14 @@
         return messages;
     }
 
+    TeamTable teams() {
+        return teams;
+    }
+
+    Backlog backlog() {
+        return backlog;
+    }
+
     boolean stopping() {
         return stopping;
     }
--- a/src/main/java/org/mustardlink/core/TargetTable.java
+++ b/src/main/java/org/mustardlink/core/TargetTable.java
@@ -73,11 +73,25 @@
     double capacity(String service) {
         double capacity = 0;
         for (TargetRow row : of(service)) {
-            capacity += row.share() * row.speed();
+            capacity += row.isAlive() ? row.share() * row.speed() : 0;
         }
         return capacity;
     }
 
+    /** Returns the highest speed among the targets of a service that take new work; 1 if there is none. */
+    double fastestSpeed(String service) {
+        double fastest = 0;
+        for (TargetRow row : of(service)) {
+            fastest = Math.max(fastest, row.isAlive() && row.share() > 0 ? row.speed() : 0);
+        }
+        return fastest > 0 ? fastest : 1;
+    }
+
+    /** Returns whether any target of a service takes new work. */
+    boolean takesWork(String service) {
+        return of(service).stream().anyMatch(TargetRow::isAlive);
+    }
+
     boolean serves(String service) {
         return byService.containsKey(service);
     }
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -34,6 +34,7 @@
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.core.Verdict;
 import org.mustardlink.core.policy.ExpectedFinish;
+import org.mustardlink.core.policy.StandardPolicies;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.observe.EntryObserver;
@@ -77,7 +78,7 @@
         platform = PlatformClient.create(
                 platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
-        DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
+        DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), StandardPolicies.with(placement));
         loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
         config = new HostConfig(settings, Clock.systemUTC(), loop::post, this::closeIdle);
--- a/src/test/java/org/mustardlink/core/CorePropertyTest.java
+++ b/src/test/java/org/mustardlink/core/CorePropertyTest.java
@@ -8,6 +8,7 @@
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
 import org.mustardlink.core.policy.ExpectedFinish;
+import org.mustardlink.core.policy.StandardPolicies;
 
 /** Properties of the pure core over random jobs, targets and faults; {@link FakeTargets} checks every command. */
 class CorePropertyTest {
@@ -38,7 +39,8 @@
 
     private static FakeTargets targets(Random random, int count) {
         double[] speeds = random.doubles(count, 0.5, 2.5).toArray();
-        return new FakeTargets(DispatchCore.create(CoreSettings.defaults("entry", 1), ExpectedFinish.create()))
+        return new FakeTargets(DispatchCore.create(
+                        CoreSettings.defaults("entry", 1), StandardPolicies.with(ExpectedFinish.create())))
                 .declare(1 + random.nextInt(4), speeds);
     }
 
--- a/src/test/java/org/mustardlink/core/ShareTest.java
+++ b/src/test/java/org/mustardlink/core/ShareTest.java
@@ -57,8 +57,9 @@
     }
 
     private static DispatchCore core(String host) {
-        DispatchCore core =
-                DispatchCore.create(CoreSettings.defaults(host, 1), PlacementPolicy.fastestFree(), SlotSharing.MOVING);
+        DispatchCore core = DispatchCore.create(
+                CoreSettings.defaults(host, 1),
+                Policies.of(PlacementPolicy.fastestFree()).withSharing(SlotSharing.MOVING));
         new FakeTargets(core).declare(8, 1, 1, 1).send(new Event.EntryHostsKnown(HOSTS.get(host), HOSTS));
         return core;
     }
