--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -88,7 +88,7 @@
                 settings.limits().callerThreads(),
                 settings.limits().maxBodyBytes(),
                 this);
-        operatorApi = OperatorApi.start(settings.operator());
+        operatorApi = OperatorApi.start(settings.operator(), settings.operatorSecret());
         pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
         pages.section("hosts", () -> Maps.transformValues(peerAddresses, Addresses::format));
         pages.registerAt(operatorApi);
@@ -98,7 +98,7 @@
         refreshPeers();
         observer.log()
                 .line(LogEvent.HOST_STARTED)
-                .with(LogField.INCARNATION, incarnation)
+                .with(LogField.INCARNATION, Long.toString(incarnation))
                 .with(LogField.CALLER_ADDRESS, Addresses.format(callerAddress()))
                 .with(LogField.OPERATOR_ADDRESS, Addresses.format(operatorAddress()))
                 .with(LogField.PEER_ADDRESS, Addresses.format(peerAddress()))
