--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -33,6 +33,7 @@
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.core.Verdict;
 import org.mustardlink.core.policy.ExpectedFinish;
+import org.mustardlink.core.policy.StandardPolicies;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.membership.Membership;
@@ -79,7 +80,7 @@
                 platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
         members = new EntryMembership(observer.log());
-        DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
+        DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), StandardPolicies.with(placement));
         loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
         config = new HostConfig(settings, Clock.systemUTC(), loop::post, this::closeIdle);
