--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -1,20 +1,29 @@
 package org.mustardlink.api;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Future;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
+import org.mustardlink.claims.SubmissionKey;
+import org.mustardlink.core.JobRequest;
 import org.mustardlink.core.Outcome;
 import org.mustardlink.core.Reason;
 import org.mustardlink.core.SubmissionId;
 import org.mustardlink.core.Verdict;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.BodyReader;
 import org.mustardlink.http.HttpServers;
 import org.mustardlink.http.Json;
 
@@ -22,10 +31,20 @@
 public final class CallerApi implements AutoCloseable {
     private static final String JOBS = "/v1/jobs";
     private static final String JSON = "application/json";
-    private static final int MAX_BODY_BYTES = 4 << 20;
+    private static final BodyReader.Limits BODY_LIMITS =
+            new BodyReader.Limits(4 << 20, 48 << 20, Duration.ofSeconds(10));
+    /** Requests without an answer at once; each costs about a kilobyte besides its body. */
+    private static final int MAX_OPEN_REQUESTS = 20_000;
+
+    private static final Duration DRAIN_GRACE = Duration.ofSeconds(1);
     private static final int THREADS = 4;
+    private static final Duration BUSY_RETRY_AFTER = Duration.ofSeconds(1);
+    /** Most characters of a request that an error message repeats. */
+    private static final int MAX_ECHO = 200;
 
     private final CallerBackend backend;
+    private final BodyReader bodies = new BodyReader(BODY_LIMITS);
+    private final AtomicInteger open = new AtomicInteger();
     private final HttpServer server;
 
     private CallerApi(InetSocketAddress address, CallerBackend backend) {
@@ -48,9 +67,29 @@
         return HttpServers.address(server);
     }
 
-    /** Stops accepting requests and ends the server after the grace. */
-    public void shutdown(Duration grace) {
-        Future<?> _stopping = server.shutdown(grace.toMillis(), TimeUnit.MILLISECONDS);
+    /** Returns the number of requests without an answer. */
+    public int openRequests() {
+        return open.get();
+    }
+
+    /**
+     * Waits until every request has its answer, then closes the connections once their last bytes are out.
+     *
+     * @param longest longest time to wait
+     */
+    public void drain(Duration longest) {
+        long end = System.nanoTime() + longest.toNanos();
+        while (open.get() > 0 && System.nanoTime() < end) {
+            Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(5));
+        }
+        try {
+            HttpServer _stopped = server.shutdown(DRAIN_GRACE.toMillis(), TimeUnit.MILLISECONDS)
+                    .get(2 * DRAIN_GRACE.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        } catch (ExecutionException | TimeoutException e) {
+            server.shutdownNow();
+        }
     }
 
     @Override
@@ -74,98 +113,120 @@
      */
     public record SessionDocument(String session, String owner) {}
 
+    /** A whole answer. */
+    private record Reply(int status, String contentType, String body, Optional<Duration> retryAfter) {
+        static Reply json(int status, Object document) {
+            return new Reply(status, JSON, Json.write(document), Optional.empty());
+        }
+    }
+
     private void handle(Request request, Response response) {
+        response.suspend();
+        CompletableFuture<Reply> reply = open.incrementAndGet() > MAX_OPEN_REQUESTS
+                ? CompletableFuture.failedFuture(new CodedException(ErrorCode.TOO_BUSY, "too many requests are open"))
+                : routeSafely(request);
+        CompletableFuture<Reply> _answered = reply.whenComplete((value, failure) -> {
+            try {
+                write(response, failure == null ? value : errorOf(failure));
+            } finally {
+                open.decrementAndGet();
+            }
+        });
+    }
+
+    private CompletableFuture<Reply> routeSafely(Request request) {
         try {
-            route(request, response);
-        } catch (CodedException e) {
-            writeError(response, e);
+            return route(request);
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
         }
     }
 
-    private void route(Request request, Response response) {
+    private CompletableFuture<Reply> route(Request request) {
         String path = request.getRequestURI();
         String method = request.getMethod().getMethodString();
         if (path.equals("/v1/sessions") && method.equals("POST")) {
-            answerLater(response, backend.openSession(), answer -> writeSession(response, answer));
-        } else if (path.equals(JOBS) && method.equals("POST")) {
-            submit(request, response);
-        } else if (path.startsWith(JOBS + '/') && method.equals("GET")) {
-            SubmissionId id = submissionOf(path);
-            answerLater(response, backend.lookUp(id), answer -> writeAnswer(response, id, answer));
-        } else if (path.startsWith(JOBS + '/') && method.equals("DELETE")) {
-            SubmissionId id = submissionOf(path);
-            answerLater(response, backend.cancel(id), answer -> writeAnswer(response, id, answer));
-        } else if (path.equals("/health") && method.equals("GET")) {
+            return backend.openSession().thenApply(this::sessionReply);
+        }
+        if (path.equals(JOBS) && method.equals("POST")) {
+            return submit(request);
+        }
+        if (path.startsWith(JOBS + '/') && method.equals("GET")) {
+            SubmissionId id = submissionOf(path.substring(JOBS.length() + 1));
+            return backend.lookUp(id).thenApply(answer -> jobReply(id.toString(), answer));
+        }
+        if (path.startsWith(JOBS + '/') && method.equals("DELETE")) {
+            SubmissionId id = submissionOf(path.substring(JOBS.length() + 1));
+            return backend.cancel(id).thenApply(answer -> jobReply(id.toString(), answer));
+        }
+        if (path.equals("/health") && method.equals("GET")) {
             boolean healthy = backend.healthy();
-            HttpServers.write(response, healthy ? 200 : 503, "text/plain", healthy ? "ok" : "leaving");
-        } else {
-            throw new CodedException(ErrorCode.NOT_FOUND, "no such path or method: " + method + ' ' + path);
+            return CompletableFuture.completedFuture(
+                    new Reply(healthy ? 200 : 503, "text/plain", healthy ? "ok" : "leaving", Optional.empty()));
         }
+        throw new CodedException(ErrorCode.NOT_FOUND, "no such path or method: " + cut(method + ' ' + path));
+    }
+
+    private CompletableFuture<Reply> submit(Request request) {
+        return bodies.read(request)
+                .thenCompose(body -> submit(body.text()).whenComplete((_reply, _failure) -> body.release()));
     }
 
-    private void submit(Request request, Response response) {
-        String body = HttpServers.readBody(request, MAX_BODY_BYTES);
-        JobDocument document = JobDocument.parse(body);
-        if (document.submission() == null) {
-            throw new CodedException(ErrorCode.BAD_REQUEST, "submission is missing");
+    private CompletableFuture<Reply> submit(String body) {
+        try {
+            JobDocument document = JobDocument.parse(body);
+            JobRequest job = document.toRequest();
+            if ((document.submission() == null) == (document.key() == null)) {
+                throw new CodedException(ErrorCode.BAD_REQUEST, "a job has either a submission or a key");
+            }
+            if (document.key() != null) {
+                return backend.submitKeyed(keyOf(document.key()), job, body).thenApply(CallerApi::keyedReply);
+            }
+            SubmissionId id = submissionOf(document.submission().session()
+                    + '/'
+                    + document.submission().sequence());
+            return backend.submit(id, job, body).thenApply(answer -> jobReply(id.toString(), answer));
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
         }
-        SubmissionId id = submissionOf(JOBS
-                + '/'
-                + document.submission().session()
-                + '/'
-                + document.submission().sequence());
-        answerLater(
-                response, backend.submit(id, document.toRequest(), body), answer -> writeAnswer(response, id, answer));
     }
 
-    private static SubmissionId submissionOf(String path) {
+    private static SubmissionId submissionOf(String text) {
         try {
-            return SubmissionId.parse(path.substring(JOBS.length() + 1));
+            return SubmissionId.parse(text);
         } catch (IllegalArgumentException e) {
-            throw new CodedException(ErrorCode.BAD_REQUEST, "malformed submission id: " + e.getMessage(), e);
+            throw new CodedException(ErrorCode.BAD_REQUEST, "malformed submission id: " + cut(e.getMessage()), e);
         }
     }
 
-    private static <T> void answerLater(Response response, CompletableFuture<T> answer, Writer<T> writer) {
-        response.suspend();
-        CompletableFuture<T> _answered = answer.whenComplete((value, failure) -> {
-            try {
-                if (failure == null) {
-                    writer.write(value);
-                } else {
-                    writeError(response, new CodedException(ErrorCode.INTERNAL, "internal error", failure));
-                }
-            } catch (CodedException e) {
-                // The caller went away; there is nobody to tell.
-                response.getRequest().getContext().getConnection().terminateSilently();
-            } finally {
-                response.resume();
-            }
-        });
+    private static SubmissionKey keyOf(String text) {
+        try {
+            return SubmissionKey.parse(text);
+        } catch (IllegalArgumentException e) {
+            throw new CodedException(ErrorCode.BAD_REQUEST, e.getMessage(), e);
+        }
     }
 
-    private void writeSession(Response response, SessionAnswer answer) {
+    private Reply sessionReply(SessionAnswer answer) {
         if (answer instanceof SessionAnswer.Granted granted) {
             String owner = backend.ownerAddress(granted.session());
-            SessionDocument document = new SessionDocument(granted.session().toString(), owner);
-            HttpServers.write(response, 200, JSON, Json.write(document));
-        } else if (answer instanceof SessionAnswer.Refused refused) {
-            Verdict verdict = Verdict.failed(refused.reason());
-            HttpServers.write(response, 503, JSON, Json.write(VerdictDocument.of("", verdict)));
+            return Reply.json(200, new SessionDocument(granted.session().toString(), owner));
         }
+        Verdict verdict = Verdict.failed(((SessionAnswer.Refused) answer).reason());
+        return Reply.json(503, VerdictDocument.of("", verdict));
     }
 
-    private static void writeAnswer(Response response, SubmissionId id, JobAnswer answer) {
+    private static Reply keyedReply(KeyedAnswer keyed) {
+        return jobReply(keyed.submission().map(SubmissionId::toString).orElse(""), keyed.answer());
+    }
+
+    private static Reply jobReply(String submission, JobAnswer answer) {
         if (answer instanceof JobAnswer.Final result) {
             Verdict verdict = result.verdict();
-            verdict.retryAfter()
-                    .ifPresent(
-                            after -> response.setHeader("Retry-After", Long.toString(Math.max(1, after.toSeconds()))));
-            String body = Json.write(VerdictDocument.of(id.toString(), verdict));
-            HttpServers.write(response, statusOf(verdict), JSON, body);
-        } else {
-            writeError(response, new CodedException(ErrorCode.NOT_FOUND, "never submitted: " + id));
+            String document = Json.write(VerdictDocument.of(submission, verdict));
+            return new Reply(statusOf(verdict), JSON, document, verdict.retryAfter());
         }
+        return errorOf(new CodedException(ErrorCode.NOT_FOUND, "never submitted: " + submission));
     }
 
     private static int statusOf(Verdict verdict) {
@@ -178,19 +239,49 @@
         return verdict.outcome() == Outcome.NOT_RUN ? 503 : 502;
     }
 
-    private static void writeError(Response response, CodedException error) {
+    private static Reply errorOf(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        CodedException error = cause instanceof CodedException coded
+                ? coded
+                : new CodedException(ErrorCode.INTERNAL, "internal error", cause);
         int status =
                 switch (error.code()) {
                     case BAD_REQUEST -> 400;
                     case NOT_FOUND -> 404;
+                    case BODY_TIMEOUT -> 408;
                     case BODY_TOO_LARGE -> 413;
+                    case TOO_BUSY -> 429;
                     default -> 500;
                 };
-        HttpServers.write(response, status, JSON, Json.write(new ErrorDocument(error.code(), error.getMessage())));
+        Optional<Duration> retryAfter = status == 429 ? Optional.of(BUSY_RETRY_AFTER) : Optional.empty();
+        String document = Json.write(new ErrorDocument(error.code(), error.getMessage()));
+        return new Reply(status, JSON, document, retryAfter);
+    }
+
+    private void write(Response response, Reply reply) {
+        Connection<?> connection = response.getRequest().getContext().getConnection();
+        // The rest of a body that was not read would be taken for the next request.
+        boolean unread = reply.status() == 408 || reply.status() == 413 || reply.status() == 429;
+        boolean last = unread || !backend.healthy();
+        try {
+            reply.retryAfter()
+                    .ifPresent(
+                            after -> response.setHeader("Retry-After", Long.toString(Math.max(1, after.toSeconds()))));
+            if (last) {
+                response.setHeader("Connection", "close");
+            }
+            HttpServers.write(response, reply.status(), reply.contentType(), reply.body());
+            response.resume();
+            if (unread) {
+                connection.closeSilently();
+            }
+        } catch (CodedException | IllegalStateException e) {
+            // The caller went away; there is nobody to tell.
+            connection.terminateSilently();
+        }
     }
 
-    @FunctionalInterface
-    private interface Writer<T> {
-        void write(T value);
+    private static String cut(String text) {
+        return text.length() <= MAX_ECHO ? text : text.substring(0, MAX_ECHO) + "...";
     }
 }
--- a/src/main/java/org/mustardlink/api/CallerBackend.java
+++ b/src/main/java/org/mustardlink/api/CallerBackend.java
@@ -1,6 +1,7 @@
 package org.mustardlink.api;
 
 import java.util.concurrent.CompletableFuture;
+import org.mustardlink.claims.SubmissionKey;
 import org.mustardlink.core.JobRequest;
 import org.mustardlink.core.SessionId;
 import org.mustardlink.core.SubmissionId;
@@ -19,6 +20,15 @@
      */
     CompletableFuture<JobAnswer> submit(SubmissionId id, JobRequest request, String document);
 
+    /**
+     * Submits a job under a key that the caller made up, or attaches to an earlier copy of it.
+     *
+     * @param key the key
+     * @param request the job
+     * @param document the job as received, for forwarding
+     */
+    CompletableFuture<KeyedAnswer> submitKeyed(SubmissionKey key, JobRequest request, String document);
+
     /** Waits for the verdict of an earlier submission. */
     CompletableFuture<JobAnswer> lookUp(SubmissionId id);
 
--- a/src/main/java/org/mustardlink/api/JobDocument.java
+++ b/src/main/java/org/mustardlink/api/JobDocument.java
@@ -15,7 +15,8 @@
 /**
  * A job as callers send it.
  *
- * @param submission the submission id that the caller chose
+ * @param submission the submission id that the caller chose; absent when there is a key
+ * @param key a key that the caller made up in place of a submission id
  * @param service the service
  * @param team the team
  * @param jobClass the class; absent means {@code default}
@@ -25,6 +26,7 @@
  */
 public record JobDocument(
         SubmissionDocument submission,
+        String key,
         String service,
         String team,
         @JsonProperty("class") String jobClass,
--- /dev/null
+++ b/src/main/java/org/mustardlink/claims/ClaimLog.java
@@ -0,0 +1,208 @@
+package org.mustardlink.claims;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.mustardlink.core.SubmissionId;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.platform.LogPage;
+import org.mustardlink.platform.LogService;
+
+/**
+ * Claims keys in the stream {@code claims} of the platform's log. Thread-safe.
+ *
+ * <p>The first claim of a key in log order wins. A claim is settled only when it has been read back with everything
+ * before it, whatever the answer to the append was, so that a lost answer needs no case of its own. Keys that wait at the
+ * same time share one append.
+ */
+public final class ClaimLog implements AutoCloseable {
+    /** Stream that claims are appended to. */
+    public static final String STREAM = "claims";
+
+    private static final int PAGE = 1000;
+    private static final Duration WAIT = Duration.ofSeconds(5);
+    private static final Duration RETRY_PAUSE = Duration.ofMillis(100);
+
+    private final LogService log;
+    private final ClaimSettings settings;
+    private final LongSupplier wallMs;
+    private final ClaimTable table;
+    private final Map<SubmissionKey, CompletableFuture<ClaimResult>> pending = new HashMap<>();
+    private final Queue<Waiting> waiting = new ArrayDeque<>();
+    private boolean appending;
+    private volatile boolean closed;
+
+    private record Waiting(SubmissionKey key, String record) {}
+
+    private ClaimLog(LogService log, ClaimSettings settings, LongSupplier wallMs) {
+        this.log = log;
+        this.settings = settings;
+        this.wallMs = wallMs;
+        this.table = new ClaimTable(settings);
+    }
+
+    /**
+     * Starts to follow the log from its earliest record.
+     *
+     * @param wallMs the wall clock in milliseconds since the epoch
+     */
+    public static ClaimLog start(LogService log, ClaimSettings settings, LongSupplier wallMs) {
+        ClaimLog claims = new ClaimLog(log, settings, wallMs);
+        claims.read();
+        return claims;
+    }
+
+    /** Returns what is known about a key without claiming it; empty means that it has to be claimed. */
+    public synchronized Optional<ClaimResult> find(SubmissionKey key) {
+        long now = wallMs.getAsLong();
+        long ahead = key.createdMs() - now - settings.maxClockSkew().toMillis();
+        if (ahead > 0) {
+            // Another entry host's clock may be ahead of this one, so "not run" could be false.
+            return Optional.of(new ClaimResult.Unsettled(Duration.ofMillis(ahead)));
+        }
+        if (table.isExpired(key, now)) {
+            return Optional.of(new ClaimResult.Expired());
+        }
+        return table.find(key).map(ClaimResult.Settled::new);
+    }
+
+    /**
+     * Claims a key unless its first claim is known.
+     *
+     * @param key the key
+     * @param own a new submission of this entry host, never used for anything else
+     * @param timeout longest time to wait, positive
+     */
+    public CompletableFuture<ClaimResult> claim(SubmissionKey key, SubmissionId own, Duration timeout) {
+        CompletableFuture<ClaimResult> result;
+        synchronized (this) {
+            Optional<ClaimResult> known = find(key);
+            if (known.isPresent()) {
+                return CompletableFuture.completedFuture(known.get());
+            }
+            if (pending.size() >= settings.maxPending() && !pending.containsKey(key)) {
+                return CompletableFuture.completedFuture(unsettled());
+            }
+            result = pending.computeIfAbsent(key, _unused -> enqueue(key, own));
+        }
+        append();
+        // The copy keeps one caller's short deadline from ending the wait of the others.
+        long waitMs = Math.max(
+                1, Math.min(timeout.toMillis(), settings.settleTimeout().toMillis()));
+        return result.copy().completeOnTimeout(unsettled(), waitMs, TimeUnit.MILLISECONDS);
+    }
+
+    /** Returns the number of claims in memory. */
+    public synchronized int size() {
+        return table.size();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+
+    private CompletableFuture<ClaimResult> enqueue(SubmissionKey key, SubmissionId own) {
+        waiting.add(new Waiting(key, ClaimRecord.write(key, own, wallMs.getAsLong())));
+        CompletableFuture<ClaimResult> result = new CompletableFuture<>();
+        CompletableFuture<ClaimResult> _bounded = result.completeOnTimeout(
+                        unsettled(), settings.settleTimeout().toMillis(), TimeUnit.MILLISECONDS)
+                .whenComplete((_result, _failure) -> forget(key, result));
+        return result;
+    }
+
+    private synchronized void forget(SubmissionKey key, CompletableFuture<ClaimResult> result) {
+        pending.remove(key, result);
+    }
+
+    private void append() {
+        List<Waiting> batch = nextBatch();
+        if (batch.isEmpty()) {
+            return;
+        }
+        ImmutableList<String> records = batch.stream().map(Waiting::record).collect(ImmutableList.toImmutableList());
+        CompletableFuture<Long> _appended = log.append(STREAM, records).whenComplete((_offset, failure) -> {
+            synchronized (this) {
+                appending = false;
+            }
+            if (failure != null && isNotSent(failure)) {
+                batch.forEach(claim -> finish(claim.key(), unsettled()));
+            }
+            append();
+        });
+    }
+
+    private synchronized List<Waiting> nextBatch() {
+        List<Waiting> batch = new ArrayList<>();
+        if (appending || closed) {
+            return batch;
+        }
+        while (batch.size() < settings.maxBatch() && !waiting.isEmpty()) {
+            Waiting claim = waiting.remove();
+            // A claim whose callers have all been answered is not worth an append.
+            if (pending.containsKey(claim.key())) {
+                batch.add(claim);
+            }
+        }
+        appending = !batch.isEmpty();
+        return batch;
+    }
+
+    private void read() {
+        if (closed) {
+            return;
+        }
+        long from;
+        synchronized (this) {
+            from = table.next();
+        }
+        CompletableFuture<LogPage> _read = log.read(STREAM, from, PAGE, WAIT).whenComplete((page, failure) -> {
+            if (failure != null) {
+                CompletableFuture.delayedExecutor(RETRY_PAUSE.toMillis(), TimeUnit.MILLISECONDS)
+                        .execute(this::read);
+                return;
+            }
+            settle(page);
+            read();
+        });
+    }
+
+    private void settle(LogPage page) {
+        Map<CompletableFuture<ClaimResult>, ClaimResult> settled = new HashMap<>();
+        synchronized (this) {
+            table.apply(page, wallMs.getAsLong());
+            pending.forEach((key, result) -> find(key).ifPresent(known -> settled.put(result, known)));
+        }
+        settled.forEach(CompletableFuture::complete);
+    }
+
+    private void finish(SubmissionKey key, ClaimResult result) {
+        CompletableFuture<ClaimResult> waiter;
+        synchronized (this) {
+            waiter = pending.get(key);
+        }
+        if (waiter != null) {
+            waiter.complete(result);
+        }
+    }
+
+    private ClaimResult unsettled() {
+        return new ClaimResult.Unsettled(settings.retryAfter());
+    }
+
+    private static boolean isNotSent(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        return cause instanceof CodedException coded && coded.code() == ErrorCode.NOT_SENT;
+    }
+}
--- a/src/main/java/org/mustardlink/core/AttemptOutcomes.java
+++ b/src/main/java/org/mustardlink/core/AttemptOutcomes.java
@@ -7,6 +7,9 @@
     /** Pause before a target that refused a start is tried again, in nanoseconds. */
     private static final long REFUSAL_PAUSE_NANOS = 20_000_000;
 
+    /** Pause of a target that went silent; a new connection is tried after it. */
+    private static final long SILENCE_PAUSE_NANOS = 1_000_000_000;
+
     private final Tables tables;
 
     AttemptOutcomes(Tables tables) {
@@ -20,10 +23,15 @@
         });
     }
 
+    void targetSilent(Event.TargetSilent event, long now) {
+        tables.targets().find(event.target()).ifPresent(target -> target.block(now + SILENCE_PAUSE_NANOS));
+    }
+
     private void apply(AttemptTable.AttemptRow attempt, AttemptResult result, long now, Consumer<Command> out) {
         TaskRow task = attempt.task();
         JobRow job = task.job();
-        if (result instanceof AttemptResult.NotStarted) {
+        if (result instanceof AttemptResult.NotStarted refused
+                && refused.cause() != AttemptResult.NotStartedCause.HOST_PAUSED) {
             attempt.target().block(now + REFUSAL_PAUSE_NANOS);
         }
         if (!job.isOpen()) {
--- a/src/main/java/org/mustardlink/core/AttemptResult.java
+++ b/src/main/java/org/mustardlink/core/AttemptResult.java
@@ -56,6 +56,8 @@
         /** The target is draining. */
         DRAINING,
         /** No connection could be opened, so no byte was sent. */
-        NO_CONNECTION
+        NO_CONNECTION,
+        /** This entry host was paused between the decision and the sending. */
+        HOST_PAUSED
     }
 }
--- a/src/main/java/org/mustardlink/core/Command.java
+++ b/src/main/java/org/mustardlink/core/Command.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import java.time.Duration;
 
 /** Something that the core asks the I/O layer to do. */
@@ -51,6 +52,23 @@
      */
     record ReportUnused(long requester, SubmissionId id) implements Command {}
 
+    /**
+     * Hands every closed session over to another entry host. Nothing of them starts or changes any more.
+     *
+     * @param sessions the sessions
+     * @param answers the kept answers
+     */
+    record HandOver(ImmutableList<SessionSnapshot> sessions, ImmutableList<AnswerSnapshot> answers)
+            implements Command {}
+
+    /**
+     * Tells a stopping entry host whether its sessions were taken over.
+     *
+     * @param requester the handle of the request
+     * @param accepted whether this entry host answers for them from now on
+     */
+    record InheritanceSettled(long requester, boolean accepted) implements Command {}
+
     /**
      * Tells a requester its new session.
      *
--- a/src/main/java/org/mustardlink/core/DispatchCore.java
+++ b/src/main/java/org/mustardlink/core/DispatchCore.java
@@ -19,12 +19,14 @@
     private final Tables tables;
     private final Intake intake;
     private final AttemptOutcomes outcomes;
+    private final Succession succession;
     private final ImmutableList<DispatchSystem> systems;
 
     private DispatchCore(CoreSettings settings, PlacementPolicy placement) {
         this.tables = new Tables(settings);
         this.intake = new Intake(tables);
         this.outcomes = new AttemptOutcomes(tables);
+        this.succession = new Succession(tables);
         this.systems = ImmutableList.of(new DeadlineSystem(), new PlacementSystem(placement), new RetentionSystem());
     }
 
@@ -84,8 +86,26 @@
             tables.targets().declare(declared.targets());
         } else if (event instanceof Event.TargetsDraining draining) {
             tables.targets().drain(draining.targets());
-        } else if (event instanceof Event.StopRequested) {
+        } else if (event instanceof Event.TargetSilent silent) {
+            outcomes.targetSilent(silent, now);
+        } else {
+            applyLifecycle(event, now, out);
+        }
+    }
+
+    private void applyLifecycle(Event event, long now, Consumer<Command> out) {
+        if (event instanceof Event.StopRequested) {
             tables.stop();
+        } else if (event instanceof Event.GraceEnded) {
+            succession.endGrace(now, out);
+        } else if (event instanceof Event.HandoverRequested) {
+            succession.handOver(now, out);
+        } else if (event instanceof Event.SessionsInherited inherited) {
+            succession.inherit(inherited, now, out);
+        } else if (event instanceof Event.StartsHeld) {
+            tables.holdStarts(true);
+        } else if (event instanceof Event.StartsResumed) {
+            tables.holdStarts(false);
         }
     }
 }
--- a/src/main/java/org/mustardlink/core/Event.java
+++ b/src/main/java/org/mustardlink/core/Event.java
@@ -83,4 +83,37 @@
 
     /** The entry host was asked to stop: no new session or submission is accepted from now on. */
     record StopRequested() implements Event {}
+
+    /** The time to finish is over: every open job is settled now. */
+    record GraceEnded() implements Event {}
+
+    /**
+     * Settles every open job as {@link GraceEnded} does and closes every session for good. A {@link Command.HandOver}
+     * follows.
+     */
+    record HandoverRequested() implements Event {}
+
+    /**
+     * A stopping entry host handed its closed sessions over. A {@link Command.InheritanceSettled} follows.
+     *
+     * @param requester handle that the answer is delivered to
+     * @param sessions every session of that host
+     * @param answers the answers that it kept
+     */
+    record SessionsInherited(
+            long requester, ImmutableList<SessionSnapshot> sessions, ImmutableList<AnswerSnapshot> answers)
+            implements Event {}
+
+    /** The process may have been paused: nothing is started until {@link StartsResumed}. */
+    record StartsHeld() implements Event {}
+
+    /** Everything that may have changed during a pause was checked again. */
+    record StartsResumed() implements Event {}
+
+    /**
+     * A target was silent for seconds on several connections.
+     *
+     * @param target id of the target
+     */
+    record TargetSilent(String target) implements Event {}
 }
--- a/src/main/java/org/mustardlink/core/Intake.java
+++ b/src/main/java/org/mustardlink/core/Intake.java
@@ -31,7 +31,10 @@
             return;
         }
         session.get().touch(now);
-        if (session.get().used().add(event.id().sequence())) {
+        if (session.get().isClosed()
+                && !session.get().used().contains(event.id().sequence())) {
+            deliver(event.requester(), event.id(), closed(), out);
+        } else if (session.get().used().add(event.id().sequence())) {
             accept(session.get(), event, now, out);
         } else {
             resubmit(event, out);
@@ -81,7 +84,12 @@
             deliver(event.requester(), event.id(), Verdict.failed(Reason.SESSION_UNKNOWN), out);
             return;
         }
-        if (!session.get().used().contains(event.id().sequence())) {
+        boolean unused = !session.get().used().contains(event.id().sequence());
+        if (unused && session.get().isClosed()) {
+            deliver(event.requester(), event.id(), closed(), out);
+            return;
+        }
+        if (unused) {
             out.accept(new Command.ReportUnused(event.requester(), event.id()));
             return;
         }
@@ -94,6 +102,11 @@
             deliver(event.requester(), event.id(), Verdict.failed(Reason.SESSION_UNKNOWN), out);
             return;
         }
+        if (session.get().isClosed()
+                && !session.get().used().contains(event.id().sequence())) {
+            deliver(event.requester(), event.id(), closed(), out);
+            return;
+        }
         if (session.get().used().add(event.id().sequence())) {
             // Cancelling a number that has not arrived yet seals it, so a late copy of the submission never starts.
             Settlement.seal(tables, event.id(), Verdict.failed(Reason.CANCELLED), now);
@@ -105,6 +118,10 @@
         attach(event.requester(), event.id(), known, out);
     }
 
+    private static Verdict closed() {
+        return Verdict.failed(Reason.SESSION_CLOSED);
+    }
+
     void forget(Event.RequesterGone event) {
         tables.jobs().find(event.id()).ifPresent(job -> job.waiters().remove(event.requester()));
     }
--- a/src/main/java/org/mustardlink/core/JobRequest.java
+++ b/src/main/java/org/mustardlink/core/JobRequest.java
@@ -28,16 +28,39 @@
     /** Most tasks in one job. */
     public static final int MAX_TASKS = 210;
 
+    /** Longest name of a service, team or class, in characters. */
+    public static final int MAX_NAME_LENGTH = 128;
+
+    /** Longest deadline. */
+    public static final Duration MAX_DEADLINE = Duration.ofHours(1);
+
     public JobRequest {
-        checkArgument(!service.isEmpty(), "service must not be empty");
-        checkArgument(!team.isEmpty(), "team must not be empty");
-        checkArgument(!jobClass.isEmpty(), "class must not be empty");
-        checkArgument(!deadline.isNegative() && !deadline.isZero(), "deadline must be positive: %s", deadline);
+        checkName("service", service);
+        checkName("team", team);
+        checkName("class", jobClass);
+        checkArgument(
+                !deadline.isNegative() && !deadline.isZero() && deadline.compareTo(MAX_DEADLINE) <= 0,
+                "deadline must be positive and at most %s: %s",
+                MAX_DEADLINE,
+                deadline);
         checkNotNull(tasks, "tasks");
         checkArgument(
                 !tasks.isEmpty() && tasks.size() <= MAX_TASKS, "a job has 1 to %s tasks: %s", MAX_TASKS, tasks.size());
     }
 
+    private static void checkName(String what, String name) {
+        checkArgument(
+                !name.isEmpty() && name.length() <= MAX_NAME_LENGTH,
+                "%s must have 1 to %s characters",
+                what,
+                MAX_NAME_LENGTH);
+    }
+
+    /** Returns the same job with another deadline. */
+    public JobRequest withDeadline(Duration remaining) {
+        return new JobRequest(service, team, jobClass, idempotent, remaining, tasks);
+    }
+
     /**
      * Returns a fingerprint of everything but the deadline, which legitimately shrinks when a caller resubmits.
      */
--- a/src/main/java/org/mustardlink/core/JobRow.java
+++ b/src/main/java/org/mustardlink/core/JobRow.java
@@ -3,12 +3,13 @@
 import com.google.common.collect.ImmutableList;
 import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** One submission: open until its verdict is settled, then kept for resubmissions. */
 final class JobRow {
     private final SubmissionId id;
-    private final long fingerprint;
+    private final OptionalLong fingerprint;
     private final long deadlineNanos;
     private final Optional<JobRequest> request;
     private final ImmutableList<TaskRow> tasks;
@@ -20,7 +21,7 @@
     JobRow(SubmissionId id, JobRequest request, long now) {
         this.id = id;
         this.request = Optional.of(request);
-        this.fingerprint = request.fingerprint();
+        this.fingerprint = OptionalLong.of(request.fingerprint());
         this.deadlineNanos = now + request.deadline().toNanos();
         ImmutableList.Builder<TaskRow> rows = ImmutableList.builder();
         for (int i = 0; i < request.tasks().size(); i++) {
@@ -32,9 +33,14 @@
 
     /** Creates the row of a number that was sealed without a job. */
     JobRow(SubmissionId id, long now) {
+        this(id, OptionalLong.empty(), now);
+    }
+
+    /** Creates the row of an answer whose job is not kept. */
+    JobRow(SubmissionId id, OptionalLong fingerprint, long now) {
         this.id = id;
         this.request = Optional.empty();
-        this.fingerprint = 0;
+        this.fingerprint = fingerprint;
         this.deadlineNanos = now;
         this.tasks = ImmutableList.of();
     }
@@ -47,6 +53,10 @@
         return request;
     }
 
+    OptionalLong fingerprint() {
+        return fingerprint;
+    }
+
     long deadlineNanos() {
         return deadlineNanos;
     }
@@ -68,7 +78,7 @@
     }
 
     boolean matches(JobRequest other) {
-        return request.isEmpty() || fingerprint == other.fingerprint();
+        return fingerprint.isEmpty() || fingerprint.getAsLong() == other.fingerprint();
     }
 
     boolean isOpen() {
--- a/src/main/java/org/mustardlink/core/JobTable.java
+++ b/src/main/java/org/mustardlink/core/JobTable.java
@@ -1,5 +1,6 @@
 package org.mustardlink.core;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayDeque;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -38,6 +39,16 @@
         }
     }
 
+    /** Returns the settled jobs whose answer is kept, oldest first. */
+    ImmutableList<JobRow> kept() {
+        return ImmutableList.copyOf(settled);
+    }
+
+    /** Returns the jobs without a verdict. */
+    ImmutableList<JobRow> unsettled() {
+        return rows.values().stream().filter(JobRow::isOpen).collect(ImmutableList.toImmutableList());
+    }
+
     int open() {
         return open;
     }
--- a/src/main/java/org/mustardlink/core/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/core/PlacementSystem.java
@@ -15,6 +15,9 @@
 
     @Override
     public void run(Tables tables, long now, Consumer<Command> out) {
+        if (tables.startsHeld()) {
+            return;
+        }
         for (String service : tables.queue().services()) {
             tables.queue().visit(service, task -> place(tables, service, task, now, out));
         }
--- a/src/main/java/org/mustardlink/core/SessionRow.java
+++ b/src/main/java/org/mustardlink/core/SessionRow.java
@@ -3,12 +3,18 @@
 /** One session that this incarnation owns. */
 final class SessionRow {
     private final SessionId id;
-    private final UsedNumbers used = new UsedNumbers();
+    private final UsedNumbers used;
+    private boolean closed;
     private long lastUsedNanos;
     private int openJobs;
 
     SessionRow(SessionId id, long now) {
+        this(id, new UsedNumbers(), now);
+    }
+
+    SessionRow(SessionId id, UsedNumbers used, long now) {
         this.id = id;
+        this.used = used;
         this.lastUsedNanos = now;
     }
 
@@ -24,6 +30,15 @@
         return lastUsedNanos;
     }
 
+    /** Returns whether no number of the session will ever be started again. */
+    boolean isClosed() {
+        return closed;
+    }
+
+    void close() {
+        closed = true;
+    }
+
     int openJobs() {
         return openJobs;
     }
--- a/src/main/java/org/mustardlink/core/SessionTable.java
+++ b/src/main/java/org/mustardlink/core/SessionTable.java
@@ -1,7 +1,9 @@
 package org.mustardlink.core;
 
+import com.google.common.collect.ImmutableList;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -26,6 +28,31 @@
         return row;
     }
 
+    /**
+     * Adds sessions that a stopping entry host handed over; none of them starts anything again.
+     *
+     * @return whether there was room for all of them
+     */
+    boolean inherit(List<SessionSnapshot> snapshots, long now) {
+        if (rows.size() + snapshots.size() > settings.maxSessions()) {
+            return false;
+        }
+        for (SessionSnapshot snapshot : snapshots) {
+            SessionRow row = new SessionRow(snapshot.id(), UsedNumbers.of(snapshot.used()), now);
+            row.close();
+            rows.put(row.id(), row);
+        }
+        return true;
+    }
+
+    /** Closes every session and returns all of them. */
+    ImmutableList<SessionSnapshot> closeAll() {
+        rows.values().forEach(SessionRow::close);
+        return rows.values().stream()
+                .map(row -> new SessionSnapshot(row.id(), row.used().words()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
     Optional<SessionRow> find(SessionId id) {
         return Optional.ofNullable(rows.get(id));
     }
--- a/src/main/java/org/mustardlink/core/Tables.java
+++ b/src/main/java/org/mustardlink/core/Tables.java
@@ -9,6 +9,7 @@
     private final AttemptTable attempts = new AttemptTable();
     private final QueueTable queue = new QueueTable();
     private boolean stopping;
+    private boolean startsHeld;
 
     Tables(CoreSettings settings) {
         this.settings = settings;
@@ -43,6 +44,15 @@
         return stopping;
     }
 
+    /** Returns whether nothing may be started now. */
+    boolean startsHeld() {
+        return startsHeld;
+    }
+
+    void holdStarts(boolean held) {
+        startsHeld = held;
+    }
+
     void stop() {
         stopping = true;
     }
--- a/src/main/java/org/mustardlink/core/UsedNumbers.java
+++ b/src/main/java/org/mustardlink/core/UsedNumbers.java
@@ -2,6 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.primitives.ImmutableLongArray;
+import com.google.common.primitives.Longs;
 import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
@@ -39,6 +41,30 @@
         return words != null && (words[wordOf(number)] & (1L << (number & 63))) != 0;
     }
 
+    /** Returns runs of an index and its chunk's words, for {@link #of}. */
+    ImmutableLongArray words() {
+        ImmutableLongArray.Builder builder = ImmutableLongArray.builder(chunks.size() * (WORDS + 1));
+        chunks.forEach((index, words) -> builder.add(index).addAll(Longs.asList(words)));
+        return builder.build();
+    }
+
+    /**
+     * Returns the set that {@link #words()} describes.
+     *
+     * @throws IllegalArgumentException if the words are malformed
+     */
+    static UsedNumbers of(ImmutableLongArray described) {
+        checkArgument(described.length() % (WORDS + 1) == 0, "incomplete bitmap of %s words", described.length());
+        UsedNumbers used = new UsedNumbers();
+        for (int i = 0; i < described.length(); i += WORDS + 1) {
+            long index = described.get(i);
+            checkArgument(index >= 0 && index <= SubmissionId.MAX_SEQUENCE >> CHUNK_BITS, "no such chunk: %s", index);
+            used.chunks.put(
+                    (int) index, described.subArray(i + 1, i + 1 + WORDS).toArray());
+        }
+        return used;
+    }
+
     /** Returns how many numbers were used. */
     long count() {
         return chunks.values().stream()
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -1,35 +1,42 @@
 package org.mustardlink.entry;
 
-import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.LongFunction;
 import org.mustardlink.api.CallerApi;
 import org.mustardlink.api.CallerBackend;
 import org.mustardlink.api.JobAnswer;
+import org.mustardlink.api.KeyedAnswer;
 import org.mustardlink.api.SessionAnswer;
+import org.mustardlink.claims.ClaimLog;
+import org.mustardlink.claims.ClaimSettings;
+import org.mustardlink.claims.SubmissionKey;
 import org.mustardlink.config.ConfigFeed;
 import org.mustardlink.config.EntrySettings;
+import org.mustardlink.core.AnswerSnapshot;
 import org.mustardlink.core.Command;
 import org.mustardlink.core.CoreSettings;
 import org.mustardlink.core.DispatchCore;
 import org.mustardlink.core.Event;
 import org.mustardlink.core.JobRequest;
 import org.mustardlink.core.PlacementPolicy;
-import org.mustardlink.core.Reason;
 import org.mustardlink.core.SessionId;
+import org.mustardlink.core.SessionSnapshot;
 import org.mustardlink.core.SubmissionId;
-import org.mustardlink.core.Verdict;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
+import org.mustardlink.peer.Handover;
+import org.mustardlink.peer.OwnerBackend;
 import org.mustardlink.peer.PeerClient;
 import org.mustardlink.peer.PeerServer;
 import org.mustardlink.platform.HostListing;
@@ -37,10 +44,11 @@
 import org.mustardlink.target.TargetClient;
 
 /** One entry host: everything that the daemon runs. Several can run in one process. */
-public final class EntryHost implements CallerBackend, AutoCloseable {
+public final class EntryHost implements CallerBackend, OwnerBackend, AutoCloseable {
     private static final Duration LOOKUP_TIMEOUT = Duration.ofSeconds(30);
-    private static final Duration FORWARD_MARGIN = Duration.ofMillis(500);
     private static final Duration HOSTS_PERIOD = Duration.ofSeconds(1);
+    /** The owner's deadline ends this much before the forwarder's, so that its verdict arrives in time. */
+    private static final Duration FORWARD_MARGIN = Duration.ofMillis(20);
 
     private final EntrySettings settings;
     private final long incarnation;
@@ -53,10 +61,24 @@
     private final CallerApi callerApi;
     private final PeerServer peerServer;
     private final ConfigFeed configFeed;
+    private final ListedOwners owners;
+    private final Forwarder forwarder;
+    private final ClaimLog claims;
+    private final KeyedSubmissions keyed;
+    private final PlannedStop plannedStop;
     private final AtomicLong nextRequester = new AtomicLong();
     private final Map<Long, Consumer<Command>> requesters = new ConcurrentHashMap<>();
-    private volatile ImmutableMap<String, InetSocketAddress> peerAddresses = ImmutableMap.of();
+    private final Set<Incarnation> inherited = ConcurrentHashMap.newKeySet();
+    private final CompletableFuture<Handover> handover = new CompletableFuture<>();
     private volatile boolean leaving;
+    private volatile boolean closed;
+
+    /** One process of an entry host. */
+    record Incarnation(String host, long number) {
+        static Incarnation of(SessionId session) {
+            return new Incarnation(session.host(), session.incarnation());
+        }
+    }
 
     private EntryHost(EntrySettings settings, long incarnation) {
         this.settings = settings;
@@ -64,17 +86,24 @@
         targetRequester = HttpRequester.start(
                 new HttpRequester.Limits(21, 4096, Duration.ofMillis(500), Duration.ofSeconds(30), 2));
         platformRequester = HttpRequester.start(HttpRequester.Limits.small());
-        targets = TargetClient.create(targetRequester);
         platform = PlatformClient.create(platformRequester, settings.platform());
         peers = PeerClient.start();
         DispatchCore core =
                 DispatchCore.create(CoreSettings.defaults(settings.id(), incarnation), PlacementPolicy.fastestFree());
         loop = new EntryLoop(settings.id(), core, this::execute);
+        targets = TargetClient.create(targetRequester, target -> loop.post(new Event.TargetSilent(target)));
         loop.start();
-        peerServer = PeerServer.start(settings.peer(), incarnation, this);
+        peerServer = PeerServer.start(settings.peer(), this);
+        owners = new ListedOwners(settings.id(), peerAddress());
+        forwarder = new Forwarder(owners, settings.id(), incarnation);
+        claims = ClaimLog.start(platform, ClaimSettings.defaults(), System::currentTimeMillis);
+        keyed = new KeyedSubmissions(claims, new OwnNumbers(this::openSession, System::nanoTime), System::nanoTime);
         callerApi = CallerApi.start(settings.caller(), this);
         configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(declared)));
-        refreshPeers();
+        plannedStop = new PlannedStop(settings, peers, owners);
+        addPauseCheck(this::refreshHosts);
+        addPauseCheck(this::replaceConnections);
+        followHosts();
     }
 
     /**
@@ -104,7 +133,22 @@
 
     /** Returns the number of entry hosts that this one can forward to. */
     public int knownPeers() {
-        return peerAddresses.size();
+        return owners.size();
+    }
+
+    /** Adds a check that is made after a pause of the process, before anything is started again. */
+    public void addPauseCheck(PauseCheck check) {
+        loop.pauses().add(check);
+    }
+
+    /** Returns how many pauses of the process were noticed. */
+    public long pauses() {
+        return loop.pauses().pauses();
+    }
+
+    /** Stops the core's loop for a time, as a pause of the whole process would; for tests of that fault. */
+    public void stall(Duration time) {
+        loop.stall(time);
     }
 
     @Override
@@ -123,27 +167,81 @@
 
     @Override
     public CompletableFuture<JobAnswer> submit(SubmissionId id, JobRequest request, String document) {
-        if (isOwn(id)) {
-            return local(requester -> new Event.JobSubmitted(requester, id, request));
+        if (answersFor(id.session())) {
+            return submitOwn(id, request);
         }
-        Duration timeout = request.deadline().plus(FORWARD_MARGIN);
-        return forward(id, owner -> peers.submit(owner, id, document, timeout));
+        Duration deadline = request.deadline();
+        Duration margin =
+                deadline.dividedBy(10).compareTo(FORWARD_MARGIN) < 0 ? deadline.dividedBy(10) : FORWARD_MARGIN;
+        return forwarder.forward(
+                id, deadline, (owner, timeout) -> peers.submit(owner, id, document, deadline.minus(margin), timeout));
+    }
+
+    @Override
+    public CompletableFuture<KeyedAnswer> submitKeyed(SubmissionKey key, JobRequest request, String document) {
+        return keyed.submit(key, request, (id, remaining) -> submit(id, remaining, document));
     }
 
     @Override
     public CompletableFuture<JobAnswer> lookUp(SubmissionId id) {
-        if (isOwn(id)) {
-            return local(requester -> new Event.AnswerRequested(requester, id));
+        if (answersFor(id.session())) {
+            return lookUpOwn(id);
         }
-        return forward(id, owner -> peers.lookUp(owner, id, LOOKUP_TIMEOUT));
+        return forwarder.forward(id, LOOKUP_TIMEOUT, (owner, timeout) -> peers.lookUp(owner, id, timeout));
     }
 
     @Override
     public CompletableFuture<JobAnswer> cancel(SubmissionId id) {
-        if (isOwn(id)) {
-            return local(requester -> new Event.JobCancelled(requester, id));
+        if (answersFor(id.session())) {
+            return cancelOwn(id);
+        }
+        return forwarder.forward(id, LOOKUP_TIMEOUT, (owner, timeout) -> peers.cancel(owner, id, timeout));
+    }
+
+    @Override
+    public Relation relationTo(SessionId session) {
+        if (answersFor(session)) {
+            return Relation.ANSWERS;
         }
-        return forward(id, owner -> peers.cancel(owner, id, LOOKUP_TIMEOUT));
+        // An earlier process cannot say anything about a later one, so the order of incarnations matters.
+        boolean earlier = session.host().equals(settings.id()) && session.incarnation() < incarnation;
+        return earlier ? Relation.LATER_INCARNATION : Relation.STRANGER;
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> submitOwn(SubmissionId id, JobRequest request) {
+        return local(requester -> new Event.JobSubmitted(requester, id, request));
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> lookUpOwn(SubmissionId id) {
+        return local(requester -> new Event.AnswerRequested(requester, id));
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> cancelOwn(SubmissionId id) {
+        return local(requester -> new Event.JobCancelled(requester, id));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> inherit(
+            String host, long leaver, ImmutableList<SessionSnapshot> sessions, ImmutableList<AnswerSnapshot> answers) {
+        CompletableFuture<Boolean> settled = new CompletableFuture<>();
+        long requester = register(command -> {
+            boolean accepted = command instanceof Command.InheritanceSettled result && result.accepted();
+            if (accepted) {
+                inherited.add(new Incarnation(host, leaver));
+                sessions.forEach(session -> inherited.add(Incarnation.of(session.id())));
+            }
+            settled.complete(accepted);
+        });
+        loop.post(new Event.SessionsInherited(requester, sessions, answers));
+        return settled;
+    }
+
+    @Override
+    public void ownerLeft(String host, long leaver, String successor) {
+        owners.left(host, leaver, successor);
     }
 
     @Override
@@ -157,24 +255,29 @@
     }
 
     /**
-     * Stops gracefully: fails the health check, takes nothing new and waits until every open job has its verdict.
+     * Stops as planned: fails the health check, takes nothing new, lets open jobs finish, hands its sessions over to an
+     * entry host of the same failure domain and answers every caller before it closes a connection.
      *
-     * @param grace longest time to wait
+     * @param grace time for open jobs to finish; what cannot finish gets a truthful verdict then
      */
     public void stop(Duration grace) {
         leaving = true;
-        loop.post(new Event.StopRequested());
         long end = System.nanoTime() + grace.toNanos();
-        while (System.nanoTime() < end && loop.openJobs() > 0) {
-            sleep(Duration.ofMillis(20));
-        }
-        callerApi.shutdown(Duration.ofSeconds(1));
+        PlannedStop.awaitHealthNotice(grace);
+        loop.post(new Event.StopRequested());
+        PlannedStop.await(() -> loop.openJobs() == 0 && callerApi.openRequests() == 0, end);
+        loop.post(new Event.HandoverRequested());
+        plannedStop.handOver(handover, ImmutableSet.copyOf(inherited));
+        forwarder.giveUp();
+        callerApi.drain(PlannedStop.LAST_ANSWERS);
         close();
     }
 
     /** Ends everything at once, as a crash would. */
     @Override
     public void close() {
+        closed = true;
+        claims.close();
         configFeed.close();
         callerApi.close();
         peerServer.close();
@@ -184,8 +287,9 @@
         platformRequester.close();
     }
 
-    private boolean isOwn(SubmissionId id) {
-        return id.session().host().equals(settings.id()) && id.session().incarnation() == incarnation;
+    private boolean answersFor(SessionId session) {
+        Incarnation owner = Incarnation.of(session);
+        return owner.equals(new Incarnation(settings.id(), incarnation)) || inherited.contains(owner);
     }
 
     private CompletableFuture<JobAnswer> local(LongFunction<Event> event) {
@@ -201,16 +305,6 @@
         return answer;
     }
 
-    private CompletableFuture<JobAnswer> forward(
-            SubmissionId id, Function<InetSocketAddress, CompletableFuture<JobAnswer>> call) {
-        if (id.session().host().equals(settings.id())) {
-            return CompletableFuture.completedFuture(new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE)));
-        }
-        return Optional.ofNullable(peerAddresses.get(id.session().host()))
-                .map(call)
-                .orElseGet(() -> CompletableFuture.completedFuture(PeerClient.unreachable()));
-    }
-
     private long register(Consumer<Command> consumer) {
         long requester = nextRequester.incrementAndGet();
         requesters.put(requester, consumer);
@@ -227,6 +321,10 @@
             answer(delivered.requester(), command);
         } else if (command instanceof Command.ReportUnused unused) {
             answer(unused.requester(), command);
+        } else if (command instanceof Command.InheritanceSettled settled) {
+            answer(settled.requester(), command);
+        } else if (command instanceof Command.HandOver closing) {
+            handover.complete(new Handover(settings.id(), incarnation, closing.sessions(), closing.answers()));
         } else if (command instanceof Command.SessionGranted granted) {
             answer(granted.requester(), command);
         } else if (command instanceof Command.SessionRefused refused) {
@@ -238,29 +336,28 @@
         Optional.ofNullable(requesters.remove(requester)).ifPresent(consumer -> consumer.accept(command));
     }
 
-    private void refreshPeers() {
-        if (leaving) {
+    private void followHosts() {
+        if (closed) {
             return;
         }
-        CompletableFuture<HostListing> _refreshed = platform.hosts().whenComplete((listing, failure) -> {
+        CompletableFuture<HostListing> _refreshed = refreshHosts()
+                .whenComplete((_listing, _failure) -> CompletableFuture.delayedExecutor(
+                                HOSTS_PERIOD.toMillis(), TimeUnit.MILLISECONDS)
+                        .execute(this::followHosts));
+    }
+
+    private CompletableFuture<HostListing> refreshHosts() {
+        return platform.hosts().whenComplete((listing, failure) -> {
             if (failure == null) {
-                peerAddresses = listing.hosts().stream()
-                        .filter(host -> host.kind() == HostListing.Kind.ENTRY)
-                        .collect(ImmutableMap.toImmutableMap(
-                                HostListing.Host::id,
-                                host -> Addresses.parse(host.address()),
-                                (_older, newer) -> newer));
+                owners.update(listing);
             }
-            CompletableFuture.delayedExecutor(HOSTS_PERIOD.toMillis(), TimeUnit.MILLISECONDS)
-                    .execute(this::refreshPeers);
         });
     }
 
-    private static void sleep(Duration time) {
-        try {
-            Thread.sleep(time.toMillis());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    private CompletableFuture<Void> replaceConnections() {
+        targetRequester.replaceIdle();
+        platformRequester.replaceIdle();
+        peers.dropIdle();
+        return CompletableFuture.completedFuture(null);
     }
 }
--- /dev/null
+++ b/src/main/java/org/mustardlink/entry/KeyedSubmissions.java
@@ -0,0 +1,77 @@
+package org.mustardlink.entry;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.mustardlink.api.JobAnswer;
+import org.mustardlink.api.KeyedAnswer;
+import org.mustardlink.claims.ClaimLog;
+import org.mustardlink.claims.ClaimResult;
+import org.mustardlink.claims.SubmissionKey;
+import org.mustardlink.core.JobRequest;
+import org.mustardlink.core.Reason;
+import org.mustardlink.core.SubmissionId;
+import org.mustardlink.core.Verdict;
+
+/**
+ * Submits jobs under keys: settles which submission the key stands for, then submits under that.
+ *
+ * <p>"Not run" is never said here, because another entry host may hold an earlier claim; only the owner says it.
+ */
+final class KeyedSubmissions {
+    private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final ClaimLog claims;
+    private final OwnNumbers numbers;
+    private final LongSupplier nanos;
+
+    /** Submits under a settled id. */
+    @FunctionalInterface
+    interface Submitter {
+        CompletableFuture<JobAnswer> submit(SubmissionId id, JobRequest request);
+    }
+
+    KeyedSubmissions(ClaimLog claims, OwnNumbers numbers, LongSupplier nanos) {
+        this.claims = claims;
+        this.numbers = numbers;
+        this.nanos = nanos;
+    }
+
+    CompletableFuture<KeyedAnswer> submit(SubmissionKey key, JobRequest request, Submitter submitter) {
+        long end = nanos.getAsLong() + request.deadline().toNanos();
+        Supplier<Duration> remaining = () -> Duration.ofNanos(end - nanos.getAsLong());
+        return claims.find(key)
+                .map(CompletableFuture::completedFuture)
+                .orElseGet(() -> claim(key, remaining))
+                .thenCompose(result -> submit(result, request, remaining.get(), submitter));
+    }
+
+    private CompletableFuture<ClaimResult> claim(SubmissionKey key, Supplier<Duration> remaining) {
+        return numbers.next()
+                .thenCompose(own -> own.map(id -> claims.claim(key, id, remaining.get()))
+                        .orElseGet(() -> CompletableFuture.completedFuture(new ClaimResult.Unsettled(RETRY_AFTER))));
+    }
+
+    private static CompletableFuture<KeyedAnswer> submit(
+            ClaimResult result, JobRequest request, Duration remaining, Submitter submitter) {
+        if (result instanceof ClaimResult.Expired) {
+            return failed(Verdict.failed(Reason.KEY_EXPIRED));
+        }
+        if (result instanceof ClaimResult.Unsettled unsettled) {
+            return failed(Verdict.failed(Reason.CLAIM_UNSETTLED, unsettled.retryAfter()));
+        }
+        SubmissionId id = ((ClaimResult.Settled) result).submission();
+        if (remaining.isNegative() || remaining.isZero()) {
+            return failed(Verdict.failed(Reason.CLAIM_UNSETTLED, RETRY_AFTER));
+        }
+        return submitter
+                .submit(id, request.withDeadline(remaining))
+                .thenApply(answer -> new KeyedAnswer(Optional.of(id), answer));
+    }
+
+    private static CompletableFuture<KeyedAnswer> failed(Verdict verdict) {
+        return CompletableFuture.completedFuture(new KeyedAnswer(Optional.empty(), new JobAnswer.Final(verdict)));
+    }
+}
--- a/src/main/java/org/mustardlink/errors/ErrorCode.java
+++ b/src/main/java/org/mustardlink/errors/ErrorCode.java
@@ -12,6 +12,12 @@
     NOT_SENT,
     /** A request may have been sent, and no whole answer arrived. */
     NO_ANSWER,
+    /** A request was sent, and no whole answer arrived in time. */
+    TIMED_OUT,
+    /** Too many requests, or too many bytes of them, are open. */
+    TOO_BUSY,
+    /** A body did not arrive in time. */
+    BODY_TIMEOUT,
     /** The platform answered with an error. */
     PLATFORM_ERROR,
     /** The settings are malformed. */
--- /dev/null
+++ b/src/main/java/org/mustardlink/http/BodyReader.java
@@ -0,0 +1,164 @@
+package org.mustardlink.http;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.glassfish.grizzly.ReadHandler;
+import org.glassfish.grizzly.http.io.NIOInputStream;
+import org.glassfish.grizzly.http.server.Request;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+
+/**
+ * Reads request bodies without holding a thread, within bounds on size, time and the bytes of all open requests.
+ *
+ * <p>Thread-safe. A slow or endless sender costs its own bytes and nothing else.
+ */
+public final class BodyReader {
+    private final Limits limits;
+    private final AtomicLong openBytes = new AtomicLong();
+
+    /** Creates a reader. */
+    public BodyReader(Limits limits) {
+        this.limits = limits;
+    }
+
+    /**
+     * Bounds of a reader.
+     *
+     * @param maxBytes bytes of one body
+     * @param maxOpenBytes bytes of all bodies between their arrival and {@link Body#release()}
+     * @param timeout time from the request's headers to the last byte of its body
+     */
+    public record Limits(int maxBytes, long maxOpenBytes, Duration timeout) {
+        public Limits {
+            checkArgument(maxBytes > 0, "maxBytes must be positive: %s", maxBytes);
+            checkArgument(maxOpenBytes >= maxBytes, "maxOpenBytes must hold one body: %s", maxOpenBytes);
+            checkArgument(timeout.toNanos() > 0, "timeout must be positive: %s", timeout);
+        }
+    }
+
+    /** A whole body whose bytes count as open until it is released. */
+    public final class Body {
+        private final String text;
+        private final AtomicLong bytes;
+
+        private Body(String text, long bytes) {
+            this.text = text;
+            this.bytes = new AtomicLong(bytes);
+        }
+
+        /** Returns the body. */
+        public String text() {
+            return text;
+        }
+
+        /** Frees the body's share of the bound; later calls have no effect. */
+        public void release() {
+            openBytes.addAndGet(-bytes.getAndSet(0));
+        }
+    }
+
+    /**
+     * Reads a body. The response has to be suspended.
+     *
+     * @return completes exceptionally with a {@link CodedException}: {@link ErrorCode#BODY_TOO_LARGE}, {@link
+     *     ErrorCode#BODY_TIMEOUT}, {@link ErrorCode#TOO_BUSY} or {@link ErrorCode#BAD_REQUEST}
+     */
+    public CompletableFuture<Body> read(Request request) {
+        if (request.getContentLengthLong() > limits.maxBytes()) {
+            return CompletableFuture.failedFuture(tooLarge());
+        }
+        Reading reading = new Reading(request.getNIOInputStream());
+        reading.start();
+        return reading.body;
+    }
+
+    /** Returns the bytes of all open bodies. */
+    public long openBytes() {
+        return openBytes.get();
+    }
+
+    private CodedException tooLarge() {
+        return new CodedException(ErrorCode.BODY_TOO_LARGE, "a body may have " + limits.maxBytes() + " bytes at most");
+    }
+
+    private final class Reading implements ReadHandler {
+        private final NIOInputStream in;
+        private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        private final CompletableFuture<Body> body = new CompletableFuture<>();
+        private long reserved;
+
+        private Reading(NIOInputStream in) {
+            this.in = in;
+        }
+
+        private void start() {
+            CompletableFuture<Void> timer = CompletableFuture.runAsync(
+                    () -> fail(new CodedException(ErrorCode.BODY_TIMEOUT, "no whole body within " + limits.timeout())),
+                    CompletableFuture.delayedExecutor(limits.timeout().toMillis(), TimeUnit.MILLISECONDS));
+            CompletableFuture<Body> _cleaned = body.whenComplete((_body, _failure) -> timer.cancel(false));
+            in.notifyAvailable(this);
+        }
+
+        @Override
+        public void onDataAvailable() throws IOException {
+            if (takeAvailable()) {
+                in.notifyAvailable(this);
+            }
+        }
+
+        @Override
+        public void onAllDataRead() throws IOException {
+            if (!takeAvailable()) {
+                return;
+            }
+            synchronized (this) {
+                Body whole = new Body(bytes.toString(StandardCharsets.UTF_8), reserved);
+                if (body.complete(whole)) {
+                    return;
+                }
+                whole.release();
+            }
+        }
+
+        @Override
+        public void onError(Throwable cause) {
+            fail(new CodedException(ErrorCode.BAD_REQUEST, "the body could not be read", cause));
+        }
+
+        private synchronized boolean takeAvailable() throws IOException {
+            if (body.isDone()) {
+                return false;
+            }
+            int available = in.available();
+            if (available <= 0) {
+                return true;
+            }
+            if (bytes.size() + available > limits.maxBytes()) {
+                fail(tooLarge());
+                return false;
+            }
+            reserved += available;
+            if (openBytes.addAndGet(available) > limits.maxOpenBytes()) {
+                fail(new CodedException(ErrorCode.TOO_BUSY, "too many bytes of requests are open"));
+                return false;
+            }
+            byte[] chunk = new byte[available];
+            bytes.write(chunk, 0, Math.max(0, in.read(chunk)));
+            return true;
+        }
+
+        private synchronized void fail(CodedException failure) {
+            if (body.completeExceptionally(failure)) {
+                openBytes.addAndGet(-reserved);
+            }
+        }
+    }
+}
--- a/src/main/java/org/mustardlink/http/HttpCall.java
+++ b/src/main/java/org/mustardlink/http/HttpCall.java
@@ -14,15 +14,35 @@
  * @param headers extra headers
  * @param body the body, empty for none
  * @param timeout time from sending until the whole answer must have arrived, positive
+ * @param maxIdle longest time that the connection may have been unused; one that was unused for longer is replaced
  */
 public record HttpCall(
-        String method, String path, ImmutableMap<String, String> headers, String body, Duration timeout) {
+        String method,
+        String path,
+        ImmutableMap<String, String> headers,
+        String body,
+        Duration timeout,
+        Duration maxIdle) {
+    /** A connection may have been unused for any time; suits requests that can be repeated. */
+    private static final Duration ANY_IDLE_TIME = Duration.ofDays(1);
+
     public HttpCall {
         checkNotNull(method, "method");
         checkArgument(path.startsWith("/"), "path must start with a slash: %s", path);
         checkNotNull(headers, "headers");
         checkNotNull(body, "body");
         checkArgument(timeout.toNanos() > 0, "timeout must be positive: %s", timeout);
+        checkArgument(!maxIdle.isNegative(), "maxIdle must not be negative: %s", maxIdle);
+    }
+
+    /** Creates a request that any open connection may carry. */
+    public HttpCall(String method, String path, ImmutableMap<String, String> headers, String body, Duration timeout) {
+        this(method, path, headers, body, timeout, ANY_IDLE_TIME);
+    }
+
+    /** Returns the same request for connections that were unused for no longer than a time. */
+    public HttpCall withMaxIdle(Duration longest) {
+        return new HttpCall(method, path, headers, body, timeout, longest);
     }
 
     /** Returns a GET request without extra headers. */
--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -6,10 +6,15 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Future;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Predicate;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
 import org.glassfish.grizzly.Grizzly;
@@ -40,19 +45,26 @@
  * An asynchronous HTTP/1.1 client with a bounded pool of connections for each address.
  *
  * <p>Thread-safe. A failed call completes with a {@link CodedException}: {@link ErrorCode#NOT_SENT} when certainly no
- * byte was sent, {@link ErrorCode#NO_ANSWER} otherwise. An answer counts only when it is whole; one that ends early is
- * {@code NO_ANSWER}. A connection whose call failed or timed out is closed, so that a late answer can never be taken for
+ * byte was sent, {@link ErrorCode#TIMED_OUT} when no whole answer arrived in time, {@link ErrorCode#NO_ANSWER} otherwise.
+ * An answer counts only when it is whole; one that ends early is {@code NO_ANSWER}. A connection whose call failed or timed out is closed, so that a late answer can never be taken for
  * that of a later call.
  */
 public final class HttpRequester implements AutoCloseable {
     private static final Attribute<Exchange> EXCHANGE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("mustardlink.exchange");
+    private static final Attribute<Long> UNUSED_SINCE =
+            Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("mustardlink.unused-since");
     private static final int MAX_ANSWER_BYTES = 32 << 20;
+    /** Connections from the pool that may turn out to be closed or stale before a call counts as not sent. */
+    private static final int MAX_TAKES = 64;
 
     private final TCPNIOTransport transport;
     private final MultiEndpointPool<SocketAddress> pool;
     private final TCPNIOConnectorHandler connector;
     private final ScheduledThreadPoolExecutor timer;
+    private final Map<SocketAddress, Long> staleBefore = new ConcurrentHashMap<>();
+    private final AtomicLong unexpectedAnswers = new AtomicLong();
+    private volatile long allStaleBefore = System.nanoTime();
 
     // Cancelled timeouts must leave the queue at once; only the class itself offers that.
     @SuppressWarnings("DangerousThreadPoolExecutorUsage")
@@ -127,12 +139,55 @@
      * @param call the request
      */
     public CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call) {
-        CompletableFuture<HttpReply> reply = new CompletableFuture<>();
+        return send(address, call, _reply -> true);
+    }
+
+    /**
+     * Sends a request and completes with its whole answer.
+     *
+     * @param address where to send it
+     * @param call the request
+     * @param inStep whether an answer belongs to the request; the connection is closed after one that does not
+     */
+    public CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call, Predicate<HttpReply> inStep) {
+        Exchange exchange = new Exchange(new CompletableFuture<>(), inStep);
+        take(address, call, exchange, MAX_TAKES);
+        return exchange.reply();
+    }
+
+    /** Replaces every connection to an address that is unused now before it carries another request. */
+    public void replaceIdle(InetSocketAddress address) {
+        staleBefore.put(address, System.nanoTime());
+    }
+
+    /** Replaces every connection that is unused now before it carries another request. */
+    public void replaceIdle() {
+        allStaleBefore = System.nanoTime();
+        staleBefore.clear();
+    }
+
+    /** Returns how many answers were dropped because nobody waited for them or they belonged to another request. */
+    public long unexpectedAnswers() {
+        return unexpectedAnswers.get();
+    }
+
+    private void take(InetSocketAddress address, HttpCall call, Exchange exchange, int takesLeft) {
+        CompletableFuture<HttpReply> reply = exchange.reply();
         pool.take(Endpoint.Factory.<SocketAddress>create(address, connector), new EmptyCompletionHandler<>() {
             @Override
             @SuppressWarnings({"unchecked", "RawTypes"})
             public void completed(Connection connection) {
-                write((Connection<SocketAddress>) connection, address, call, reply);
+                if (connection.isOpen() && isFresh(connection, address, call)) {
+                    write((Connection<SocketAddress>) connection, address, call, exchange);
+                    return;
+                }
+                // No byte of this request went out on the connection, so another one may carry it.
+                connection.terminateSilently();
+                if (takesLeft > 1) {
+                    take(address, call, exchange, takesLeft - 1);
+                } else {
+                    failed(new java.io.IOException("every connection was closed"));
+                }
             }
 
             @Override
@@ -146,28 +201,30 @@
                 failed(new java.util.concurrent.CancellationException());
             }
         });
-        return reply;
+    }
+
+    private boolean isFresh(Connection<?> connection, InetSocketAddress address, HttpCall call) {
+        Long since = UNUSED_SINCE.get(connection);
+        if (since == null) {
+            return true;
+        }
+        return System.nanoTime() - since <= call.maxIdle().toNanos()
+                && since - allStaleBefore >= 0
+                && since - staleBefore.getOrDefault(address, since) >= 0;
     }
 
     private void write(
-            Connection<SocketAddress> connection,
-            InetSocketAddress address,
-            HttpCall call,
-            CompletableFuture<HttpReply> reply) {
-        Future<?> timeout = timer.schedule(
-                () -> fail(connection, "no answer within " + call.timeout()),
+            Connection<SocketAddress> connection, InetSocketAddress address, HttpCall call, Exchange exchange) {
+        exchange.timeOutWith(timer.schedule(
+                () -> fail(connection, ErrorCode.TIMED_OUT, "no answer within " + call.timeout()),
                 call.timeout().toNanos(),
-                TimeUnit.NANOSECONDS);
-        EXCHANGE.set(connection, new Exchange(reply, timeout));
-        if (!connection.isOpen()) {
-            fail(connection, "the connection was closed");
-            return;
-        }
+                TimeUnit.NANOSECONDS));
+        EXCHANGE.set(connection, exchange);
         connection.write(
                 toContent(address, call), new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
                     @Override
                     public void failed(Throwable _cause) {
-                        fail(connection, "the request could not be written");
+                        fail(connection, ErrorCode.NO_ANSWER, "the request could not be written");
                     }
                 });
     }
@@ -188,14 +245,14 @@
                 .build();
     }
 
-    private void fail(Connection<?> connection, String why) {
+    private void fail(Connection<?> connection, ErrorCode code, String why) {
         Exchange exchange = EXCHANGE.remove(connection);
         if (exchange == null) {
             return;
         }
-        exchange.timeout().cancel(false);
+        exchange.cancelTimeout();
         connection.terminateSilently();
-        exchange.reply().completeExceptionally(new CodedException(ErrorCode.NO_ANSWER, why));
+        exchange.reply().completeExceptionally(new CodedException(code, why));
     }
 
     /** Closes every connection and stops the I/O threads. */
@@ -210,15 +267,43 @@
         }
     }
 
-    private record Exchange(CompletableFuture<HttpReply> reply, Future<?> timeout) {}
+    private static final class Exchange {
+        private final CompletableFuture<HttpReply> reply;
+        private final Predicate<HttpReply> inStep;
+        private volatile Optional<Future<?>> timeout = Optional.empty();
+
+        private Exchange(CompletableFuture<HttpReply> reply, Predicate<HttpReply> inStep) {
+            this.reply = reply;
+            this.inStep = inStep;
+        }
+
+        private CompletableFuture<HttpReply> reply() {
+            return reply;
+        }
+
+        private void timeOutWith(Future<?> scheduled) {
+            timeout = Optional.of(scheduled);
+        }
+
+        private void cancelTimeout() {
+            timeout.ifPresent(scheduled -> scheduled.cancel(false));
+        }
+    }
 
     /** Collects the answer of the one call in flight on a connection. */
     private final class ExchangeFilter extends BaseFilter {
+        @Override
+        public NextAction handleConnect(FilterChainContext context) {
+            // The pool may open a connection that no call takes for a while.
+            UNUSED_SINCE.set(context.getConnection(), System.nanoTime());
+            return context.getInvokeAction();
+        }
+
         @Override
         public NextAction handleRead(FilterChainContext context) {
             HttpContent content = context.getMessage();
             if (content.getContent().remaining() > MAX_ANSWER_BYTES) {
-                fail(context.getConnection(), "the answer is too large");
+                fail(context.getConnection(), ErrorCode.NO_ANSWER, "the answer is too large");
                 return context.getStopAction();
             }
             if (!content.isLast()) {
@@ -230,13 +315,19 @@
             Exchange exchange = EXCHANGE.remove(connection);
             if (exchange == null) {
                 // An answer that nobody waits for means that the connection is out of step.
+                unexpectedAnswers.incrementAndGet();
                 connection.terminateSilently();
                 return context.getStopAction();
             }
-            exchange.timeout().cancel(false);
-            if ("close".equalsIgnoreCase(response.getHeader("Connection"))) {
+            exchange.cancelTimeout();
+            boolean expected = exchange.inStep.test(reply);
+            if (!expected) {
+                unexpectedAnswers.incrementAndGet();
+            }
+            if (!expected || "close".equalsIgnoreCase(response.getHeader("Connection"))) {
                 connection.terminateSilently();
             } else {
+                UNUSED_SINCE.set(connection, System.nanoTime());
                 pool.release(connection);
             }
             exchange.reply().complete(reply);
@@ -245,13 +336,16 @@
 
         @Override
         public NextAction handleClose(FilterChainContext context) {
-            fail(context.getConnection(), "the connection was closed before the whole answer arrived");
+            fail(
+                    context.getConnection(),
+                    ErrorCode.NO_ANSWER,
+                    "the connection was closed before the whole answer arrived");
             return context.getInvokeAction();
         }
 
         @Override
         public void exceptionOccurred(FilterChainContext context, Throwable error) {
-            fail(context.getConnection(), "the answer could not be read: " + error.getMessage());
+            fail(context.getConnection(), ErrorCode.NO_ANSWER, "the answer could not be read: " + error.getMessage());
         }
 
         private HttpReply toReply(HttpResponsePacket response, HttpContent content) {
--- /dev/null
+++ b/src/main/java/org/mustardlink/peer/Handover.java
@@ -0,0 +1,117 @@
+package org.mustardlink.peer;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.primitives.ImmutableLongArray;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.mustardlink.core.AnswerSnapshot;
+import org.mustardlink.core.SessionId;
+import org.mustardlink.core.SessionSnapshot;
+import org.mustardlink.core.SubmissionId;
+import org.mustardlink.peer.thrift.HandoverPart;
+import org.mustardlink.peer.thrift.KeptAnswer;
+import org.mustardlink.peer.thrift.SessionUse;
+
+/**
+ * Everything that a stopping entry host hands over.
+ *
+ * @param host id of the stopping entry host
+ * @param incarnation its incarnation
+ * @param sessions its sessions, all closed
+ * @param answers the answers that it kept
+ */
+public record Handover(
+        String host, long incarnation, ImmutableList<SessionSnapshot> sessions, ImmutableList<AnswerSnapshot> answers) {
+    /** A part is cut after this many bytes, estimated; the largest answer still fits the largest frame behind it. */
+    private static final long PART_BYTES = 512 << 10;
+
+    public Handover {
+        checkNotNull(host, "host");
+        checkNotNull(sessions, "sessions");
+        checkNotNull(answers, "answers");
+    }
+
+    /** Cuts the handover into parts that fit a frame each. */
+    List<HandoverPart> toParts() {
+        List<HandoverPart> parts = new ArrayList<>();
+        HandoverPart part = newPart(0);
+        long bytes = 0;
+        for (SessionSnapshot session : sessions) {
+            part.addToSessions(toThrift(session));
+            bytes += 64 + session.used().length() * 8L;
+            if (bytes > PART_BYTES) {
+                parts.add(part);
+                part = newPart(parts.size());
+                bytes = 0;
+            }
+        }
+        for (AnswerSnapshot answer : answers) {
+            part.addToAnswers(toThrift(answer));
+            bytes += 128 + sizeOf(answer);
+            if (bytes > PART_BYTES) {
+                parts.add(part);
+                part = newPart(parts.size());
+                bytes = 0;
+            }
+        }
+        part.setLast(true);
+        parts.add(part);
+        return parts;
+    }
+
+    /**
+     * Puts parts together again.
+     *
+     * @throws IllegalArgumentException if a field is malformed
+     */
+    static Handover ofParts(List<HandoverPart> parts) {
+        ImmutableList.Builder<SessionSnapshot> sessions = ImmutableList.builder();
+        ImmutableList.Builder<AnswerSnapshot> answers = ImmutableList.builder();
+        for (HandoverPart part : parts) {
+            part.getSessions().forEach(use -> sessions.add(fromThrift(use)));
+            part.getAnswers().forEach(kept -> answers.add(fromThrift(kept)));
+        }
+        HandoverPart first = parts.get(0);
+        return new Handover(first.getHost(), first.getIncarnation(), sessions.build(), answers.build());
+    }
+
+    private HandoverPart newPart(int position) {
+        return new HandoverPart(host, incarnation, position, false, new ArrayList<>(), new ArrayList<>());
+    }
+
+    private static long sizeOf(AnswerSnapshot answer) {
+        return answer.verdict().results().stream().mapToLong(String::length).sum();
+    }
+
+    private static SessionUse toThrift(SessionSnapshot session) {
+        return new SessionUse(session.id().toString(), session.used().asList());
+    }
+
+    private static SessionSnapshot fromThrift(SessionUse use) {
+        return new SessionSnapshot(SessionId.parse(use.getSession()), ImmutableLongArray.copyOf(use.getUsed()));
+    }
+
+    private static KeptAnswer toThrift(AnswerSnapshot answer) {
+        KeptAnswer kept =
+                new KeptAnswer(answer.id().toString(), answer.verdict().reason().name());
+        answer.verdict().retryAfter().ifPresent(after -> kept.setRetryAfterMs(after.toMillis()));
+        answer.fingerprint().ifPresent(kept::setFingerprint);
+        kept.setResults(answer.verdict().results());
+        return kept;
+    }
+
+    private static AnswerSnapshot fromThrift(KeptAnswer kept) {
+        OptionalLong fingerprint =
+                kept.isSetFingerprint() ? OptionalLong.of(kept.getFingerprint()) : OptionalLong.empty();
+        return new AnswerSnapshot(
+                SubmissionId.parse(kept.getSubmission()),
+                fingerprint,
+                PeerAnswers.toVerdict(
+                        kept.getReason(),
+                        kept.isSetRetryAfterMs() ? OptionalLong.of(kept.getRetryAfterMs()) : OptionalLong.empty(),
+                        kept.isSetResults() ? kept.getResults() : ImmutableList.of()));
+    }
+}
--- a/src/main/java/org/mustardlink/peer/PeerAnswers.java
+++ b/src/main/java/org/mustardlink/peer/PeerAnswers.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.mustardlink.api.JobAnswer;
 import org.mustardlink.core.Reason;
 import org.mustardlink.core.Verdict;
@@ -31,14 +32,25 @@
             case VERDICT -> new JobAnswer.Final(toVerdict(answer));
             case UNUSED -> new JobAnswer.Unused();
             case OTHER_INCARNATION -> new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE));
+            case NOT_OWNER -> PeerClient.unreachable();
         };
     }
 
     private static Verdict toVerdict(PeerAnswer answer) {
-        Optional<Duration> retryAfter = answer.isSetRetryAfterMs()
-                ? Optional.of(Duration.ofMillis(answer.getRetryAfterMs()))
-                : Optional.empty();
-        List<String> results = answer.isSetResults() ? answer.getResults() : ImmutableList.of();
-        return new Verdict(Reason.valueOf(answer.getReason()), retryAfter, ImmutableList.copyOf(results));
+        return toVerdict(
+                answer.getReason(),
+                answer.isSetRetryAfterMs() ? OptionalLong.of(answer.getRetryAfterMs()) : OptionalLong.empty(),
+                answer.isSetResults() ? answer.getResults() : ImmutableList.of());
+    }
+
+    /**
+     * Puts a verdict together.
+     *
+     * @throws IllegalArgumentException if the reason is unknown
+     */
+    static Verdict toVerdict(String reason, OptionalLong retryAfterMs, List<String> results) {
+        Optional<Duration> retryAfter =
+                retryAfterMs.isPresent() ? Optional.of(Duration.ofMillis(retryAfterMs.getAsLong())) : Optional.empty();
+        return new Verdict(Reason.valueOf(reason), retryAfter, ImmutableList.copyOf(results));
     }
 }
--- a/src/main/java/org/mustardlink/peer/PeerClient.java
+++ b/src/main/java/org/mustardlink/peer/PeerClient.java
@@ -1,5 +1,6 @@
 package org.mustardlink.peer;
 
+import com.google.common.collect.ImmutableList;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -8,6 +9,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedDeque;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Function;
 import org.apache.thrift.TException;
 import org.apache.thrift.async.AsyncMethodCallback;
 import org.apache.thrift.async.TAsyncClientManager;
@@ -20,20 +25,34 @@
 import org.mustardlink.core.Verdict;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.SilenceMonitor;
+import org.mustardlink.peer.thrift.HandoverPart;
 import org.mustardlink.peer.thrift.Peer;
 import org.mustardlink.peer.thrift.PeerAnswer;
 
 /**
- * Sends submissions, lookups and cancellations to the entry host that owns their session. Thread-safe.
+ * Sends submissions, lookups, cancellations and handovers to other entry hosts. Thread-safe.
  *
- * <p>Futures never complete exceptionally: a peer that cannot be reached gives {@link Reason#OWNER_UNREACHABLE}.
+ * <p>Futures complete within the timeout and never exceptionally: a peer that cannot be reached gives {@link
+ * Reason#OWNER_UNREACHABLE}. A connection whose call failed or timed out is closed by the client. A call that fails on a
+ * connection from the pool is sent once more on a new one; that is safe because the owner knows the submission id.
  */
 public final class PeerClient implements AutoCloseable {
     private static final Duration RETRY_AFTER = Duration.ofSeconds(1);
     private static final int MAX_IDLE_PER_PEER = 32;
+    /** A connection that was unused for longer is replaced, since a middlebox may have forgotten it. */
+    private static final long MAX_IDLE_NANOS = Duration.ofSeconds(1).toNanos();
+
+    private static final int SILENT_AFTER = 3;
 
     private final TAsyncClientManager manager;
-    private final Map<InetSocketAddress, Deque<Peer.AsyncClient>> idle = new ConcurrentHashMap<>();
+    private final Map<InetSocketAddress, Deque<Idle>> idle = new ConcurrentHashMap<>();
+    private final SilenceMonitor silence = new SilenceMonitor(SILENT_AFTER);
+    private final AtomicLong silentPeers = new AtomicLong();
+
+    private record Connection(Peer.AsyncClient client, TNonblockingSocket socket) {}
+
+    private record Idle(Connection connection, long sinceNanos) {}
 
     private PeerClient(TAsyncClientManager manager) {
         this.manager = manager;
@@ -48,19 +67,55 @@
         }
     }
 
-    /** Submits a job at its owner. */
-    public CompletableFuture<JobAnswer> submit(InetSocketAddress owner, SubmissionId id, String job, Duration timeout) {
-        return call(owner, timeout, (client, callback) -> client.submit(id.toString(), job, callback));
+    /**
+     * Submits a job at its owner.
+     *
+     * @param deadline what is left of the caller's deadline when the owner has to answer
+     * @param timeout time until the future is completed
+     */
+    public CompletableFuture<JobAnswer> submit(
+            InetSocketAddress owner, SubmissionId id, String job, Duration deadline, Duration timeout) {
+        return ask(
+                owner,
+                timeout,
+                (client, callback) -> client.submit(id.toString(), job, Math.max(1, deadline.toMillis()), callback));
     }
 
     /** Waits at the owner for the verdict of an earlier submission. */
     public CompletableFuture<JobAnswer> lookUp(InetSocketAddress owner, SubmissionId id, Duration timeout) {
-        return call(owner, timeout, (client, callback) -> client.lookUp(id.toString(), callback));
+        return ask(owner, timeout, (client, callback) -> client.lookUp(id.toString(), callback));
     }
 
     /** Cancels a submission at its owner. */
     public CompletableFuture<JobAnswer> cancel(InetSocketAddress owner, SubmissionId id, Duration timeout) {
-        return call(owner, timeout, (client, callback) -> client.cancel(id.toString(), callback));
+        return ask(owner, timeout, (client, callback) -> client.cancel(id.toString(), callback));
+    }
+
+    /**
+     * Hands closed sessions over.
+     *
+     * @param timeout time for each part
+     * @return whether the peer answers for the sessions from now on
+     */
+    public CompletableFuture<Boolean> handOver(InetSocketAddress successor, Handover handover, Duration timeout) {
+        CompletableFuture<Boolean> accepted = CompletableFuture.completedFuture(true);
+        for (HandoverPart part : handover.toParts()) {
+            accepted = accepted.thenCompose(
+                    soFar -> soFar ? handOver(successor, part, timeout) : CompletableFuture.completedFuture(false));
+        }
+        return accepted;
+    }
+
+    /** Tells a peer that an incarnation stopped and who answers for its sessions. */
+    public CompletableFuture<Boolean> announceLeave(
+            InetSocketAddress peer, String host, long incarnation, String successor, Duration timeout) {
+        return call(
+                peer,
+                timeout,
+                (Peer.AsyncClient client, AsyncMethodCallback<Void> callback) ->
+                        client.left(host, incarnation, successor, callback),
+                _done -> true,
+                false);
     }
 
     /** Returns the answer for an owner that cannot be reached now. */
@@ -68,56 +123,158 @@
         return new JobAnswer.Final(Verdict.failed(Reason.OWNER_UNREACHABLE, RETRY_AFTER));
     }
 
+    /** Returns how often a peer stayed silent on several connections in a row. */
+    public long silentPeers() {
+        return silentPeers.get();
+    }
+
+    /** Closes every unused connection, so that the next calls open new ones. */
+    public void dropIdle() {
+        ImmutableList.copyOf(idle.keySet()).forEach(this::dropIdle);
+    }
+
     @Override
     public void close() {
+        dropIdle();
         manager.stop();
     }
 
-    private CompletableFuture<JobAnswer> call(InetSocketAddress owner, Duration timeout, Call call) {
-        CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
-        try {
-            Peer.AsyncClient client = take(owner);
-            client.setTimeout(timeout.toMillis());
-            call.send(client, new AsyncMethodCallback<>() {
-                @Override
-                public void onComplete(PeerAnswer response) {
-                    release(owner, client);
-                    answer.complete(PeerAnswers.fromThrift(response));
-                }
+    private CompletableFuture<Boolean> handOver(InetSocketAddress successor, HandoverPart part, Duration timeout) {
+        return call(
+                successor,
+                timeout,
+                (Peer.AsyncClient client, AsyncMethodCallback<Boolean> callback) -> client.handover(part, callback),
+                accepted -> accepted,
+                false);
+    }
+
+    private CompletableFuture<JobAnswer> ask(InetSocketAddress owner, Duration timeout, Call<PeerAnswer> call) {
+        return call(owner, timeout, call, PeerAnswers::fromThrift, unreachable());
+    }
 
-                @Override
-                public void onError(Exception _failure) {
-                    answer.complete(unreachable());
+    private <R, T> CompletableFuture<T> call(
+            InetSocketAddress peer, Duration timeout, Call<R> call, Function<R, T> convert, T otherwise) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        long end = System.nanoTime() + timeout.toNanos();
+        new Attempt<>(peer, end, call, convert, otherwise, answer).send(true);
+        // The client manager looks for timeouts between other work only, so the bound is kept here as well.
+        return answer.completeOnTimeout(otherwise, Math.max(1, timeout.toMillis()), TimeUnit.MILLISECONDS);
+    }
+
+    private final class Attempt<R, T> {
+        private final InetSocketAddress peer;
+        private final long endNanos;
+        private final Call<R> call;
+        private final Function<R, T> convert;
+        private final T otherwise;
+        private final CompletableFuture<T> answer;
+
+        private Attempt(
+                InetSocketAddress peer,
+                long endNanos,
+                Call<R> call,
+                Function<R, T> convert,
+                T otherwise,
+                CompletableFuture<T> answer) {
+            this.peer = peer;
+            this.endNanos = endNanos;
+            this.call = call;
+            this.convert = convert;
+            this.otherwise = otherwise;
+            this.answer = answer;
+        }
+
+        private void send(boolean pooledAllowed) {
+            try {
+                Connection pooled = pooledAllowed ? takeIdle(peer) : null;
+                Connection connection = pooled == null ? connect(peer) : pooled;
+                connection
+                        .client()
+                        .setTimeout(Math.max(1, TimeUnit.NANOSECONDS.toMillis(endNanos - System.nanoTime())));
+                call.send(connection.client(), new AsyncMethodCallback<>() {
+                    @Override
+                    public void onComplete(R response) {
+                        release(peer, connection);
+                        complete(response);
+                    }
+
+                    @Override
+                    public void onError(Exception failure) {
+                        failed(failure, pooled != null);
+                    }
+                });
+            } catch (IOException | TException e) {
+                answer.complete(otherwise);
+            }
+        }
+
+        private void complete(R response) {
+            silence.answered(peer);
+            try {
+                answer.complete(convert.apply(response));
+            } catch (IllegalArgumentException e) {
+                // A newer peer may use a reason that this version does not know.
+                answer.complete(otherwise);
+            }
+        }
+
+        private void failed(Exception failure, boolean wasPooled) {
+            if (failure instanceof TimeoutException) {
+                if (silence.timedOut(peer)) {
+                    silentPeers.incrementAndGet();
+                    dropIdle(peer);
                 }
-            });
-        } catch (IOException | TException e) {
-            answer.complete(unreachable());
+            } else if (wasPooled) {
+                send(false);
+                return;
+            }
+            answer.complete(otherwise);
+        }
+    }
+
+    private Connection connect(InetSocketAddress peer) throws IOException, TTransportException {
+        TNonblockingSocket socket = new TNonblockingSocket(peer.getAddress().getHostAddress(), peer.getPort(), 0);
+        return new Connection(new Peer.AsyncClient(new TBinaryProtocol.Factory(), manager, socket), socket);
+    }
+
+    private Connection takeIdle(InetSocketAddress peer) {
+        Deque<Idle> pooled = connections(peer);
+        Idle newest = pooled.pollLast();
+        if (newest == null) {
+            return null;
+        }
+        if (System.nanoTime() - newest.sinceNanos() <= MAX_IDLE_NANOS) {
+            return newest.connection();
         }
-        return answer;
+        // The newest one is too old, so all of them are.
+        newest.connection().socket().close();
+        dropIdle(peer);
+        return null;
     }
 
-    private Peer.AsyncClient take(InetSocketAddress owner) throws IOException, TTransportException {
-        Peer.AsyncClient pooled = connections(owner).pollLast();
-        if (pooled != null) {
-            return pooled;
+    private void release(InetSocketAddress peer, Connection connection) {
+        Deque<Idle> pooled = connections(peer);
+        Idle released = new Idle(connection, System.nanoTime());
+        if (pooled.size() < MAX_IDLE_PER_PEER) {
+            pooled.addLast(released);
+        } else {
+            connection.socket().close();
         }
-        TNonblockingSocket socket = new TNonblockingSocket(owner.getAddress().getHostAddress(), owner.getPort(), 0);
-        return new Peer.AsyncClient(new TBinaryProtocol.Factory(), manager, socket);
     }
 
-    private void release(InetSocketAddress owner, Peer.AsyncClient client) {
-        Deque<Peer.AsyncClient> connections = connections(owner);
-        if (connections.size() < MAX_IDLE_PER_PEER) {
-            connections.addLast(client);
+    private void dropIdle(InetSocketAddress peer) {
+        Deque<Idle> pooled = connections(peer);
+        for (Idle row = pooled.pollFirst(); row != null; row = pooled.pollFirst()) {
+            row.connection().socket().close();
         }
     }
 
-    private Deque<Peer.AsyncClient> connections(InetSocketAddress owner) {
-        return idle.computeIfAbsent(owner, _unused -> new ConcurrentLinkedDeque<>());
+    private Deque<Idle> connections(InetSocketAddress peer) {
+        return idle.computeIfAbsent(peer, _unused -> new ConcurrentLinkedDeque<>());
     }
 
     @FunctionalInterface
-    private interface Call {
-        void send(Peer.AsyncClient client, AsyncMethodCallback<PeerAnswer> callback) throws TException;
+    private interface Call<R> {
+        void send(Peer.AsyncClient client, AsyncMethodCallback<R> callback) throws TException;
     }
 }
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -1,6 +1,7 @@
 package org.mustardlink.peer;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.apache.thrift.TException;
 import org.apache.thrift.async.AsyncMethodCallback;
@@ -10,15 +11,14 @@
 import org.apache.thrift.transport.TNonblockingServerSocket;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
-import org.mustardlink.api.CallerBackend;
 import org.mustardlink.api.JobAnswer;
 import org.mustardlink.api.JobDocument;
-import org.mustardlink.core.Reason;
+import org.mustardlink.core.JobRequest;
 import org.mustardlink.core.SubmissionId;
-import org.mustardlink.core.Verdict;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.peer.thrift.AnswerKind;
+import org.mustardlink.peer.thrift.HandoverPart;
 import org.mustardlink.peer.thrift.Peer;
 import org.mustardlink.peer.thrift.PeerAnswer;
 
@@ -42,10 +42,9 @@
      * Starts the server.
      *
      * @param address where to listen
-     * @param incarnation incarnation of this process
      * @param backend answers for the sessions that this process owns
      */
-    public static PeerServer start(InetSocketAddress address, long incarnation, CallerBackend backend) {
+    public static PeerServer start(InetSocketAddress address, OwnerBackend backend) {
         try {
             TNonblockingServerSocket socket =
                     new TNonblockingServerSocket(new TNonblockingServerSocket.NonblockingAbstractServerSocketArgs()
@@ -56,7 +55,7 @@
                     .workerThreads(WORKERS)
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                     .protocolFactory(new TBinaryProtocol.Factory())
-                    .processor(new Peer.AsyncProcessor<>(new Handler(incarnation, backend)));
+                    .processor(new Peer.AsyncProcessor<>(new Handler(backend)));
             args.maxReadBufferBytes = MAX_FRAME_BYTES;
             TServer server = new TThreadedSelectorServer(args);
             Thread thread = new Thread(server::serve, "peer-server");
@@ -80,43 +79,68 @@
     }
 
     private static final class Handler implements Peer.AsyncIface {
-        private final long incarnation;
-        private final CallerBackend backend;
+        private final OwnerBackend backend;
+        private final HandoverAssembly assembly = new HandoverAssembly(System::nanoTime);
 
-        private Handler(long incarnation, CallerBackend backend) {
-            this.incarnation = incarnation;
+        private Handler(OwnerBackend backend) {
             this.backend = backend;
         }
 
         @Override
-        public void submit(String submission, String job, AsyncMethodCallback<PeerAnswer> callback) {
-            answer(
-                    submission,
-                    callback,
-                    id -> backend.submit(id, JobDocument.parse(job).toRequest(), job));
+        public void submit(String submission, String job, long deadlineMs, AsyncMethodCallback<PeerAnswer> callback) {
+            answer(submission, callback, id -> {
+                JobRequest request = JobDocument.parse(job).toRequest();
+                return backend.submitOwn(id, request.withDeadline(Duration.ofMillis(deadlineMs)));
+            });
         }
 
         @Override
         public void lookUp(String submission, AsyncMethodCallback<PeerAnswer> callback) {
-            answer(submission, callback, backend::lookUp);
+            answer(submission, callback, backend::lookUpOwn);
         }
 
         @Override
         public void cancel(String submission, AsyncMethodCallback<PeerAnswer> callback) {
-            answer(submission, callback, backend::cancel);
+            answer(submission, callback, backend::cancelOwn);
+        }
+
+        @Override
+        public void handover(HandoverPart part, AsyncMethodCallback<Boolean> callback) {
+            try {
+                HandoverAssembly.Step step = assembly.add(part);
+                if (step.whole().isEmpty()) {
+                    callback.onComplete(step.accepted());
+                    return;
+                }
+                Handover whole = step.whole().get();
+                CompletableFuture<Boolean> _settled = backend.inherit(
+                                whole.host(), whole.incarnation(), whole.sessions(), whole.answers())
+                        .whenComplete((accepted, failure) -> callback.onComplete(failure == null && accepted));
+            } catch (IllegalArgumentException e) {
+                callback.onComplete(false);
+            }
+        }
+
+        @Override
+        public void left(String host, long incarnation, String successor, AsyncMethodCallback<Void> callback) {
+            backend.ownerLeft(host, incarnation, successor);
+            callback.onComplete(null);
         }
 
         private void answer(String submission, AsyncMethodCallback<PeerAnswer> callback, Call call) {
             try {
                 SubmissionId id = SubmissionId.parse(submission);
-                if (id.session().incarnation() != incarnation) {
-                    callback.onComplete(new PeerAnswer(AnswerKind.OTHER_INCARNATION));
-                    return;
+                switch (backend.relationTo(id.session())) {
+                    case LATER_INCARNATION -> callback.onComplete(new PeerAnswer(AnswerKind.OTHER_INCARNATION));
+                    case STRANGER -> callback.onComplete(new PeerAnswer(AnswerKind.NOT_OWNER));
+                    case ANSWERS -> {
+                        CompletableFuture<JobAnswer> _answered =
+                                call.apply(id).whenComplete((answer, failure) -> complete(callback, answer, failure));
+                    }
                 }
-                CompletableFuture<JobAnswer> _answered =
-                        call.apply(id).whenComplete((answer, failure) -> complete(callback, answer, failure));
             } catch (IllegalArgumentException | CodedException e) {
-                complete(callback, new JobAnswer.Final(Verdict.failed(Reason.BAD_REQUEST)), null);
+                // The forwarding entry host checks jobs first. "Not run" could be false here: the number may be in use.
+                callback.onComplete(new PeerAnswer(AnswerKind.NOT_OWNER));
             }
         }
 
--- a/src/main/java/org/mustardlink/peer/thrift/AnswerKind.java
+++ b/src/main/java/org/mustardlink/peer/thrift/AnswerKind.java
@@ -22,7 +22,11 @@
   /**
    * The called process is another incarnation than the session names; that one is gone.
    */
-  OTHER_INCARNATION(3);
+  OTHER_INCARNATION(3),
+  /**
+   * The called process neither owns the session nor succeeded its owner; this says nothing about the owner.
+   */
+  NOT_OWNER(4);
 
   private final int value;
 
@@ -51,6 +55,8 @@
         return UNUSED;
       case 3:
         return OTHER_INCARNATION;
+      case 4:
+        return NOT_OWNER;
       default:
         return null;
     }
--- a/src/main/java/org/mustardlink/peer/thrift/Peer.java
+++ b/src/main/java/org/mustardlink/peer/thrift/Peer.java
@@ -12,12 +12,14 @@
   public interface Iface {
 
     /**
-     * Submits a job to the owner of its session. The submission is session/sequence; the job is the caller's JSON.
+     * Submits a job to the owner of its session. The submission is session/sequence; the job is the caller's JSON; the
+     * deadline is what is left of the caller's, in milliseconds.
      * 
      * @param submission
      * @param job
+     * @param deadlineMs
      */
-    public PeerAnswer submit(java.lang.String submission, java.lang.String job) throws org.apache.thrift.TException;
+    public PeerAnswer submit(java.lang.String submission, java.lang.String job, long deadlineMs) throws org.apache.thrift.TException;
 
     /**
      * Waits for the verdict of an earlier submission.
@@ -33,16 +35,36 @@
      */
     public PeerAnswer cancel(java.lang.String submission) throws org.apache.thrift.TException;
 
+    /**
+     * Hands closed sessions over; false means that this entry host does not take them.
+     * 
+     * @param part
+     */
+    public boolean handover(HandoverPart part) throws org.apache.thrift.TException;
+
+    /**
+     * Announces that an incarnation has stopped and that the named entry host answers for its sessions.
+     * 
+     * @param host
+     * @param incarnation
+     * @param successor
+     */
+    public void left(java.lang.String host, long incarnation, java.lang.String successor) throws org.apache.thrift.TException;
+
   }
 
   public interface AsyncIface {
 
-    public void submit(java.lang.String submission, java.lang.String job, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException;
+    public void submit(java.lang.String submission, java.lang.String job, long deadlineMs, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException;
 
     public void lookUp(java.lang.String submission, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException;
 
     public void cancel(java.lang.String submission, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException;
 
+    public void handover(HandoverPart part, org.apache.thrift.async.AsyncMethodCallback<java.lang.Boolean> resultHandler) throws org.apache.thrift.TException;
+
+    public void left(java.lang.String host, long incarnation, java.lang.String successor, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException;
+
   }
 
   public static class Client extends org.apache.thrift.TServiceClient implements Iface {
@@ -68,17 +90,18 @@
     }
 
     @Override
-    public PeerAnswer submit(java.lang.String submission, java.lang.String job) throws org.apache.thrift.TException
+    public PeerAnswer submit(java.lang.String submission, java.lang.String job, long deadlineMs) throws org.apache.thrift.TException
     {
-      send_submit(submission, job);
+      send_submit(submission, job, deadlineMs);
       return recv_submit();
     }
 
-    public void send_submit(java.lang.String submission, java.lang.String job) throws org.apache.thrift.TException
+    public void send_submit(java.lang.String submission, java.lang.String job, long deadlineMs) throws org.apache.thrift.TException
     {
       submit_args args = new submit_args();
       args.setSubmission(submission);
       args.setJob(job);
+      args.setDeadlineMs(deadlineMs);
       sendBase("submit", args);
     }
 
@@ -140,6 +163,53 @@
       throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "cancel failed: unknown result");
     }
 
+    @Override
+    public boolean handover(HandoverPart part) throws org.apache.thrift.TException
+    {
+      send_handover(part);
+      return recv_handover();
+    }
+
+    public void send_handover(HandoverPart part) throws org.apache.thrift.TException
+    {
+      handover_args args = new handover_args();
+      args.setPart(part);
+      sendBase("handover", args);
+    }
+
+    public boolean recv_handover() throws org.apache.thrift.TException
+    {
+      handover_result result = new handover_result();
+      receiveBase(result, "handover");
+      if (result.isSetSuccess()) {
+        return result.success;
+      }
+      throw new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.MISSING_RESULT, "handover failed: unknown result");
+    }
+
+    @Override
+    public void left(java.lang.String host, long incarnation, java.lang.String successor) throws org.apache.thrift.TException
+    {
+      send_left(host, incarnation, successor);
+      recv_left();
+    }
+
+    public void send_left(java.lang.String host, long incarnation, java.lang.String successor) throws org.apache.thrift.TException
+    {
+      left_args args = new left_args();
+      args.setHost(host);
+      args.setIncarnation(incarnation);
+      args.setSuccessor(successor);
+      sendBase("left", args);
+    }
+
+    public void recv_left() throws org.apache.thrift.TException
+    {
+      left_result result = new left_result();
+      receiveBase(result, "left");
+      return;
+    }
+
   }
   public static class AsyncClient extends org.apache.thrift.async.TAsyncClient implements AsyncIface {
     public static class Factory implements org.apache.thrift.async.TAsyncClientFactory<AsyncClient> {
@@ -160,9 +230,9 @@
     }
 
     @Override
-    public void submit(java.lang.String submission, java.lang.String job, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException {
+    public void submit(java.lang.String submission, java.lang.String job, long deadlineMs, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException {
       checkReady();
-      submit_call method_call = new submit_call(submission, job, resultHandler, this, ___protocolFactory, ___transport);
+      submit_call method_call = new submit_call(submission, job, deadlineMs, resultHandler, this, ___protocolFactory, ___transport);
       this.___currentMethod = method_call;
       ___manager.call(method_call);
     }
@@ -170,10 +240,12 @@
     public static class submit_call extends org.apache.thrift.async.TAsyncMethodCall<PeerAnswer> {
       private java.lang.String submission;
       private java.lang.String job;
-      public submit_call(java.lang.String submission, java.lang.String job, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+      private long deadlineMs;
+      public submit_call(java.lang.String submission, java.lang.String job, long deadlineMs, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
         super(client, protocolFactory, transport, resultHandler, false);
         this.submission = submission;
         this.job = job;
+        this.deadlineMs = deadlineMs;
       }
 
       @Override
@@ -182,6 +254,7 @@
         submit_args args = new submit_args();
         args.setSubmission(submission);
         args.setJob(job);
+        args.setDeadlineMs(deadlineMs);
         args.write(prot);
         prot.writeMessageEnd();
       }
@@ -267,6 +340,83 @@
       }
     }
 
+    @Override
+    public void handover(HandoverPart part, org.apache.thrift.async.AsyncMethodCallback<java.lang.Boolean> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      handover_call method_call = new handover_call(part, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class handover_call extends org.apache.thrift.async.TAsyncMethodCall<java.lang.Boolean> {
+      private HandoverPart part;
+      public handover_call(HandoverPart part, org.apache.thrift.async.AsyncMethodCallback<java.lang.Boolean> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.part = part;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("handover", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        handover_args args = new handover_args();
+        args.setPart(part);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public java.lang.Boolean getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        return (new Client(prot)).recv_handover();
+      }
+    }
+
+    @Override
+    public void left(java.lang.String host, long incarnation, java.lang.String successor, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+      checkReady();
+      left_call method_call = new left_call(host, incarnation, successor, resultHandler, this, ___protocolFactory, ___transport);
+      this.___currentMethod = method_call;
+      ___manager.call(method_call);
+    }
+
+    public static class left_call extends org.apache.thrift.async.TAsyncMethodCall<Void> {
+      private java.lang.String host;
+      private long incarnation;
+      private java.lang.String successor;
+      public left_call(java.lang.String host, long incarnation, java.lang.String successor, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler, org.apache.thrift.async.TAsyncClient client, org.apache.thrift.protocol.TProtocolFactory protocolFactory, org.apache.thrift.transport.TNonblockingTransport transport) throws org.apache.thrift.TException {
+        super(client, protocolFactory, transport, resultHandler, false);
+        this.host = host;
+        this.incarnation = incarnation;
+        this.successor = successor;
+      }
+
+      @Override
+      public void write_args(org.apache.thrift.protocol.TProtocol prot) throws org.apache.thrift.TException {
+        prot.writeMessageBegin(new org.apache.thrift.protocol.TMessage("left", org.apache.thrift.protocol.TMessageType.CALL, 0));
+        left_args args = new left_args();
+        args.setHost(host);
+        args.setIncarnation(incarnation);
+        args.setSuccessor(successor);
+        args.write(prot);
+        prot.writeMessageEnd();
+      }
+
+      @Override
+      public Void getResult() throws org.apache.thrift.TException {
+        if (getState() != org.apache.thrift.async.TAsyncMethodCall.State.RESPONSE_READ) {
+          throw new java.lang.IllegalStateException("Method call not finished!");
+        }
+        org.apache.thrift.transport.TMemoryInputTransport memoryTransport = new org.apache.thrift.transport.TMemoryInputTransport(getFrameBuffer().array());
+        org.apache.thrift.protocol.TProtocol prot = client.getProtocolFactory().getProtocol(memoryTransport);
+        (new Client(prot)).recv_left();
+        return null;
+      }
+    }
+
   }
 
   public static class Processor<I extends Iface> extends org.apache.thrift.TBaseProcessor<I> implements org.apache.thrift.TProcessor {
@@ -283,6 +433,8 @@
       processMap.put("submit", new submit());
       processMap.put("lookUp", new lookUp());
       processMap.put("cancel", new cancel());
+      processMap.put("handover", new handover());
+      processMap.put("left", new left());
       return processMap;
     }
 
@@ -309,7 +461,7 @@
       @Override
       public submit_result getResult(I iface, submit_args args) throws org.apache.thrift.TException {
         submit_result result = new submit_result();
-        result.success = iface.submit(args.submission, args.job);
+        result.success = iface.submit(args.submission, args.job, args.deadlineMs);
         return result;
       }
     }
@@ -370,6 +522,63 @@
       }
     }
 
+    public static class handover<I extends Iface> extends org.apache.thrift.ProcessFunction<I, handover_args> {
+      public handover() {
+        super("handover");
+      }
+
+      @Override
+      public handover_args getEmptyArgsInstance() {
+        return new handover_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public handover_result getResult(I iface, handover_args args) throws org.apache.thrift.TException {
+        handover_result result = new handover_result();
+        result.success = iface.handover(args.part);
+        result.setSuccessIsSet(true);
+        return result;
+      }
+    }
+
+    public static class left<I extends Iface> extends org.apache.thrift.ProcessFunction<I, left_args> {
+      public left() {
+        super("left");
+      }
+
+      @Override
+      public left_args getEmptyArgsInstance() {
+        return new left_args();
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      protected boolean rethrowUnhandledExceptions() {
+        return false;
+      }
+
+      @Override
+      public left_result getResult(I iface, left_args args) throws org.apache.thrift.TException {
+        left_result result = new left_result();
+        iface.left(args.host, args.incarnation, args.successor);
+        return result;
+      }
+    }
+
   }
 
   public static class AsyncProcessor<I extends AsyncIface> extends org.apache.thrift.TBaseAsyncProcessor<I> {
@@ -386,6 +595,8 @@
       processMap.put("submit", new submit());
       processMap.put("lookUp", new lookUp());
       processMap.put("cancel", new cancel());
+      processMap.put("handover", new handover());
+      processMap.put("left", new left());
       return processMap;
     }
 
@@ -452,7 +663,7 @@
 
       @Override
       public void start(I iface, submit_args args, org.apache.thrift.async.AsyncMethodCallback<PeerAnswer> resultHandler) throws org.apache.thrift.TException {
-        iface.submit(args.submission, args.job,resultHandler);
+        iface.submit(args.submission, args.job, args.deadlineMs,resultHandler);
       }
     }
 
@@ -590,6 +801,140 @@
       }
     }
 
+    public static class handover<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, handover_args, java.lang.Boolean> {
+      public handover() {
+        super("handover");
+      }
+
+      @Override
+      public handover_args getEmptyArgsInstance() {
+        return new handover_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<java.lang.Boolean> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<java.lang.Boolean>() { 
+          @Override
+          public void onComplete(java.lang.Boolean o) {
+            handover_result result = new handover_result();
+            result.success = o;
+            result.setSuccessIsSet(true);
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            handover_result result = new handover_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, handover_args args, org.apache.thrift.async.AsyncMethodCallback<java.lang.Boolean> resultHandler) throws org.apache.thrift.TException {
+        iface.handover(args.part,resultHandler);
+      }
+    }
+
+    public static class left<I extends AsyncIface> extends org.apache.thrift.AsyncProcessFunction<I, left_args, Void> {
+      public left() {
+        super("left");
+      }
+
+      @Override
+      public left_args getEmptyArgsInstance() {
+        return new left_args();
+      }
+
+      @Override
+      public org.apache.thrift.async.AsyncMethodCallback<Void> getResultHandler(final org.apache.thrift.server.AbstractNonblockingServer.AsyncFrameBuffer fb, final int seqid) {
+        final org.apache.thrift.AsyncProcessFunction fcall = this;
+        return new org.apache.thrift.async.AsyncMethodCallback<Void>() { 
+          @Override
+          public void onComplete(Void o) {
+            left_result result = new left_result();
+            try {
+              fcall.sendResponse(fb, result, org.apache.thrift.protocol.TMessageType.REPLY,seqid);
+            } catch (org.apache.thrift.transport.TTransportException e) {
+              _LOGGER.error("TTransportException writing to internal frame buffer", e);
+              fb.close();
+            } catch (java.lang.Exception e) {
+              _LOGGER.error("Exception writing to internal frame buffer", e);
+              onError(e);
+            }
+          }
+          @Override
+          public void onError(java.lang.Exception e) {
+            byte msgType = org.apache.thrift.protocol.TMessageType.REPLY;
+            org.apache.thrift.TSerializable msg;
+            left_result result = new left_result();
+            if (e instanceof org.apache.thrift.transport.TTransportException) {
+              _LOGGER.error("TTransportException inside handler", e);
+              fb.close();
+              return;
+            } else if (e instanceof org.apache.thrift.TApplicationException) {
+              _LOGGER.error("TApplicationException inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = (org.apache.thrift.TApplicationException)e;
+            } else {
+              _LOGGER.error("Exception inside handler", e);
+              msgType = org.apache.thrift.protocol.TMessageType.EXCEPTION;
+              msg = new org.apache.thrift.TApplicationException(org.apache.thrift.TApplicationException.INTERNAL_ERROR, e.getMessage());
+            }
+            try {
+              fcall.sendResponse(fb,msg,msgType,seqid);
+            } catch (java.lang.Exception ex) {
+              _LOGGER.error("Exception writing to internal frame buffer", ex);
+              fb.close();
+            }
+          }
+        };
+      }
+
+      @Override
+      protected boolean isOneway() {
+        return false;
+      }
+
+      @Override
+      public void start(I iface, left_args args, org.apache.thrift.async.AsyncMethodCallback<Void> resultHandler) throws org.apache.thrift.TException {
+        iface.left(args.host, args.incarnation, args.successor,resultHandler);
+      }
+    }
+
   }
 
   @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
@@ -598,17 +943,20 @@
 
     private static final org.apache.thrift.protocol.TField SUBMISSION_FIELD_DESC = new org.apache.thrift.protocol.TField("submission", org.apache.thrift.protocol.TType.STRING, (short)1);
     private static final org.apache.thrift.protocol.TField JOB_FIELD_DESC = new org.apache.thrift.protocol.TField("job", org.apache.thrift.protocol.TType.STRING, (short)2);
+    private static final org.apache.thrift.protocol.TField DEADLINE_MS_FIELD_DESC = new org.apache.thrift.protocol.TField("deadlineMs", org.apache.thrift.protocol.TType.I64, (short)3);
 
     private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new submit_argsStandardSchemeFactory();
     private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new submit_argsTupleSchemeFactory();
 
     public @org.apache.thrift.annotation.Nullable java.lang.String submission; // required
     public @org.apache.thrift.annotation.Nullable java.lang.String job; // required
+    public long deadlineMs; // required
 
     /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
     public enum _Fields implements org.apache.thrift.TFieldIdEnum {
       SUBMISSION((short)1, "submission"),
-      JOB((short)2, "job");
+      JOB((short)2, "job"),
+      DEADLINE_MS((short)3, "deadlineMs");
 
       private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
 
@@ -628,6 +976,8 @@
             return SUBMISSION;
           case 2: // JOB
             return JOB;
+          case 3: // DEADLINE_MS
+            return DEADLINE_MS;
           default:
             return null;
         }
@@ -671,6 +1021,8 @@
     }
 
     // isset id assignments
+    private static final int __DEADLINEMS_ISSET_ID = 0;
+    private byte __isset_bitfield = 0;
     public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
     static {
       java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
@@ -678,6 +1030,8 @@
           new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
       tmpMap.put(_Fields.JOB, new org.apache.thrift.meta_data.FieldMetaData("job", org.apache.thrift.TFieldRequirementType.DEFAULT, 
           new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+      tmpMap.put(_Fields.DEADLINE_MS, new org.apache.thrift.meta_data.FieldMetaData("deadlineMs", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
       metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
       org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(submit_args.class, metaDataMap);
     }
@@ -687,23 +1041,28 @@
 
     public submit_args(
       java.lang.String submission,
-      java.lang.String job)
+      java.lang.String job,
+      long deadlineMs)
     {
       this();
       this.submission = submission;
       this.job = job;
+      this.deadlineMs = deadlineMs;
+      setDeadlineMsIsSet(true);
     }
 
     /**
      * Performs a deep copy on <i>other</i>.
      */
     public submit_args(submit_args other) {
+      __isset_bitfield = other.__isset_bitfield;
       if (other.isSetSubmission()) {
         this.submission = other.submission;
       }
       if (other.isSetJob()) {
         this.job = other.job;
       }
+      this.deadlineMs = other.deadlineMs;
     }
 
     @Override
@@ -715,6 +1074,8 @@
     public void clear() {
       this.submission = null;
       this.job = null;
+      setDeadlineMsIsSet(false);
+      this.deadlineMs = 0;
     }
 
     @org.apache.thrift.annotation.Nullable
@@ -767,6 +1128,29 @@
       }
     }
 
+    public long getDeadlineMs() {
+      return this.deadlineMs;
+    }
+
+    public submit_args setDeadlineMs(long deadlineMs) {
+      this.deadlineMs = deadlineMs;
+      setDeadlineMsIsSet(true);
+      return this;
+    }
+
+    public void unsetDeadlineMs() {
+      __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __DEADLINEMS_ISSET_ID);
+    }
+
+    /** Returns true if field deadlineMs is set (has been assigned a value) and false otherwise */
+    public boolean isSetDeadlineMs() {
+      return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __DEADLINEMS_ISSET_ID);
+    }
+
+    public void setDeadlineMsIsSet(boolean value) {
+      __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __DEADLINEMS_ISSET_ID, value);
+    }
+
     @Override
     public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
       switch (field) {
@@ -786,6 +1170,14 @@
         }
         break;
 
+      case DEADLINE_MS:
+        if (value == null) {
+          unsetDeadlineMs();
+        } else {
+          setDeadlineMs((java.lang.Long)value);
+        }
+        break;
+
       }
     }
 
@@ -799,6 +1191,9 @@
       case JOB:
         return getJob();
 
+      case DEADLINE_MS:
+        return getDeadlineMs();
+
       }
       throw new java.lang.IllegalStateException();
     }
@@ -815,6 +1210,8 @@
         return isSetSubmission();
       case JOB:
         return isSetJob();
+      case DEADLINE_MS:
+        return isSetDeadlineMs();
       }
       throw new java.lang.IllegalStateException();
     }
@@ -850,6 +1247,15 @@
           return false;
       }
 
+      boolean this_present_deadlineMs = true;
+      boolean that_present_deadlineMs = true;
+      if (this_present_deadlineMs || that_present_deadlineMs) {
+        if (!(this_present_deadlineMs && that_present_deadlineMs))
+          return false;
+        if (this.deadlineMs != that.deadlineMs)
+          return false;
+      }
+
       return true;
     }
 
@@ -865,6 +1271,8 @@
       if (isSetJob())
         hashCode = hashCode * 8191 + job.hashCode();
 
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(deadlineMs);
+
       return hashCode;
     }
 
@@ -896,10 +1304,20 @@
           return lastComparison;
         }
       }
-      return 0;
-    }
-
-    @org.apache.thrift.annotation.Nullable
+      lastComparison = java.lang.Boolean.compare(isSetDeadlineMs(), other.isSetDeadlineMs());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetDeadlineMs()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.deadlineMs, other.deadlineMs);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
     @Override
     public _Fields fieldForId(int fieldId) {
       return _Fields.findByThriftId(fieldId);
@@ -935,6 +1353,10 @@
         sb.append(this.job);
       }
       first = false;
+      if (!first) sb.append(", ");
+      sb.append("deadlineMs:");
+      sb.append(this.deadlineMs);
+      first = false;
       sb.append(")");
       return sb.toString();
     }
@@ -954,6 +1376,8 @@
 
     private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
       try {
+        // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+        __isset_bitfield = 0;
         read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
       } catch (org.apache.thrift.TException te) {
         throw new java.io.IOException(te);
@@ -996,6 +1420,14 @@
                 org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
               }
               break;
+            case 3: // DEADLINE_MS
+              if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                struct.deadlineMs = iprot.readI64();
+                struct.setDeadlineMsIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
             default:
               org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
           }
@@ -1022,6 +1454,9 @@
           oprot.writeString(struct.job);
           oprot.writeFieldEnd();
         }
+        oprot.writeFieldBegin(DEADLINE_MS_FIELD_DESC);
+        oprot.writeI64(struct.deadlineMs);
+        oprot.writeFieldEnd();
         oprot.writeFieldStop();
         oprot.writeStructEnd();
       }
@@ -1047,19 +1482,25 @@
         if (struct.isSetJob()) {
           optionals.set(1);
         }
-        oprot.writeBitSet(optionals, 2);
+        if (struct.isSetDeadlineMs()) {
+          optionals.set(2);
+        }
+        oprot.writeBitSet(optionals, 3);
         if (struct.isSetSubmission()) {
           oprot.writeString(struct.submission);
         }
         if (struct.isSetJob()) {
           oprot.writeString(struct.job);
         }
+        if (struct.isSetDeadlineMs()) {
+          oprot.writeI64(struct.deadlineMs);
+        }
       }
 
       @Override
       public void read(org.apache.thrift.protocol.TProtocol prot, submit_args struct) throws org.apache.thrift.TException {
         org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
-        java.util.BitSet incoming = iprot.readBitSet(2);
+        java.util.BitSet incoming = iprot.readBitSet(3);
         if (incoming.get(0)) {
           struct.submission = iprot.readString();
           struct.setSubmissionIsSet(true);
@@ -1068,6 +1509,10 @@
           struct.job = iprot.readString();
           struct.setJobIsSet(true);
         }
+        if (incoming.get(2)) {
+          struct.deadlineMs = iprot.readI64();
+          struct.setDeadlineMsIsSet(true);
+        }
       }
     }
 
@@ -2983,4 +3428,1612 @@
     }
   }
 
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class handover_args implements org.apache.thrift.TBase<handover_args, handover_args._Fields>, java.io.Serializable, Cloneable, Comparable<handover_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("handover_args");
+
+    private static final org.apache.thrift.protocol.TField PART_FIELD_DESC = new org.apache.thrift.protocol.TField("part", org.apache.thrift.protocol.TType.STRUCT, (short)1);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new handover_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new handover_argsTupleSchemeFactory();
+
+    public @org.apache.thrift.annotation.Nullable HandoverPart part; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      PART((short)1, "part");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // PART
+            return PART;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.PART, new org.apache.thrift.meta_data.FieldMetaData("part", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.StructMetaData(org.apache.thrift.protocol.TType.STRUCT, HandoverPart.class)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(handover_args.class, metaDataMap);
+    }
+
+    public handover_args() {
+    }
+
+    public handover_args(
+      HandoverPart part)
+    {
+      this();
+      this.part = part;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public handover_args(handover_args other) {
+      if (other.isSetPart()) {
+        this.part = new HandoverPart(other.part);
+      }
+    }
+
+    @Override
+    public handover_args deepCopy() {
+      return new handover_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.part = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public HandoverPart getPart() {
+      return this.part;
+    }
+
+    public handover_args setPart(@org.apache.thrift.annotation.Nullable HandoverPart part) {
+      this.part = part;
+      return this;
+    }
+
+    public void unsetPart() {
+      this.part = null;
+    }
+
+    /** Returns true if field part is set (has been assigned a value) and false otherwise */
+    public boolean isSetPart() {
+      return this.part != null;
+    }
+
+    public void setPartIsSet(boolean value) {
+      if (!value) {
+        this.part = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case PART:
+        if (value == null) {
+          unsetPart();
+        } else {
+          setPart((HandoverPart)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case PART:
+        return getPart();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case PART:
+        return isSetPart();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof handover_args)
+        return this.equals((handover_args)that);
+      return false;
+    }
+
+    public boolean equals(handover_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_part = true && this.isSetPart();
+      boolean that_present_part = true && that.isSetPart();
+      if (this_present_part || that_present_part) {
+        if (!(this_present_part && that_present_part))
+          return false;
+        if (!this.part.equals(that.part))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetPart()) ? 131071 : 524287);
+      if (isSetPart())
+        hashCode = hashCode * 8191 + part.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(handover_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetPart(), other.isSetPart());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetPart()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.part, other.part);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("handover_args(");
+      boolean first = true;
+
+      sb.append("part:");
+      if (this.part == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.part);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+      if (part != null) {
+        part.validate();
+      }
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class handover_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public handover_argsStandardScheme getScheme() {
+        return new handover_argsStandardScheme();
+      }
+    }
+
+    private static class handover_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<handover_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, handover_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // PART
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRUCT) {
+                struct.part = new HandoverPart();
+                struct.part.read(iprot);
+                struct.setPartIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, handover_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.part != null) {
+          oprot.writeFieldBegin(PART_FIELD_DESC);
+          struct.part.write(oprot);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class handover_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public handover_argsTupleScheme getScheme() {
+        return new handover_argsTupleScheme();
+      }
+    }
+
+    private static class handover_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<handover_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, handover_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetPart()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetPart()) {
+          struct.part.write(oprot);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, handover_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.part = new HandoverPart();
+          struct.part.read(iprot);
+          struct.setPartIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class handover_result implements org.apache.thrift.TBase<handover_result, handover_result._Fields>, java.io.Serializable, Cloneable, Comparable<handover_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("handover_result");
+
+    private static final org.apache.thrift.protocol.TField SUCCESS_FIELD_DESC = new org.apache.thrift.protocol.TField("success", org.apache.thrift.protocol.TType.BOOL, (short)0);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new handover_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new handover_resultTupleSchemeFactory();
+
+    public boolean success; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      SUCCESS((short)0, "success");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 0: // SUCCESS
+            return SUCCESS;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    private static final int __SUCCESS_ISSET_ID = 0;
+    private byte __isset_bitfield = 0;
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.SUCCESS, new org.apache.thrift.meta_data.FieldMetaData("success", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.BOOL)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(handover_result.class, metaDataMap);
+    }
+
+    public handover_result() {
+    }
+
+    public handover_result(
+      boolean success)
+    {
+      this();
+      this.success = success;
+      setSuccessIsSet(true);
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public handover_result(handover_result other) {
+      __isset_bitfield = other.__isset_bitfield;
+      this.success = other.success;
+    }
+
+    @Override
+    public handover_result deepCopy() {
+      return new handover_result(this);
+    }
+
+    @Override
+    public void clear() {
+      setSuccessIsSet(false);
+      this.success = false;
+    }
+
+    public boolean isSuccess() {
+      return this.success;
+    }
+
+    public handover_result setSuccess(boolean success) {
+      this.success = success;
+      setSuccessIsSet(true);
+      return this;
+    }
+
+    public void unsetSuccess() {
+      __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __SUCCESS_ISSET_ID);
+    }
+
+    /** Returns true if field success is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccess() {
+      return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __SUCCESS_ISSET_ID);
+    }
+
+    public void setSuccessIsSet(boolean value) {
+      __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __SUCCESS_ISSET_ID, value);
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case SUCCESS:
+        if (value == null) {
+          unsetSuccess();
+        } else {
+          setSuccess((java.lang.Boolean)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case SUCCESS:
+        return isSuccess();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case SUCCESS:
+        return isSetSuccess();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof handover_result)
+        return this.equals((handover_result)that);
+      return false;
+    }
+
+    public boolean equals(handover_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_success = true;
+      boolean that_present_success = true;
+      if (this_present_success || that_present_success) {
+        if (!(this_present_success && that_present_success))
+          return false;
+        if (this.success != that.success)
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((success) ? 131071 : 524287);
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(handover_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetSuccess(), other.isSetSuccess());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccess()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.success, other.success);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("handover_result(");
+      boolean first = true;
+
+      sb.append("success:");
+      sb.append(this.success);
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+        __isset_bitfield = 0;
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class handover_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public handover_resultStandardScheme getScheme() {
+        return new handover_resultStandardScheme();
+      }
+    }
+
+    private static class handover_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<handover_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, handover_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 0: // SUCCESS
+              if (schemeField.type == org.apache.thrift.protocol.TType.BOOL) {
+                struct.success = iprot.readBool();
+                struct.setSuccessIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, handover_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.isSetSuccess()) {
+          oprot.writeFieldBegin(SUCCESS_FIELD_DESC);
+          oprot.writeBool(struct.success);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class handover_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public handover_resultTupleScheme getScheme() {
+        return new handover_resultTupleScheme();
+      }
+    }
+
+    private static class handover_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<handover_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, handover_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetSuccess()) {
+          optionals.set(0);
+        }
+        oprot.writeBitSet(optionals, 1);
+        if (struct.isSetSuccess()) {
+          oprot.writeBool(struct.success);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, handover_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(1);
+        if (incoming.get(0)) {
+          struct.success = iprot.readBool();
+          struct.setSuccessIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class left_args implements org.apache.thrift.TBase<left_args, left_args._Fields>, java.io.Serializable, Cloneable, Comparable<left_args>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("left_args");
+
+    private static final org.apache.thrift.protocol.TField HOST_FIELD_DESC = new org.apache.thrift.protocol.TField("host", org.apache.thrift.protocol.TType.STRING, (short)1);
+    private static final org.apache.thrift.protocol.TField INCARNATION_FIELD_DESC = new org.apache.thrift.protocol.TField("incarnation", org.apache.thrift.protocol.TType.I64, (short)2);
+    private static final org.apache.thrift.protocol.TField SUCCESSOR_FIELD_DESC = new org.apache.thrift.protocol.TField("successor", org.apache.thrift.protocol.TType.STRING, (short)3);
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new left_argsStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new left_argsTupleSchemeFactory();
+
+    public @org.apache.thrift.annotation.Nullable java.lang.String host; // required
+    public long incarnation; // required
+    public @org.apache.thrift.annotation.Nullable java.lang.String successor; // required
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+      HOST((short)1, "host"),
+      INCARNATION((short)2, "incarnation"),
+      SUCCESSOR((short)3, "successor");
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          case 1: // HOST
+            return HOST;
+          case 2: // INCARNATION
+            return INCARNATION;
+          case 3: // SUCCESSOR
+            return SUCCESSOR;
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+
+    // isset id assignments
+    private static final int __INCARNATION_ISSET_ID = 0;
+    private byte __isset_bitfield = 0;
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      tmpMap.put(_Fields.HOST, new org.apache.thrift.meta_data.FieldMetaData("host", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+      tmpMap.put(_Fields.INCARNATION, new org.apache.thrift.meta_data.FieldMetaData("incarnation", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.I64)));
+      tmpMap.put(_Fields.SUCCESSOR, new org.apache.thrift.meta_data.FieldMetaData("successor", org.apache.thrift.TFieldRequirementType.DEFAULT, 
+          new org.apache.thrift.meta_data.FieldValueMetaData(org.apache.thrift.protocol.TType.STRING)));
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(left_args.class, metaDataMap);
+    }
+
+    public left_args() {
+    }
+
+    public left_args(
+      java.lang.String host,
+      long incarnation,
+      java.lang.String successor)
+    {
+      this();
+      this.host = host;
+      this.incarnation = incarnation;
+      setIncarnationIsSet(true);
+      this.successor = successor;
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public left_args(left_args other) {
+      __isset_bitfield = other.__isset_bitfield;
+      if (other.isSetHost()) {
+        this.host = other.host;
+      }
+      this.incarnation = other.incarnation;
+      if (other.isSetSuccessor()) {
+        this.successor = other.successor;
+      }
+    }
+
+    @Override
+    public left_args deepCopy() {
+      return new left_args(this);
+    }
+
+    @Override
+    public void clear() {
+      this.host = null;
+      setIncarnationIsSet(false);
+      this.incarnation = 0;
+      this.successor = null;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.lang.String getHost() {
+      return this.host;
+    }
+
+    public left_args setHost(@org.apache.thrift.annotation.Nullable java.lang.String host) {
+      this.host = host;
+      return this;
+    }
+
+    public void unsetHost() {
+      this.host = null;
+    }
+
+    /** Returns true if field host is set (has been assigned a value) and false otherwise */
+    public boolean isSetHost() {
+      return this.host != null;
+    }
+
+    public void setHostIsSet(boolean value) {
+      if (!value) {
+        this.host = null;
+      }
+    }
+
+    public long getIncarnation() {
+      return this.incarnation;
+    }
+
+    public left_args setIncarnation(long incarnation) {
+      this.incarnation = incarnation;
+      setIncarnationIsSet(true);
+      return this;
+    }
+
+    public void unsetIncarnation() {
+      __isset_bitfield = org.apache.thrift.EncodingUtils.clearBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+    }
+
+    /** Returns true if field incarnation is set (has been assigned a value) and false otherwise */
+    public boolean isSetIncarnation() {
+      return org.apache.thrift.EncodingUtils.testBit(__isset_bitfield, __INCARNATION_ISSET_ID);
+    }
+
+    public void setIncarnationIsSet(boolean value) {
+      __isset_bitfield = org.apache.thrift.EncodingUtils.setBit(__isset_bitfield, __INCARNATION_ISSET_ID, value);
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    public java.lang.String getSuccessor() {
+      return this.successor;
+    }
+
+    public left_args setSuccessor(@org.apache.thrift.annotation.Nullable java.lang.String successor) {
+      this.successor = successor;
+      return this;
+    }
+
+    public void unsetSuccessor() {
+      this.successor = null;
+    }
+
+    /** Returns true if field successor is set (has been assigned a value) and false otherwise */
+    public boolean isSetSuccessor() {
+      return this.successor != null;
+    }
+
+    public void setSuccessorIsSet(boolean value) {
+      if (!value) {
+        this.successor = null;
+      }
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      case HOST:
+        if (value == null) {
+          unsetHost();
+        } else {
+          setHost((java.lang.String)value);
+        }
+        break;
+
+      case INCARNATION:
+        if (value == null) {
+          unsetIncarnation();
+        } else {
+          setIncarnation((java.lang.Long)value);
+        }
+        break;
+
+      case SUCCESSOR:
+        if (value == null) {
+          unsetSuccessor();
+        } else {
+          setSuccessor((java.lang.String)value);
+        }
+        break;
+
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      case HOST:
+        return getHost();
+
+      case INCARNATION:
+        return getIncarnation();
+
+      case SUCCESSOR:
+        return getSuccessor();
+
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      case HOST:
+        return isSetHost();
+      case INCARNATION:
+        return isSetIncarnation();
+      case SUCCESSOR:
+        return isSetSuccessor();
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof left_args)
+        return this.equals((left_args)that);
+      return false;
+    }
+
+    public boolean equals(left_args that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      boolean this_present_host = true && this.isSetHost();
+      boolean that_present_host = true && that.isSetHost();
+      if (this_present_host || that_present_host) {
+        if (!(this_present_host && that_present_host))
+          return false;
+        if (!this.host.equals(that.host))
+          return false;
+      }
+
+      boolean this_present_incarnation = true;
+      boolean that_present_incarnation = true;
+      if (this_present_incarnation || that_present_incarnation) {
+        if (!(this_present_incarnation && that_present_incarnation))
+          return false;
+        if (this.incarnation != that.incarnation)
+          return false;
+      }
+
+      boolean this_present_successor = true && this.isSetSuccessor();
+      boolean that_present_successor = true && that.isSetSuccessor();
+      if (this_present_successor || that_present_successor) {
+        if (!(this_present_successor && that_present_successor))
+          return false;
+        if (!this.successor.equals(that.successor))
+          return false;
+      }
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      hashCode = hashCode * 8191 + ((isSetHost()) ? 131071 : 524287);
+      if (isSetHost())
+        hashCode = hashCode * 8191 + host.hashCode();
+
+      hashCode = hashCode * 8191 + org.apache.thrift.TBaseHelper.hashCode(incarnation);
+
+      hashCode = hashCode * 8191 + ((isSetSuccessor()) ? 131071 : 524287);
+      if (isSetSuccessor())
+        hashCode = hashCode * 8191 + successor.hashCode();
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(left_args other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      lastComparison = java.lang.Boolean.compare(isSetHost(), other.isSetHost());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetHost()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.host, other.host);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      lastComparison = java.lang.Boolean.compare(isSetIncarnation(), other.isSetIncarnation());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetIncarnation()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.incarnation, other.incarnation);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      lastComparison = java.lang.Boolean.compare(isSetSuccessor(), other.isSetSuccessor());
+      if (lastComparison != 0) {
+        return lastComparison;
+      }
+      if (isSetSuccessor()) {
+        lastComparison = org.apache.thrift.TBaseHelper.compareTo(this.successor, other.successor);
+        if (lastComparison != 0) {
+          return lastComparison;
+        }
+      }
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    @Override
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+    }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("left_args(");
+      boolean first = true;
+
+      sb.append("host:");
+      if (this.host == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.host);
+      }
+      first = false;
+      if (!first) sb.append(", ");
+      sb.append("incarnation:");
+      sb.append(this.incarnation);
+      first = false;
+      if (!first) sb.append(", ");
+      sb.append("successor:");
+      if (this.successor == null) {
+        sb.append("null");
+      } else {
+        sb.append(this.successor);
+      }
+      first = false;
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        // it doesn't seem like you should have to do this, but java serialization is wacky, and doesn't call the default constructor.
+        __isset_bitfield = 0;
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class left_argsStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public left_argsStandardScheme getScheme() {
+        return new left_argsStandardScheme();
+      }
+    }
+
+    private static class left_argsStandardScheme extends org.apache.thrift.scheme.StandardScheme<left_args> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, left_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            case 1: // HOST
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+                struct.host = iprot.readString();
+                struct.setHostIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            case 2: // INCARNATION
+              if (schemeField.type == org.apache.thrift.protocol.TType.I64) {
+                struct.incarnation = iprot.readI64();
+                struct.setIncarnationIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            case 3: // SUCCESSOR
+              if (schemeField.type == org.apache.thrift.protocol.TType.STRING) {
+                struct.successor = iprot.readString();
+                struct.setSuccessorIsSet(true);
+              } else { 
+                org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+              }
+              break;
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, left_args struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        if (struct.host != null) {
+          oprot.writeFieldBegin(HOST_FIELD_DESC);
+          oprot.writeString(struct.host);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldBegin(INCARNATION_FIELD_DESC);
+        oprot.writeI64(struct.incarnation);
+        oprot.writeFieldEnd();
+        if (struct.successor != null) {
+          oprot.writeFieldBegin(SUCCESSOR_FIELD_DESC);
+          oprot.writeString(struct.successor);
+          oprot.writeFieldEnd();
+        }
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class left_argsTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public left_argsTupleScheme getScheme() {
+        return new left_argsTupleScheme();
+      }
+    }
+
+    private static class left_argsTupleScheme extends org.apache.thrift.scheme.TupleScheme<left_args> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, left_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet optionals = new java.util.BitSet();
+        if (struct.isSetHost()) {
+          optionals.set(0);
+        }
+        if (struct.isSetIncarnation()) {
+          optionals.set(1);
+        }
+        if (struct.isSetSuccessor()) {
+          optionals.set(2);
+        }
+        oprot.writeBitSet(optionals, 3);
+        if (struct.isSetHost()) {
+          oprot.writeString(struct.host);
+        }
+        if (struct.isSetIncarnation()) {
+          oprot.writeI64(struct.incarnation);
+        }
+        if (struct.isSetSuccessor()) {
+          oprot.writeString(struct.successor);
+        }
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, left_args struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+        java.util.BitSet incoming = iprot.readBitSet(3);
+        if (incoming.get(0)) {
+          struct.host = iprot.readString();
+          struct.setHostIsSet(true);
+        }
+        if (incoming.get(1)) {
+          struct.incarnation = iprot.readI64();
+          struct.setIncarnationIsSet(true);
+        }
+        if (incoming.get(2)) {
+          struct.successor = iprot.readString();
+          struct.setSuccessorIsSet(true);
+        }
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
+  @SuppressWarnings({"cast", "rawtypes", "serial", "unchecked", "unused"})
+  public static class left_result implements org.apache.thrift.TBase<left_result, left_result._Fields>, java.io.Serializable, Cloneable, Comparable<left_result>   {
+    private static final org.apache.thrift.protocol.TStruct STRUCT_DESC = new org.apache.thrift.protocol.TStruct("left_result");
+
+
+    private static final org.apache.thrift.scheme.SchemeFactory STANDARD_SCHEME_FACTORY = new left_resultStandardSchemeFactory();
+    private static final org.apache.thrift.scheme.SchemeFactory TUPLE_SCHEME_FACTORY = new left_resultTupleSchemeFactory();
+
+
+    /** The set of fields this struct contains, along with convenience methods for finding and manipulating them. */
+    public enum _Fields implements org.apache.thrift.TFieldIdEnum {
+;
+
+      private static final java.util.Map<java.lang.String, _Fields> byName = new java.util.HashMap<java.lang.String, _Fields>();
+
+      static {
+        for (_Fields field : java.util.EnumSet.allOf(_Fields.class)) {
+          byName.put(field.getFieldName(), field);
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByThriftId(int fieldId) {
+        switch(fieldId) {
+          default:
+            return null;
+        }
+      }
+
+      /**
+       * Find the _Fields constant that matches fieldId, throwing an exception
+       * if it is not found.
+       */
+      public static _Fields findByThriftIdOrThrow(int fieldId) {
+        _Fields fields = findByThriftId(fieldId);
+        if (fields == null) throw new java.lang.IllegalArgumentException("Field " + fieldId + " doesn't exist!");
+        return fields;
+      }
+
+      /**
+       * Find the _Fields constant that matches name, or null if its not found.
+       */
+      @org.apache.thrift.annotation.Nullable
+      public static _Fields findByName(java.lang.String name) {
+        return byName.get(name);
+      }
+
+      private final short _thriftId;
+      private final java.lang.String _fieldName;
+
+      _Fields(short thriftId, java.lang.String fieldName) {
+        _thriftId = thriftId;
+        _fieldName = fieldName;
+      }
+
+      @Override
+      public short getThriftFieldId() {
+        return _thriftId;
+      }
+
+      @Override
+      public java.lang.String getFieldName() {
+        return _fieldName;
+      }
+    }
+    public static final java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> metaDataMap;
+    static {
+      java.util.Map<_Fields, org.apache.thrift.meta_data.FieldMetaData> tmpMap = new java.util.EnumMap<_Fields, org.apache.thrift.meta_data.FieldMetaData>(_Fields.class);
+      metaDataMap = java.util.Collections.unmodifiableMap(tmpMap);
+      org.apache.thrift.meta_data.FieldMetaData.addStructMetaDataMap(left_result.class, metaDataMap);
+    }
+
+    public left_result() {
+    }
+
+    /**
+     * Performs a deep copy on <i>other</i>.
+     */
+    public left_result(left_result other) {
+    }
+
+    @Override
+    public left_result deepCopy() {
+      return new left_result(this);
+    }
+
+    @Override
+    public void clear() {
+    }
+
+    @Override
+    public void setFieldValue(_Fields field, @org.apache.thrift.annotation.Nullable java.lang.Object value) {
+      switch (field) {
+      }
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public java.lang.Object getFieldValue(_Fields field) {
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    /** Returns true if field corresponding to fieldID is set (has been assigned a value) and false otherwise */
+    @Override
+    public boolean isSet(_Fields field) {
+      if (field == null) {
+        throw new java.lang.IllegalArgumentException();
+      }
+
+      switch (field) {
+      }
+      throw new java.lang.IllegalStateException();
+    }
+
+    @Override
+    public boolean equals(java.lang.Object that) {
+      if (that instanceof left_result)
+        return this.equals((left_result)that);
+      return false;
+    }
+
+    public boolean equals(left_result that) {
+      if (that == null)
+        return false;
+      if (this == that)
+        return true;
+
+      return true;
+    }
+
+    @Override
+    public int hashCode() {
+      int hashCode = 1;
+
+      return hashCode;
+    }
+
+    @Override
+    public int compareTo(left_result other) {
+      if (!getClass().equals(other.getClass())) {
+        return getClass().getName().compareTo(other.getClass().getName());
+      }
+
+      int lastComparison = 0;
+
+      return 0;
+    }
+
+    @org.apache.thrift.annotation.Nullable
+    @Override
+    public _Fields fieldForId(int fieldId) {
+      return _Fields.findByThriftId(fieldId);
+    }
+
+    @Override
+    public void read(org.apache.thrift.protocol.TProtocol iprot) throws org.apache.thrift.TException {
+      scheme(iprot).read(iprot, this);
+    }
+
+    public void write(org.apache.thrift.protocol.TProtocol oprot) throws org.apache.thrift.TException {
+      scheme(oprot).write(oprot, this);
+      }
+
+    @Override
+    public java.lang.String toString() {
+      java.lang.StringBuilder sb = new java.lang.StringBuilder("left_result(");
+      boolean first = true;
+
+      sb.append(")");
+      return sb.toString();
+    }
+
+    public void validate() throws org.apache.thrift.TException {
+      // check for required fields
+      // check for sub-struct validity
+    }
+
+    private void writeObject(java.io.ObjectOutputStream out) throws java.io.IOException {
+      try {
+        write(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(out)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private void readObject(java.io.ObjectInputStream in) throws java.io.IOException, java.lang.ClassNotFoundException {
+      try {
+        read(new org.apache.thrift.protocol.TCompactProtocol(new org.apache.thrift.transport.TIOStreamTransport(in)));
+      } catch (org.apache.thrift.TException te) {
+        throw new java.io.IOException(te);
+      }
+    }
+
+    private static class left_resultStandardSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public left_resultStandardScheme getScheme() {
+        return new left_resultStandardScheme();
+      }
+    }
+
+    private static class left_resultStandardScheme extends org.apache.thrift.scheme.StandardScheme<left_result> {
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol iprot, left_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TField schemeField;
+        iprot.readStructBegin();
+        while (true)
+        {
+          schemeField = iprot.readFieldBegin();
+          if (schemeField.type == org.apache.thrift.protocol.TType.STOP) { 
+            break;
+          }
+          switch (schemeField.id) {
+            default:
+              org.apache.thrift.protocol.TProtocolUtil.skip(iprot, schemeField.type);
+          }
+          iprot.readFieldEnd();
+        }
+        iprot.readStructEnd();
+
+        // check for required fields of primitive type, which can't be checked in the validate method
+        struct.validate();
+      }
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol oprot, left_result struct) throws org.apache.thrift.TException {
+        struct.validate();
+
+        oprot.writeStructBegin(STRUCT_DESC);
+        oprot.writeFieldStop();
+        oprot.writeStructEnd();
+      }
+
+    }
+
+    private static class left_resultTupleSchemeFactory implements org.apache.thrift.scheme.SchemeFactory {
+      @Override
+      public left_resultTupleScheme getScheme() {
+        return new left_resultTupleScheme();
+      }
+    }
+
+    private static class left_resultTupleScheme extends org.apache.thrift.scheme.TupleScheme<left_result> {
+
+      @Override
+      public void write(org.apache.thrift.protocol.TProtocol prot, left_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol oprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+
+      @Override
+      public void read(org.apache.thrift.protocol.TProtocol prot, left_result struct) throws org.apache.thrift.TException {
+        org.apache.thrift.protocol.TTupleProtocol iprot = (org.apache.thrift.protocol.TTupleProtocol) prot;
+      }
+    }
+
+    private static <S extends org.apache.thrift.scheme.IScheme> S scheme(org.apache.thrift.protocol.TProtocol proto) {
+      return (org.apache.thrift.scheme.StandardScheme.class.equals(proto.getScheme()) ? STANDARD_SCHEME_FACTORY : TUPLE_SCHEME_FACTORY).getScheme();
+    }
+  }
+
 }
