--- a/src/main/java/org/mustardlink/target/TargetClient.java
+++ b/src/main/java/org/mustardlink/target/TargetClient.java
@@ -2,10 +2,13 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.primitives.Ints;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import org.mustardlink.core.AttemptResult;
 import org.mustardlink.core.Command;
 import org.mustardlink.core.LoadReport;
@@ -16,23 +19,41 @@
 import org.mustardlink.http.HttpCall;
 import org.mustardlink.http.HttpReply;
 import org.mustardlink.http.HttpRequester;
+import org.mustardlink.http.SilenceMonitor;
 
 /** Starts and stops tasks at targets. Thread-safe. */
 public final class TargetClient {
-    /** Time beyond the lease that an answer may take on the network. */
-    private static final Duration ANSWER_MARGIN = Duration.ofMillis(250);
+    /** An attempt is given up this long before its lease ends, so that the job ends with the target's silence as reason. */
+    private static final Duration GIVE_UP_MARGIN = Duration.ofMillis(20);
+    /** A middlebox may have forgotten a connection that was unused for longer, so such a one carries no task. */
+    private static final Duration MAX_IDLE = Duration.ofSeconds(1);
+    /** Timeouts in a row that count as silence. */
+    private static final int SILENT_AFTER = 3;
 
     private static final Duration STOP_TIMEOUT = Duration.ofSeconds(2);
 
     private final HttpRequester requester;
+    private final Consumer<String> silent;
+    private final SilenceMonitor silence = new SilenceMonitor(SILENT_AFTER);
+    private final AtomicLong droppedAnswers = new AtomicLong();
 
-    private TargetClient(HttpRequester requester) {
+    private TargetClient(HttpRequester requester, Consumer<String> silent) {
         this.requester = requester;
+        this.silent = silent;
     }
 
-    /** Returns a client that sends through the requester. */
-    public static TargetClient create(HttpRequester requester) {
-        return new TargetClient(requester);
+    /**
+     * Returns a client that sends through the requester.
+     *
+     * @param silent told the id of a target that stayed silent on several connections in a row
+     */
+    public static TargetClient create(HttpRequester requester, Consumer<String> silent) {
+        return new TargetClient(requester, silent);
+    }
+
+    /** Returns how many answers were dropped because they were foreign, crossed or did not match their digest. */
+    public long droppedAnswers() {
+        return droppedAnswers.get();
     }
 
     /**
@@ -51,11 +72,25 @@
                         TargetProtocol.LEASE_HEADER,
                         Long.toString(Math.max(1, command.lease().toMillis()))),
                 command.spec().payload(),
-                command.lease().plus(ANSWER_MARGIN));
+                timeoutOf(command.lease()),
+                MAX_IDLE);
+        InetSocketAddress address = Addresses.parse(command.target().address());
         return requester
-                .send(Addresses.parse(command.target().address()), call)
-                .thenApply(reply -> interpret(taskId, reply))
-                .exceptionally(TargetClient::interpretFailure);
+                .send(address, call, reply -> isAnswerTo(taskId, reply))
+                .thenApply(reply -> {
+                    silence.answered(address);
+                    return interpret(taskId, reply);
+                })
+                .exceptionally(failure -> interpretFailure(command, address, failure));
+    }
+
+    private static Duration timeoutOf(Duration lease) {
+        Duration margin = lease.dividedBy(10).compareTo(GIVE_UP_MARGIN) < 0 ? lease.dividedBy(10) : GIVE_UP_MARGIN;
+        return lease.minus(margin);
+    }
+
+    private static boolean isAnswerTo(String taskId, HttpReply reply) {
+        return reply.header(TargetProtocol.TASK_HEADER).equals(Optional.of(taskId));
     }
 
     /** Asks a target to stop a task, without waiting for the answer. */
@@ -65,33 +100,45 @@
                 requester.send(Addresses.parse(command.target().address()), call);
     }
 
-    private static AttemptResult interpret(String taskId, HttpReply reply) {
+    private AttemptResult interpret(String taskId, HttpReply reply) {
         Optional<LoadReport> load = load(reply);
+        if (!isAnswerTo(taskId, reply)) {
+            // Checked before anything else: a crossed "not run" would send a task that runs to a second target.
+            droppedAnswers.incrementAndGet();
+            return new AttemptResult.Lost(Reason.ANSWER_DAMAGED, load);
+        }
         Optional<String> notRun = reply.header(TargetProtocol.NOT_RUN_HEADER);
         if (reply.status() == 503 && notRun.isPresent()) {
             boolean draining = notRun.get().equals(TargetProtocol.NOT_RUN_DRAINING);
             return new AttemptResult.NotStarted(
                     draining ? AttemptResult.NotStartedCause.DRAINING : AttemptResult.NotStartedCause.BUSY, load);
         }
-        if (!reply.header(TargetProtocol.TASK_HEADER).equals(Optional.of(taskId))) {
-            return new AttemptResult.Lost(Reason.ANSWER_DAMAGED, load);
-        }
         if (reply.status() != 200) {
             return new AttemptResult.Lost(Reason.TASK_FAILED, load);
         }
         boolean whole =
                 reply.header(TargetProtocol.DIGEST_HEADER).equals(Optional.of(TargetProtocol.digest(reply.body())));
-        return whole
-                ? new AttemptResult.Completed(reply.body(), load)
-                : new AttemptResult.Lost(Reason.ANSWER_DAMAGED, load);
+        if (!whole) {
+            droppedAnswers.incrementAndGet();
+            return new AttemptResult.Lost(Reason.ANSWER_DAMAGED, load);
+        }
+        return new AttemptResult.Completed(reply.body(), load);
     }
 
-    private static AttemptResult interpretFailure(Throwable failure) {
+    private AttemptResult interpretFailure(Command.StartTask command, InetSocketAddress address, Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
-        boolean notSent = cause instanceof CodedException coded && coded.code() == ErrorCode.NOT_SENT;
-        return notSent
-                ? new AttemptResult.NotStarted(AttemptResult.NotStartedCause.NO_CONNECTION, Optional.empty())
-                : new AttemptResult.Lost(Reason.TARGET_LOST, Optional.empty());
+        ErrorCode code = cause instanceof CodedException coded ? coded.code() : ErrorCode.INTERNAL;
+        if (code == ErrorCode.NOT_SENT) {
+            return new AttemptResult.NotStarted(AttemptResult.NotStartedCause.NO_CONNECTION, Optional.empty());
+        }
+        if (code != ErrorCode.TIMED_OUT) {
+            return new AttemptResult.Lost(Reason.TARGET_LOST, Optional.empty());
+        }
+        if (silence.timedOut(address)) {
+            requester.replaceIdle(address);
+            silent.accept(command.target().id());
+        }
+        return new AttemptResult.Lost(Reason.TARGET_TIMEOUT, Optional.empty());
     }
 
     private static Optional<LoadReport> load(HttpReply reply) {
--- a/src/main/thrift/peer.thrift
+++ b/src/main/thrift/peer.thrift
@@ -9,7 +9,9 @@
   /** The sequence number was never used. */
   UNUSED = 2,
   /** The called process is another incarnation than the session names; that one is gone. */
-  OTHER_INCARNATION = 3
+  OTHER_INCARNATION = 3,
+  /** The called process neither owns the session nor succeeded its owner; this says nothing about the owner. */
+  NOT_OWNER = 4
 }
 
 struct PeerAnswer {
@@ -22,11 +24,46 @@
   4: optional list<string> results
 }
 
+/** The used numbers of one closed session. */
+struct SessionUse {
+  1: string session
+  /** Runs of nine words: the index of a chunk of 512 numbers, then its bitmap. */
+  2: list<i64> used
+}
+
+/** One kept answer. */
+struct KeptAnswer {
+  1: string submission
+  2: string reason
+  3: optional i64 retryAfterMs
+  4: optional list<string> results
+  /** Fingerprint of the job; absent when the number was sealed without one. */
+  5: optional i64 fingerprint
+}
+
+/** A part of what a stopping entry host hands over. The successor answers for the sessions after the last part. */
+struct HandoverPart {
+  1: string host
+  2: i64 incarnation
+  /** Position of the part, from 0. */
+  3: i32 part
+  4: bool last
+  5: list<SessionUse> sessions
+  6: list<KeptAnswer> answers
+}
+
 service Peer {
-  /** Submits a job to the owner of its session. The submission is session/sequence; the job is the caller's JSON. */
-  PeerAnswer submit(1: string submission, 2: string job)
+  /**
+   * Submits a job to the owner of its session. The submission is session/sequence; the job is the caller's JSON; the
+   * deadline is what is left of the caller's, in milliseconds.
+   */
+  PeerAnswer submit(1: string submission, 2: string job, 3: i64 deadlineMs)
   /** Waits for the verdict of an earlier submission. */
   PeerAnswer lookUp(1: string submission)
   /** Cancels a submission. */
   PeerAnswer cancel(1: string submission)
+  /** Hands closed sessions over; false means that this entry host does not take them. */
+  bool handover(1: HandoverPart part)
+  /** Announces that an incarnation has stopped and that the named entry host answers for its sessions. */
+  void left(1: string host, 2: i64 incarnation, 3: string successor)
 }
