--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -244,20 +244,24 @@
         CodedException error = cause instanceof CodedException coded
                 ? coded
                 : new CodedException(ErrorCode.INTERNAL, "internal error", cause);
-        int status =
-                switch (error.code()) {
-                    case BAD_REQUEST -> 400;
-                    case NOT_FOUND -> 404;
-                    case BODY_TIMEOUT -> 408;
-                    case BODY_TOO_LARGE -> 413;
-                    case TOO_BUSY -> 429;
-                    default -> 500;
-                };
+        int status = statusOf(error.code());
         Optional<Duration> retryAfter = status == 429 ? Optional.of(BUSY_RETRY_AFTER) : Optional.empty();
         String document = Json.write(new ErrorDocument(error.code(), error.getMessage()));
         return new Reply(status, JSON, document, retryAfter);
     }
 
+    /** Returns the HTTP status of an error. */
+    static int statusOf(ErrorCode code) {
+        return switch (code) {
+            case BAD_REQUEST -> 400;
+            case NOT_FOUND -> 404;
+            case BODY_TIMEOUT -> 408;
+            case BODY_TOO_LARGE -> 413;
+            case TOO_BUSY -> 429;
+            default -> 500;
+        };
+    }
+
     private void write(Response response, Reply reply) {
         Connection<?> connection = response.getRequest().getContext().getConnection();
         // The rest of a body that was not read would be taken for the next request.
--- a/src/main/java/org/mustardlink/entry/Forwarder.java
+++ b/src/main/java/org/mustardlink/entry/Forwarder.java
@@ -10,8 +10,8 @@
 import org.mustardlink.core.Reason;
 import org.mustardlink.core.SubmissionId;
 import org.mustardlink.core.Verdict;
-import org.mustardlink.peer.OwnerDirectory;
-import org.mustardlink.peer.OwnerDirectory.OwnerStatus;
+import org.mustardlink.membership.Owner;
+import org.mustardlink.membership.OwnerDirectory;
 import org.mustardlink.peer.PeerClient;
 
 /**
@@ -45,16 +45,15 @@
      * @param timeout time within which the caller must be answered
      */
     CompletableFuture<JobAnswer> forward(SubmissionId id, Duration timeout, PeerCall call) {
-        OwnerStatus status = owners.find(id.session().host(), id.session().incarnation());
-        if (status instanceof OwnerStatus.HandedOver successor) {
-            return send(successor.address(), timeout, call);
+        Owner owner = owners.find(id.session().host(), id.session().incarnation());
+        if (owner instanceof Owner.HandedOver successor) {
+            return send(successor.peer(), timeout, call);
         }
-        if (status instanceof OwnerStatus.Gone || isEarlierSelf(id)) {
+        if (owner instanceof Owner.Gone || isEarlierSelf(id)) {
             return CompletableFuture.completedFuture(new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE)));
         }
-        if (status instanceof OwnerStatus.Reachable owner
-                && !id.session().host().equals(host)) {
-            return send(owner.address(), timeout, call);
+        if (owner instanceof Owner.Alive alive && !id.session().host().equals(host)) {
+            return send(alive.peer(), timeout, call);
         }
         return CompletableFuture.completedFuture(PeerClient.unreachable());
     }
--- a/src/main/java/org/mustardlink/entry/ListedOwners.java
+++ b/src/main/java/org/mustardlink/entry/ListedOwners.java
@@ -7,7 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 import org.mustardlink.http.Addresses;
-import org.mustardlink.peer.OwnerDirectory;
+import org.mustardlink.membership.Owner;
+import org.mustardlink.membership.OwnerDirectory;
 import org.mustardlink.platform.HostListing;
 
 /** Finds owners by the platform's list of hosts and by the leaves that were announced to this entry host. */
@@ -51,15 +52,18 @@
     }
 
     @Override
-    public OwnerStatus find(String host, long incarnation) {
+    public Owner find(String host, long incarnation) {
         Optional<String> successor = successorOf(host, incarnation);
         if (successor.isPresent()) {
             String id = successor.get();
             return address(id)
-                    .<OwnerStatus>map(address -> new OwnerStatus.HandedOver(id, address))
-                    .orElseGet(OwnerStatus.Unknown::new);
+                    .<Owner>map(address -> new Owner.HandedOver(id, address))
+                    .orElseGet(Owner.Unreachable::new);
         }
-        return address(host).<OwnerStatus>map(OwnerStatus.Reachable::new).orElseGet(OwnerStatus.Unknown::new);
+        // The list names no address for callers; forwarding does not need one.
+        return address(host)
+                .<Owner>map(address -> new Owner.Alive(address, address))
+                .orElseGet(Owner.Unreachable::new);
     }
 
     private synchronized Optional<String> successorOf(String host, long incarnation) {
