Add fault tables that run real entry hosts, targets and a platform

Cause: the paths for keys, successors, pauses and silent connections were only compiled, not run. Ruled out: a stand-in core; every row starts real entry hosts, stand-in targets and the stand-in platform behind TCP relays. A submission that waited in the loop's queue, as in a pause, keeps its caller's deadline.

--- a/src/main/java/org/mustardlink/entry/EntryLoop.java
+++ b/src/main/java/org/mustardlink/entry/EntryLoop.java
@@ -27,12 +27,13 @@
     private static final Logger log = LoggerFactory.getLogger(EntryLoop.class);
     private static final long IDLE_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final Duration MAX_GAP = Duration.ofSeconds(1);
+    private static final long LONG_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     private static final int MAX_BATCH = 1024;
 
     private final DispatchCore core;
     private final Consumer<Command> executor;
     private final PauseGuard pauses;
-    private final BlockingQueue<Event> events = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Posted> events = new LinkedBlockingQueue<>();
     private final Thread thread;
     private volatile long stallUntilNanos = System.nanoTime();
     private volatile boolean closed;
@@ -46,12 +47,27 @@
         thread.setDaemon(true);
     }
 
+    /** An event and when it was posted. */
+    private record Posted(Event event, long nanos) {
+        /** Returns the event; a submission that waited long, as it does in a pause, has that much less time left. */
+        private Event atDelivery(long nowNanos) {
+            long waited = nowNanos - nanos;
+            if (waited < LONG_WAIT_NANOS || !(event instanceof Event.JobSubmitted submitted)) {
+                return event;
+            }
+            Duration left = submitted.request().deadline().minusNanos(waited);
+            Duration positive = left.compareTo(Duration.ofNanos(1)) < 0 ? Duration.ofNanos(1) : left;
+            return new Event.JobSubmitted(
+                    submitted.requester(), submitted.id(), submitted.request().withDeadline(positive));
+        }
+    }
+
     void start() {
         thread.start();
     }
 
     void post(Event event) {
-        events.add(event);
+        events.add(new Posted(event, System.nanoTime()));
     }
 
     PauseGuard pauses() {
@@ -79,7 +95,6 @@
         while (!closed) {
             try {
                 long waited = await(batch);
-                stallIfAsked();
                 if (detector.observe(System.nanoTime(), System.currentTimeMillis(), waited)) {
                     batch.add(0, new Event.StartsHeld());
                     pauses.paused();
@@ -125,10 +140,10 @@
         long now = System.nanoTime();
         OptionalLong due = core.nextDue(now);
         long wait = due.isPresent() ? Math.min(due.getAsLong() - now, IDLE_WAIT_NANOS) : IDLE_WAIT_NANOS;
-        Event first = events.poll(Math.max(0, wait), TimeUnit.NANOSECONDS);
-        if (first != null) {
-            batch.add(first);
-            events.drainTo(batch, MAX_BATCH - 1);
+        Posted first = events.poll(Math.max(0, wait), TimeUnit.NANOSECONDS);
+        stallIfAsked();
+        for (Posted next = first; next != null; next = batch.size() < MAX_BATCH ? events.poll() : null) {
+            batch.add(next.atDelivery(System.nanoTime()));
         }
         return Math.max(0, wait);
     }
--- /dev/null
+++ b/src/test/java/org/mustardlink/faults/FaultBed.java
@@ -0,0 +1,119 @@
+package org.mustardlink.faults;
+
+import com.google.common.collect.ImmutableList;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Clock;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.awaitility.Awaitility;
+import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.EntrySettings;
+import org.mustardlink.core.TargetSpec;
+import org.mustardlink.entry.EntryHost;
+import org.mustardlink.entry.Incarnations;
+import org.mustardlink.http.Addresses;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.http.Json;
+import org.mustardlink.platform.HostListing;
+import org.mustardlink.platform.PlatformClient;
+import org.mustardlink.standin.StandInPlatform;
+import org.mustardlink.standin.StandInTarget;
+
+/** Two entry hosts in domain a, one in domain b and two targets, with a relay in front of each process. */
+final class FaultBed implements AutoCloseable {
+    static final String SERVICE = "yard";
+    private static final ImmutableList<String> ENTRIES = ImmutableList.of("a-0", "a-1", "b-0");
+
+    final StandInPlatform platform = StandInPlatform.start(loopback());
+    final Map<String, EntryHost> entries = new LinkedHashMap<>();
+    final Map<String, StandInTarget> targets = new LinkedHashMap<>();
+    final Map<String, Relay> peerRelays = new HashMap<>();
+    final Map<String, Relay> platformRelays = new HashMap<>();
+    final Map<String, Relay> targetRelays = new HashMap<>();
+    final HttpRequester requester =
+            HttpRequester.start(new HttpRequester.Limits(512, 2048, Duration.ofSeconds(1), Duration.ofSeconds(10), 1));
+
+    FaultBed() throws IOException {
+        for (String id : ImmutableList.of("target-0", "target-1")) {
+            targets.put(id, StandInTarget.start(loopback(), new StandInTarget.Settings(8, 1.0)));
+            targetRelays.put(id, Relay.to(targets.get(id).address()));
+            declare(id, targetRelays.get(id).address());
+        }
+        for (String id : ENTRIES) {
+            platformRelays.put(id, Relay.to(platform.address()));
+            peerRelays.put(id, Relay.to(platform.address()));
+        }
+        publishHosts();
+        for (String id : ENTRIES) {
+            startEntry(id);
+        }
+        awaitPeers();
+    }
+
+    /** Declares a target, in place of an earlier one with the same id. */
+    void declare(String id, InetSocketAddress address) {
+        TargetSpec spec = new TargetSpec(id, SERVICE, "a", Addresses.format(address), 8, 64, 1.0);
+        PlatformClient.create(requester, platform.address())
+                .append(
+                        ConfigFeed.STREAM,
+                        ImmutableList.of(
+                                Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec))))
+                .join();
+    }
+
+    /** Starts an entry host or its next incarnation. */
+    void startEntry(String id) throws IOException {
+        EntrySettings settings = new EntrySettings(
+                id,
+                id.substring(0, 1),
+                loopback(),
+                loopback(),
+                platformRelays.get(id).address());
+        EntryHost entry = EntryHost.start(settings, Incarnations.next(Clock.systemUTC()));
+        entries.put(id, entry);
+        peerRelays.get(id).pointTo(entry.peerAddress());
+    }
+
+    private void publishHosts() {
+        platform.publishHosts(ENTRIES.stream()
+                .map(id -> new HostListing.Host(
+                        id,
+                        HostListing.Kind.ENTRY,
+                        id.substring(0, 1),
+                        Addresses.format(peerRelays.get(id).address()),
+                        HostListing.State.LIVE))
+                .collect(ImmutableList.toImmutableList()));
+    }
+
+    void awaitPeers() {
+        Awaitility.await()
+                .atMost(Duration.ofSeconds(10))
+                .until(() -> entries.values().stream().allMatch(entry -> entry.knownPeers() == ENTRIES.size()));
+    }
+
+    /** Returns how often each task was started, over all targets. */
+    Map<String, Integer> starts() {
+        Map<String, Integer> total = new HashMap<>();
+        targets.values()
+                .forEach(target -> target.starts().forEach((task, count) -> total.merge(task, count, Integer::sum)));
+        return total;
+    }
+
+    @Override
+    public void close() {
+        entries.values().forEach(EntryHost::close);
+        ImmutableList.of(peerRelays, platformRelays, targetRelays)
+                .forEach(relays -> relays.values().forEach(Relay::close));
+        targets.values().forEach(StandInTarget::close);
+        platform.close();
+        requester.close();
+    }
+
+    private static InetSocketAddress loopback() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mustardlink/faults/RawTarget.java
@@ -0,0 +1,115 @@
+package org.mustardlink.faults;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.Map;
+import org.mustardlink.target.TargetProtocol;
+
+/** A target that runs every task at once and answers in a way that no correct target does. */
+final class RawTarget {
+    private final ServerSocket server;
+    private final String answer;
+    private final Map<String, Integer> starts = new HashMap<>();
+
+    private RawTarget(ServerSocket server, String answer) {
+        this.server = server;
+        this.answer = answer;
+    }
+
+    static RawTarget start(String answer) throws IOException {
+        RawTarget target = new RawTarget(new ServerSocket(0, 100, InetAddress.getLoopbackAddress()), answer);
+        run(target::accept);
+        return target;
+    }
+
+    InetSocketAddress address() {
+        return new InetSocketAddress(server.getInetAddress(), server.getLocalPort());
+    }
+
+    synchronized Map<String, Integer> starts() {
+        return Map.copyOf(starts);
+    }
+
+    private void accept() {
+        while (true) {
+            try {
+                Socket socket = server.accept();
+                run(() -> serve(socket));
+            } catch (IOException e) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            String requestLine = in.readLine();
+            while (requestLine != null) {
+                String task = "";
+                int length = 0;
+                for (String line = in.readLine(); line != null && !line.isEmpty(); line = in.readLine()) {
+                    String[] header = line.split(": ?", 2);
+                    if (header[0].equalsIgnoreCase(TargetProtocol.TASK_HEADER)) {
+                        task = header[1];
+                    } else if (header[0].equalsIgnoreCase("Content-Length")) {
+                        length = Integer.parseInt(header[1]);
+                    }
+                }
+                while (length > 0 && in.read() >= 0) {
+                    length--;
+                }
+                if (requestLine.startsWith("POST")) {
+                    count(task);
+                    socket.getOutputStream().write(answerTo(task).getBytes(StandardCharsets.US_ASCII));
+                    if (answer.equals("cut")) {
+                        return;
+                    }
+                }
+                requestLine = in.readLine();
+            }
+        } catch (IOException e) {
+            // The entry host closed the connection, as it should.
+        }
+    }
+
+    private synchronized void count(String task) {
+        starts.merge(task, 1, Integer::sum);
+    }
+
+    private String answerTo(String task) {
+        String foreign = task.substring(0, task.lastIndexOf('/')) + "/209";
+        return switch (answer) {
+            case "foreign" -> whole("200 OK", foreign, "", "ok", "ok");
+            case "not run, foreign" ->
+                whole("503 Busy", foreign, TargetProtocol.NOT_RUN_HEADER + ": busy\r\n", "busy", "busy");
+            case "not run, nameless" ->
+                whole("503 Busy", "", TargetProtocol.NOT_RUN_HEADER + ": busy\r\n", "busy", "busy");
+            case "damaged" -> whole("200 OK", task, "", "ok", "other");
+            case "cut" ->
+                whole("200 OK", task, "", "a longer body", "a longer body").replace(" body", "");
+            case "error" -> whole("500 Failed", task, "", "failed", "failed");
+            default -> throw new IllegalArgumentException(answer);
+        };
+    }
+
+    private static String whole(String status, String task, String extra, String body, String digested) {
+        return "HTTP/1.1 " + status + "\r\nContent-Length: " + body.length() + "\r\n" + extra
+                + TargetProtocol.TASK_HEADER + ": " + task + "\r\n" + TargetProtocol.DIGEST_HEADER + ": "
+                + TargetProtocol.digest(digested) + "\r\n\r\n" + body;
+    }
+
+    private static void run(Runnable task) {
+        Thread thread = new Thread(task, "raw-target");
+        thread.setDaemon(true);
+        thread.start();
+    }
+}
--- /dev/null
+++ b/src/test/resources/org/mustardlink/faults/platform.feature
@@ -0,0 +1,53 @@
+Feature: Faults of the platform and partitions
+
+  Background:
+    Given a deployment
+    And a session at "a-0"
+
+  Scenario Outline: while the log is <log>, a key is answered truthfully and can be submitted again
+    When the log is <log>
+    And key 1 is submitted at "a-0" with 500 ms as "first"
+    Then "first" ends with <verdict> within 600 ms
+    And job 1 is submitted at "a-0" with 500 ms as "session"
+    And "session" ends with OK within 500 ms
+    When the log is well
+    And 1500 ms pass
+    And key 1 is submitted at "a-1" with 2000 ms as "second"
+    And key 1 is submitted at "b-0" with 2000 ms as "third"
+    Then "second" and "third" end alike within 2000 ms
+    And 6 tasks were started, each once
+
+    Examples:
+      | log            | verdict         |
+      | down           | CLAIM_UNSETTLED |
+      | slow           | CLAIM_UNSETTLED |
+      | losing-answers | OK              |
+
+  Scenario Outline: a key made <age> s ago is answered with <verdict>
+    When key 1, made <age> s ago, is submitted at "a-0" with 1000 ms as "first"
+    Then "first" ends with <verdict> within 1000 ms
+    And <starts> tasks were started, each once
+
+    Examples:
+      | age  | verdict         | starts |
+      | 500  | OK              | 3      |
+      | 700  | KEY_EXPIRED     | 0      |
+      | -30  | OK              | 3      |
+      | -120 | CLAIM_UNSETTLED | 0      |
+
+  Scenario: a domain that is cut off serves its own callers and agrees with the others afterwards
+    When domain a is cut off
+    And job 1 is submitted at "a-0" with 1000 ms as "inside"
+    And job 1 is submitted at "b-0" with 500 ms as "outside"
+    And key 1 is submitted at "a-0" with 500 ms as "claim"
+    Then "inside" ends with OK within 1000 ms
+    And "outside" ends with OWNER_UNREACHABLE within 550 ms
+    And "claim" ends with CLAIM_UNSETTLED within 600 ms
+    When domain a is connected again
+    And 500 ms pass
+    And job 1 is submitted at "b-0" with 1000 ms as "outside again"
+    And key 1 is submitted at "b-0" with 1000 ms as "claim elsewhere"
+    And key 1 is submitted at "a-0" with 1000 ms as "claim again"
+    Then "outside again" ends with OK within 1000 ms
+    And "claim elsewhere" and "claim again" end alike within 1100 ms
+    And 6 tasks were started, each once
