--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -31,25 +31,27 @@
 public final class CallerApi implements AutoCloseable {
     private static final String JOBS = "/v1/jobs";
     private static final String JSON = "application/json";
-    private static final BodyReader.Limits BODY_LIMITS =
-            new BodyReader.Limits(4 << 20, 48 << 20, Duration.ofSeconds(10));
+    private static final Duration BODY_TIMEOUT = Duration.ofSeconds(10);
+    /** Bodies of this many times the largest size may be open at once; 48 MiB with the default settings. */
+    private static final int OPEN_BODIES = 12;
     /** Requests without an answer at once; each costs about a kilobyte besides its body. */
     private static final int MAX_OPEN_REQUESTS = 20_000;
 
     private static final Duration DRAIN_GRACE = Duration.ofSeconds(1);
-    private static final int THREADS = 4;
     private static final Duration BUSY_RETRY_AFTER = Duration.ofSeconds(1);
     /** Most characters of a request that an error message repeats. */
     private static final int MAX_ECHO = 200;
 
     private final CallerBackend backend;
-    private final BodyReader bodies = new BodyReader(BODY_LIMITS);
+    private final BodyReader bodies;
     private final AtomicInteger open = new AtomicInteger();
     private final HttpServer server;
 
-    private CallerApi(InetSocketAddress address, CallerBackend backend) {
+    private CallerApi(InetSocketAddress address, int threads, int maxBodyBytes, CallerBackend backend) {
+        this.bodies =
+                new BodyReader(new BodyReader.Limits(maxBodyBytes, (long) OPEN_BODIES * maxBodyBytes, BODY_TIMEOUT));
         this.backend = backend;
-        this.server = HttpServers.start(address, THREADS, new HttpHandler() {
+        this.server = HttpServers.start(address, threads, new HttpHandler() {
             @Override
             public void service(Request request, Response response) {
                 handle(request, response);
@@ -57,9 +59,16 @@
         });
     }
 
-    /** Starts the server. */
-    public static CallerApi start(InetSocketAddress address, CallerBackend backend) {
-        return new CallerApi(address, backend);
+    /**
+     * Starts the server.
+     *
+     * @param address where to listen; port 0 takes a free one
+     * @param threads threads that read requests
+     * @param maxBodyBytes largest body of a request
+     * @param backend answers the requests
+     */
+    public static CallerApi start(InetSocketAddress address, int threads, int maxBodyBytes, CallerBackend backend) {
+        return new CallerApi(address, threads, maxBodyBytes, backend);
     }
 
     /** Returns the address that it listens on. */
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -17,12 +17,13 @@
 import org.mustardlink.api.CallerBackend;
 import org.mustardlink.api.JobAnswer;
 import org.mustardlink.api.KeyedAnswer;
+import org.mustardlink.api.OperatorApi;
 import org.mustardlink.api.SessionAnswer;
 import org.mustardlink.claims.ClaimLog;
 import org.mustardlink.claims.ClaimSettings;
 import org.mustardlink.claims.SubmissionKey;
 import org.mustardlink.config.ConfigFeed;
-import org.mustardlink.config.EntrySettings;
+import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.AnswerSnapshot;
 import org.mustardlink.core.Command;
 import org.mustardlink.core.CoreSettings;
@@ -45,11 +46,6 @@
 
 /** One entry host: everything that the daemon runs. Several can run in one process. */
 public final class EntryHost implements CallerBackend, OwnerBackend, AutoCloseable {
-    private static final Duration LOOKUP_TIMEOUT = Duration.ofSeconds(30);
-    private static final Duration HOSTS_PERIOD = Duration.ofSeconds(1);
-    /** The owner's deadline ends this much before the forwarder's, so that its verdict arrives in time. */
-    private static final Duration FORWARD_MARGIN = Duration.ofMillis(20);
-
     private final EntrySettings settings;
     private final long incarnation;
     private final HttpRequester targetRequester;
@@ -59,6 +55,7 @@
     private final PeerClient peers;
     private final EntryLoop loop;
     private final CallerApi callerApi;
+    private final OperatorApi operatorApi;
     private final PeerServer peerServer;
     private final ConfigFeed configFeed;
     private final ListedOwners owners;
@@ -80,25 +77,29 @@
         }
     }
 
-    private EntryHost(EntrySettings settings, long incarnation) {
+    private EntryHost(EntrySettings settings, long incarnation, PlacementPolicy placement) {
         this.settings = settings;
         this.incarnation = incarnation;
-        targetRequester = HttpRequester.start(
-                new HttpRequester.Limits(21, 4096, Duration.ofMillis(500), Duration.ofSeconds(30), 2));
+        targetRequester = HttpRequester.start(targetLimits(settings));
         platformRequester = HttpRequester.start(HttpRequester.Limits.small());
-        platform = PlatformClient.create(platformRequester, settings.platform());
+        targets = TargetClient.create(targetRequester, this::targetSilent);
+        platform = PlatformClient.create(
+                platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
-        DispatchCore core =
-                DispatchCore.create(CoreSettings.defaults(settings.id(), incarnation), PlacementPolicy.fastestFree());
-        loop = new EntryLoop(settings.id(), core, this::execute);
-        targets = TargetClient.create(targetRequester, target -> loop.post(new Event.TargetSilent(target)));
+        DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
+        loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute);
         loop.start();
         peerServer = PeerServer.start(settings.peer(), this);
         owners = new ListedOwners(settings.id(), peerAddress());
         forwarder = new Forwarder(owners, settings.id(), incarnation);
         claims = ClaimLog.start(platform, ClaimSettings.defaults(), System::currentTimeMillis);
         keyed = new KeyedSubmissions(claims, new OwnNumbers(this::openSession, System::nanoTime), System::nanoTime);
-        callerApi = CallerApi.start(settings.caller(), this);
+        callerApi = CallerApi.start(
+                settings.caller(),
+                settings.limits().callerThreads(),
+                settings.limits().maxBodyBytes(),
+                this);
+        operatorApi = OperatorApi.start(settings.operator());
         configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(declared)));
         plannedStop = new PlannedStop(settings, peers, owners);
         addPauseCheck(this::refreshHosts);
@@ -113,7 +114,18 @@
      * @param incarnation number that no earlier process with this host id has used; later ones are greater
      */
     public static EntryHost start(EntrySettings settings, long incarnation) {
-        return new EntryHost(settings, incarnation);
+        return start(settings, incarnation, PlacementPolicy.fastestFree());
+    }
+
+    /**
+     * Starts an entry host with a placement policy of its own, for measurements.
+     *
+     * @param settings its settings
+     * @param incarnation number that no earlier process with this host id has used; later ones are greater
+     * @param placement chooses targets; called by one thread
+     */
+    public static EntryHost start(EntrySettings settings, long incarnation, PlacementPolicy placement) {
+        return new EntryHost(settings, incarnation, placement);
     }
 
     /** Returns the address for callers. */
@@ -126,6 +138,11 @@
         return new InetSocketAddress(settings.peer().getAddress(), peerServer.port());
     }
 
+    /** Returns the address for operators. */
+    public InetSocketAddress operatorAddress() {
+        return operatorApi.address();
+    }
+
     /** Returns the number of jobs without a verdict. */
     public int openJobs() {
         return loop.openJobs();
@@ -171,8 +188,8 @@
             return submitOwn(id, request);
         }
         Duration deadline = request.deadline();
-        Duration margin =
-                deadline.dividedBy(10).compareTo(FORWARD_MARGIN) < 0 ? deadline.dividedBy(10) : FORWARD_MARGIN;
+        Duration longest = settings.timeouts().forwardMargin();
+        Duration margin = deadline.dividedBy(10).compareTo(longest) < 0 ? deadline.dividedBy(10) : longest;
         return forwarder.forward(
                 id, deadline, (owner, timeout) -> peers.submit(owner, id, document, deadline.minus(margin), timeout));
     }
@@ -187,7 +204,8 @@
         if (answersFor(id.session())) {
             return lookUpOwn(id);
         }
-        return forwarder.forward(id, LOOKUP_TIMEOUT, (owner, timeout) -> peers.lookUp(owner, id, timeout));
+        return forwarder.forward(
+                id, settings.timeouts().lookup(), (owner, timeout) -> peers.lookUp(owner, id, timeout));
     }
 
     @Override
@@ -195,7 +213,8 @@
         if (answersFor(id.session())) {
             return cancelOwn(id);
         }
-        return forwarder.forward(id, LOOKUP_TIMEOUT, (owner, timeout) -> peers.cancel(owner, id, timeout));
+        return forwarder.forward(
+                id, settings.timeouts().lookup(), (owner, timeout) -> peers.cancel(owner, id, timeout));
     }
 
     @Override
@@ -280,6 +299,7 @@
         claims.close();
         configFeed.close();
         callerApi.close();
+        operatorApi.close();
         peerServer.close();
         loop.close();
         peers.close();
@@ -292,6 +312,29 @@
         return owner.equals(new Incarnation(settings.id(), incarnation)) || inherited.contains(owner);
     }
 
+    private static HttpRequester.Limits targetLimits(EntrySettings settings) {
+        return new HttpRequester.Limits(
+                settings.limits().targetConnections(),
+                settings.limits().totalConnections(),
+                settings.timeouts().connect(),
+                settings.timeouts().idleConnection(),
+                settings.dispatch().targetIoThreads());
+    }
+
+    private static CoreSettings coreSettings(EntrySettings settings, long incarnation) {
+        return new CoreSettings(
+                settings.id(),
+                incarnation,
+                settings.limits().sessions(),
+                settings.timeouts().sessionIdle(),
+                settings.limits().openJobs(),
+                settings.limits().queuedTasks(),
+                settings.limits().keptAnswers(),
+                settings.limits().keptBytes(),
+                settings.timeouts().answerKept(),
+                settings.timeouts().retryAfter());
+    }
+
     private CompletableFuture<JobAnswer> local(LongFunction<Event> event) {
         CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
         long requester = register(command -> {
@@ -336,13 +379,17 @@
         Optional.ofNullable(requesters.remove(requester)).ifPresent(consumer -> consumer.accept(command));
     }
 
+    private void targetSilent(String target) {
+        loop.post(new Event.TargetSilent(target));
+    }
+
     private void followHosts() {
         if (closed) {
             return;
         }
         CompletableFuture<HostListing> _refreshed = refreshHosts()
                 .whenComplete((_listing, _failure) -> CompletableFuture.delayedExecutor(
-                                HOSTS_PERIOD.toMillis(), TimeUnit.MILLISECONDS)
+                                settings.timeouts().hostsRefresh().toMillis(), TimeUnit.MILLISECONDS)
                         .execute(this::followHosts));
     }
 
--- a/src/main/java/org/mustardlink/entry/EntryLoop.java
+++ b/src/main/java/org/mustardlink/entry/EntryLoop.java
@@ -28,9 +28,9 @@
     private static final long IDLE_WAIT_NANOS = TimeUnit.SECONDS.toNanos(1);
     private static final Duration MAX_GAP = Duration.ofSeconds(1);
     private static final long LONG_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-    private static final int MAX_BATCH = 1024;
 
     private final DispatchCore core;
+    private final int maxBatch;
     private final Consumer<Command> executor;
     private final PauseGuard pauses;
     private final BlockingQueue<Posted> events = new LinkedBlockingQueue<>();
@@ -39,9 +39,10 @@
     private volatile boolean closed;
     private volatile int openJobs;
 
-    EntryLoop(String name, DispatchCore core, Consumer<Command> executor) {
+    EntryLoop(String name, DispatchCore core, int maxBatch, Consumer<Command> executor) {
         this.core = core;
         this.pauses = new PauseGuard(() -> post(new Event.StartsResumed()));
+        this.maxBatch = maxBatch;
         this.executor = executor;
         this.thread = new Thread(this::run, "core-" + name);
         thread.setDaemon(true);
@@ -90,7 +91,7 @@
     }
 
     private void run() {
-        List<Event> batch = new ArrayList<>(MAX_BATCH);
+        List<Event> batch = new ArrayList<>(maxBatch);
         PauseDetector detector = new PauseDetector(MAX_GAP, System.nanoTime(), System.currentTimeMillis());
         while (!closed) {
             try {
@@ -142,7 +143,7 @@
         long wait = due.isPresent() ? Math.min(due.getAsLong() - now, IDLE_WAIT_NANOS) : IDLE_WAIT_NANOS;
         Posted first = events.poll(Math.max(0, wait), TimeUnit.NANOSECONDS);
         stallIfAsked();
-        for (Posted next = first; next != null; next = batch.size() < MAX_BATCH ? events.poll() : null) {
+        for (Posted next = first; next != null; next = batch.size() < maxBatch ? events.poll() : null) {
             batch.add(next.atDelivery(System.nanoTime()));
         }
         return Math.max(0, wait);
--- a/src/main/java/org/mustardlink/entry/PlannedStop.java
+++ b/src/main/java/org/mustardlink/entry/PlannedStop.java
@@ -8,7 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import org.mustardlink.config.EntrySettings;
+import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.peer.Handover;
 import org.mustardlink.peer.PeerClient;
