--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -36,6 +36,10 @@
 import org.mustardlink.core.SubmissionId;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
+import org.mustardlink.observe.EntryObserver;
+import org.mustardlink.observe.LogEvent;
+import org.mustardlink.observe.LogField;
+import org.mustardlink.observe.OperatorPages;
 import org.mustardlink.peer.Handover;
 import org.mustardlink.peer.OwnerBackend;
 import org.mustardlink.peer.PeerClient;
@@ -47,6 +51,7 @@
 /** One entry host: everything that the daemon runs. Several can run in one process. */
 public final class EntryHost implements CallerBackend, OwnerBackend, AutoCloseable {
     private final EntrySettings settings;
+    private final EntryObserver observer;
     private final long incarnation;
     private final HttpRequester targetRequester;
     private final HttpRequester platformRequester;
@@ -56,6 +61,7 @@
     private final EntryLoop loop;
     private final CallerApi callerApi;
     private final OperatorApi operatorApi;
+    private final OperatorPages pages;
     private final PeerServer peerServer;
     private final ConfigFeed configFeed;
     private final ListedOwners owners;
@@ -79,6 +85,7 @@
 
     private EntryHost(EntrySettings settings, long incarnation, PlacementPolicy placement) {
         this.settings = settings;
+        this.observer = EntryObserver.create(settings);
         this.incarnation = incarnation;
         targetRequester = HttpRequester.start(targetLimits(settings));
         platformRequester = HttpRequester.start(HttpRequester.Limits.small());
@@ -87,11 +94,11 @@
                 platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
         DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
-        loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute);
+        loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
         peerServer = PeerServer.start(settings.peer(), this);
         owners = new ListedOwners(settings.id(), peerAddress());
-        forwarder = new Forwarder(owners, settings.id(), incarnation);
+        forwarder = new Forwarder(owners, settings.id(), incarnation, observer::forwarded);
         claims = ClaimLog.start(platform, ClaimSettings.defaults(), System::currentTimeMillis);
         keyed = new KeyedSubmissions(claims, new OwnNumbers(this::openSession, System::nanoTime), System::nanoTime);
         callerApi = CallerApi.start(
@@ -100,11 +107,29 @@
                 settings.limits().maxBodyBytes(),
                 this);
         operatorApi = OperatorApi.start(settings.operator());
+        pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
+        pages.section("hosts", owners::addresses);
+        pages.registerAt(operatorApi);
+        observer.metrics().gauge("open_jobs", loop::openJobs);
+        observer.metrics().gauge("known_hosts", this::knownPeers);
+        observer.metrics().gauge("dropped_target_answers", targets::droppedAnswers);
+        observer.metrics().gauge("unexpected_http_answers", targetRequester::unexpectedAnswers);
+        observer.metrics().gauge("silent_peers", peers::silentPeers);
+        observer.metrics().gauge("claims", claims::size);
+        observer.metrics().gauge("open_requests", callerApi::openRequests);
+        observer.metrics().gauge("pauses", this::pauses);
         configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(declared)));
         plannedStop = new PlannedStop(settings, peers, owners);
         addPauseCheck(this::refreshHosts);
         addPauseCheck(this::replaceConnections);
         followHosts();
+        observer.log()
+                .line(LogEvent.HOST_STARTED)
+                .with(LogField.INCARNATION, incarnation)
+                .with(LogField.CALLER_ADDRESS, Addresses.format(callerAddress()))
+                .with(LogField.OPERATOR_ADDRESS, Addresses.format(operatorAddress()))
+                .with(LogField.PEER_ADDRESS, Addresses.format(peerAddress()))
+                .write();
     }
 
     /**
@@ -281,6 +306,7 @@
      */
     public void stop(Duration grace) {
         leaving = true;
+        logOpenJobs(LogEvent.HOST_LEAVING);
         long end = System.nanoTime() + grace.toNanos();
         PlannedStop.awaitHealthNotice(grace);
         loop.post(new Event.StopRequested());
@@ -289,6 +315,7 @@
         plannedStop.handOver(handover, ImmutableSet.copyOf(inherited));
         forwarder.giveUp();
         callerApi.drain(PlannedStop.LAST_ANSWERS);
+        logOpenJobs(LogEvent.HOST_STOPPED);
         close();
     }
 
@@ -312,6 +339,10 @@
         return owner.equals(new Incarnation(settings.id(), incarnation)) || inherited.contains(owner);
     }
 
+    private void logOpenJobs(LogEvent event) {
+        observer.log().line(event).with(LogField.OPEN_JOBS, loop.openJobs()).write();
+    }
+
     private static HttpRequester.Limits targetLimits(EntrySettings settings) {
         return new HttpRequester.Limits(
                 settings.limits().targetConnections(),
@@ -355,6 +386,7 @@
     }
 
     private void execute(Command command) {
+        observer.issued(command);
         if (command instanceof Command.StartTask start) {
             CompletableFuture<Void> _posted = targets.start(start)
                     .thenAccept(result -> loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result)));
@@ -376,7 +408,8 @@
     }
 
     private void answer(long requester, Command command) {
-        Optional.ofNullable(requesters.remove(requester)).ifPresent(consumer -> consumer.accept(command));
+        Optional.ofNullable(requesters.remove(requester))
+                .ifPresentOrElse(consumer -> consumer.accept(command), () -> observer.dropped(command));
     }
 
     private void targetSilent(String target) {
@@ -395,6 +428,7 @@
 
     private CompletableFuture<HostListing> refreshHosts() {
         return platform.hosts().whenComplete((listing, failure) -> {
+            observer.platformRead(Optional.ofNullable(failure));
             if (failure == null) {
                 owners.update(listing);
             }
--- a/src/main/java/org/mustardlink/entry/EntryLoop.java
+++ b/src/main/java/org/mustardlink/entry/EntryLoop.java
@@ -13,6 +13,7 @@
 import org.mustardlink.core.Command;
 import org.mustardlink.core.DispatchCore;
 import org.mustardlink.core.Event;
+import org.mustardlink.observe.EntryObserver;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -34,12 +35,14 @@
     private final Consumer<Command> executor;
     private final PauseGuard pauses;
     private final BlockingQueue<Posted> events = new LinkedBlockingQueue<>();
+    private final EntryObserver observer;
     private final Thread thread;
     private volatile long stallUntilNanos = System.nanoTime();
     private volatile boolean closed;
     private volatile int openJobs;
 
-    EntryLoop(String name, DispatchCore core, int maxBatch, Consumer<Command> executor) {
+    EntryLoop(String name, DispatchCore core, int maxBatch, Consumer<Command> executor, EntryObserver observer) {
+        this.observer = observer;
         this.core = core;
         this.pauses = new PauseGuard(() -> post(new Event.StartsResumed()));
         this.maxBatch = maxBatch;
@@ -68,6 +71,7 @@
     }
 
     void post(Event event) {
+        observer.posted(event);
         events.add(new Posted(event, System.nanoTime()));
     }
 
@@ -146,6 +150,9 @@
         for (Posted next = first; next != null; next = batch.size() < maxBatch ? events.poll() : null) {
             batch.add(next.atDelivery(System.nanoTime()));
         }
+        if (first != null) {
+            observer.ticked(System.nanoTime() - first.nanos());
+        }
         return Math.max(0, wait);
     }
 }
--- a/src/main/java/org/mustardlink/entry/Forwarder.java
+++ b/src/main/java/org/mustardlink/entry/Forwarder.java
@@ -24,6 +24,7 @@
     private final OwnerDirectory owners;
     private final String host;
     private final long incarnation;
+    private final Runnable forwarded;
     private final Map<Long, CompletableFuture<JobAnswer>> open = new ConcurrentHashMap<>();
     private final AtomicLong nextCall = new AtomicLong();
 
@@ -33,7 +34,8 @@
         CompletableFuture<JobAnswer> send(InetSocketAddress peer, Duration timeout);
     }
 
-    Forwarder(OwnerDirectory owners, String host, long incarnation) {
+    Forwarder(OwnerDirectory owners, String host, long incarnation, Runnable forwarded) {
+        this.forwarded = forwarded;
         this.owners = owners;
         this.host = host;
         this.incarnation = incarnation;
@@ -69,6 +71,7 @@
 
     private CompletableFuture<JobAnswer> send(InetSocketAddress peer, Duration timeout, PeerCall call) {
         CompletableFuture<JobAnswer> answer = call.send(peer, timeout);
+        forwarded.run();
         long number = nextCall.incrementAndGet();
         open.put(number, answer);
         return answer.whenComplete((_answer, _failure) -> open.remove(number));
--- a/src/main/java/org/mustardlink/entry/ListedOwners.java
+++ b/src/main/java/org/mustardlink/entry/ListedOwners.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -46,6 +47,11 @@
         return hosts.size();
     }
 
+    /** Returns the Thrift addresses on the list by host id. */
+    ImmutableMap<String, String> addresses() {
+        return ImmutableMap.copyOf(Maps.transformValues(hosts, HostListing.Host::address));
+    }
+
     /** Returns the other entry hosts on the list. */
     ImmutableList<HostListing.Host> others() {
         return hosts.values().stream().filter(host -> !host.id().equals(self)).collect(ImmutableList.toImmutableList());
--- a/src/main/java/org/mustardlink/http/HttpCall.java
+++ b/src/main/java/org/mustardlink/http/HttpCall.java
@@ -13,7 +13,7 @@
  * @param path path and query
  * @param headers extra headers
  * @param body the body, empty for none
- * @param timeout time from sending until the whole answer must have arrived, positive
+ * @param timeout time from the call until the whole answer must have arrived, waiting for a connection included, positive
  * @param maxIdle longest time that the connection may have been unused; one that was unused for longer is replaced
  */
 public record HttpCall(
--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -150,7 +150,10 @@
      * @param inStep whether an answer belongs to the request; the connection is closed after one that does not
      */
     public CompletableFuture<HttpReply> send(InetSocketAddress address, HttpCall call, Predicate<HttpReply> inStep) {
-        Exchange exchange = new Exchange(new CompletableFuture<>(), inStep);
+        Exchange exchange = new Exchange(
+                new CompletableFuture<>(),
+                inStep,
+                System.nanoTime() + call.timeout().toNanos());
         take(address, call, exchange, MAX_TAKES);
         return exchange.reply();
     }
@@ -215,9 +218,18 @@
 
     private void write(
             Connection<SocketAddress> connection, InetSocketAddress address, HttpCall call, Exchange exchange) {
+        long left = exchange.endNanos - System.nanoTime();
+        if (left <= 0) {
+            UNUSED_SINCE.set(connection, System.nanoTime());
+            pool.release(connection);
+            exchange.reply()
+                    .completeExceptionally(
+                            new CodedException(ErrorCode.NOT_SENT, "no connection within " + call.timeout()));
+            return;
+        }
         exchange.timeOutWith(timer.schedule(
                 () -> fail(connection, ErrorCode.TIMED_OUT, "no answer within " + call.timeout()),
-                call.timeout().toNanos(),
+                left,
                 TimeUnit.NANOSECONDS));
         EXCHANGE.set(connection, exchange);
         connection.write(
@@ -270,9 +282,11 @@
     private static final class Exchange {
         private final CompletableFuture<HttpReply> reply;
         private final Predicate<HttpReply> inStep;
+        private final long endNanos;
         private volatile Optional<Future<?>> timeout = Optional.empty();
 
-        private Exchange(CompletableFuture<HttpReply> reply, Predicate<HttpReply> inStep) {
+        private Exchange(CompletableFuture<HttpReply> reply, Predicate<HttpReply> inStep, long endNanos) {
+            this.endNanos = endNanos;
             this.reply = reply;
             this.inStep = inStep;
         }
--- a/src/main/java/org/mustardlink/target/TargetClient.java
+++ b/src/main/java/org/mustardlink/target/TargetClient.java
@@ -24,7 +24,7 @@
 /** Starts and stops tasks at targets. Thread-safe. */
 public final class TargetClient {
     /** An attempt is given up this long before its lease ends, so that the job ends with the target's silence as reason. */
-    private static final Duration GIVE_UP_MARGIN = Duration.ofMillis(20);
+    private static final Duration GIVE_UP_MARGIN = Duration.ofMillis(50);
     /** A middlebox may have forgotten a connection that was unused for longer, so such a one carries no task. */
     private static final Duration MAX_IDLE = Duration.ofSeconds(1);
     /** Timeouts in a row that count as silence. */
