--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -1,9 +1,12 @@
 package org.mustardlink.entry;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -22,7 +25,7 @@
 import org.mustardlink.claims.ClaimLog;
 import org.mustardlink.claims.ClaimSettings;
 import org.mustardlink.claims.SubmissionKey;
-import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.replica.ReplicaSettings;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.AnswerSnapshot;
 import org.mustardlink.core.Command;
@@ -31,9 +34,12 @@
 import org.mustardlink.core.Event;
 import org.mustardlink.core.JobRequest;
 import org.mustardlink.core.PlacementPolicy;
+import org.mustardlink.core.Reason;
 import org.mustardlink.core.SessionId;
 import org.mustardlink.core.SessionSnapshot;
 import org.mustardlink.core.SubmissionId;
+import org.mustardlink.core.TargetSpec;
+import org.mustardlink.core.policy.ExpectedFinish;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.observe.EntryObserver;
@@ -63,7 +69,7 @@
     private final OperatorApi operatorApi;
     private final OperatorPages pages;
     private final PeerServer peerServer;
-    private final ConfigFeed configFeed;
+    private final HostConfig config;
     private final ListedOwners owners;
     private final Forwarder forwarder;
     private final ClaimLog claims;
@@ -96,7 +102,8 @@
         DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
         loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
-        peerServer = PeerServer.start(settings.peer(), this);
+        config = new HostConfig(settings, Clock.systemUTC(), loop::post, this::closeIdle);
+        peerServer = PeerServer.start(settings.peer(), this, config);
         owners = new ListedOwners(settings.id(), peerAddress());
         forwarder = new Forwarder(owners, settings.id(), incarnation, observer::forwarded);
         claims = ClaimLog.start(platform, ClaimSettings.defaults(), System::currentTimeMillis);
@@ -118,14 +125,15 @@
         observer.metrics().gauge("claims", claims::size);
         observer.metrics().gauge("open_requests", callerApi::openRequests);
         observer.metrics().gauge("pauses", this::pauses);
-        configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(declared)));
+        config.start(platform, ReplicaSettings.defaults(), operatorApi, Clock.systemUTC(), peerAddress());
         plannedStop = new PlannedStop(settings, peers, owners);
         addPauseCheck(this::refreshHosts);
         addPauseCheck(this::replaceConnections);
+        addPauseCheck(config::recheck);
         followHosts();
         observer.log()
                 .line(LogEvent.HOST_STARTED)
-                .with(LogField.INCARNATION, incarnation)
+                .with(LogField.INCARNATION, Long.toString(incarnation))
                 .with(LogField.CALLER_ADDRESS, Addresses.format(callerAddress()))
                 .with(LogField.OPERATOR_ADDRESS, Addresses.format(operatorAddress()))
                 .with(LogField.PEER_ADDRESS, Addresses.format(peerAddress()))
@@ -139,7 +147,7 @@
      * @param incarnation number that no earlier process with this host id has used; later ones are greater
      */
     public static EntryHost start(EntrySettings settings, long incarnation) {
-        return start(settings, incarnation, PlacementPolicy.fastestFree());
+        return start(settings, incarnation, ExpectedFinish.create());
     }
 
     /**
@@ -173,6 +181,16 @@
         return loop.openJobs();
     }
 
+    /** Returns whether the configuration is known, so that work can be taken. */
+    public boolean ready() {
+        return config.ready();
+    }
+
+    /** Returns the offset of the first configuration record that this host does not hold. */
+    public long configOffset() {
+        return config.offset();
+    }
+
     /** Returns the number of entry hosts that this one can forward to. */
     public int knownPeers() {
         return owners.size();
@@ -195,6 +213,9 @@
 
     @Override
     public CompletableFuture<SessionAnswer> openSession() {
+        if (!config.ready()) {
+            return CompletableFuture.completedFuture(new SessionAnswer.Refused(Reason.NOT_READY));
+        }
         CompletableFuture<SessionAnswer> answer = new CompletableFuture<>();
         long requester = register(command -> {
             if (command instanceof Command.SessionGranted granted) {
@@ -324,7 +345,7 @@
     public void close() {
         closed = true;
         claims.close();
-        configFeed.close();
+        config.close();
         callerApi.close();
         operatorApi.close();
         peerServer.close();
@@ -388,8 +409,7 @@
     private void execute(Command command) {
         observer.issued(command);
         if (command instanceof Command.StartTask start) {
-            CompletableFuture<Void> _posted = targets.start(start)
-                    .thenAccept(result -> loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result)));
+            start(start);
         } else if (command instanceof Command.StopTask stop) {
             targets.stop(stop);
         } else if (command instanceof Command.DeliverVerdict delivered) {
@@ -407,6 +427,19 @@
         }
     }
 
+    private void start(Command.StartTask start) {
+        long began = System.nanoTime();
+        config.drains().started(start);
+        CompletableFuture<Void> _posted = targets.start(start).thenAccept(result -> {
+            config.drains().ended(start, Duration.ofNanos(System.nanoTime() - began));
+            loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result));
+        });
+    }
+
+    private void closeIdle(TargetSpec target) {
+        targetRequester.closeIdle(Addresses.parse(target.address()));
+    }
+
     private void answer(long requester, Command command) {
         Optional.ofNullable(requesters.remove(requester))
                 .ifPresentOrElse(consumer -> consumer.accept(command), () -> observer.dropped(command));
@@ -416,6 +449,15 @@
         loop.post(new Event.TargetSilent(target));
     }
 
+    private ImmutableMap<String, String> entryDomains(HostListing listing) {
+        Map<String, String> domains = new HashMap<>();
+        listing.hosts().stream()
+                .filter(host -> host.kind() == HostListing.Kind.ENTRY && host.state() == HostListing.State.LIVE)
+                .forEach(host -> domains.put(host.id(), host.domain()));
+        domains.put(settings.id(), settings.domain());
+        return ImmutableMap.copyOf(domains);
+    }
+
     private void followHosts() {
         if (closed) {
             return;
@@ -429,8 +471,10 @@
     private CompletableFuture<HostListing> refreshHosts() {
         return platform.hosts().whenComplete((listing, failure) -> {
             observer.platformRead(Optional.ofNullable(failure));
+            config.listed(failure == null ? Optional.of(listing) : Optional.empty());
             if (failure == null) {
                 owners.update(listing);
+                loop.post(new Event.EntryHostsKnown(settings.domain(), entryDomains(listing)));
             }
         });
     }
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -18,6 +18,8 @@
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.peer.thrift.AnswerKind;
+import org.mustardlink.peer.thrift.ConfigPage;
+import org.mustardlink.peer.thrift.DrainReport;
 import org.mustardlink.peer.thrift.HandoverPart;
 import org.mustardlink.peer.thrift.Peer;
 import org.mustardlink.peer.thrift.PeerAnswer;
@@ -43,8 +45,9 @@
      *
      * @param address where to listen
      * @param backend answers for the sessions that this process owns
+     * @param config answers about configuration and drains
      */
-    public static PeerServer start(InetSocketAddress address, OwnerBackend backend) {
+    public static PeerServer start(InetSocketAddress address, OwnerBackend backend, ConfigResponder config) {
         try {
             TNonblockingServerSocket socket =
                     new TNonblockingServerSocket(new TNonblockingServerSocket.NonblockingAbstractServerSocketArgs()
@@ -55,7 +58,7 @@
                     .workerThreads(WORKERS)
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                     .protocolFactory(new TBinaryProtocol.Factory())
-                    .processor(new Peer.AsyncProcessor<>(new Handler(backend)));
+                    .processor(new Peer.AsyncProcessor<>(new Handler(backend, config)));
             args.maxReadBufferBytes = MAX_FRAME_BYTES;
             TServer server = new TThreadedSelectorServer(args);
             Thread thread = new Thread(server::serve, "peer-server");
@@ -80,10 +83,22 @@
 
     private static final class Handler implements Peer.AsyncIface {
         private final OwnerBackend backend;
+        private final ConfigResponder config;
         private final HandoverAssembly assembly = new HandoverAssembly(System::nanoTime);
 
-        private Handler(OwnerBackend backend) {
+        private Handler(OwnerBackend backend, ConfigResponder config) {
             this.backend = backend;
+            this.config = config;
+        }
+
+        @Override
+        public void configSince(long offset, String change, AsyncMethodCallback<ConfigPage> callback) {
+            callback.onComplete(ConfigCalls.toThrift(config.since(offset, change)));
+        }
+
+        @Override
+        public void drainReport(String target, AsyncMethodCallback<DrainReport> callback) {
+            callback.onComplete(ConfigCalls.toThrift(config.report(target)));
         }
 
         @Override
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -13,10 +14,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
-import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.replica.ConfigReader;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.PlacementPolicy;
 import org.mustardlink.core.TargetSpec;
+import org.mustardlink.core.policy.ExpectedFinish;
 import org.mustardlink.entry.EntryHost;
 import org.mustardlink.entry.Incarnations;
 import org.mustardlink.http.Addresses;
@@ -73,7 +75,7 @@
     public record Options(Supplier<PlacementPolicy> policies, boolean speedsDeclared) {
         /** Returns the policy of the daemon with declared speeds. */
         public static Options defaults() {
-            return new Options(PlacementPolicy::fastestFree, true);
+            return new Options(ExpectedFinish::create, true);
         }
     }
 
@@ -104,7 +106,8 @@
                         shape.slots(),
                         64,
                         options.speedsDeclared() ? speed : 1.0);
-                records.add(Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec)));
+                records.add(Json.write(ImmutableMap.of(
+                        "schema", 1, "change", "change-" + id, "kind", "target", "name", id, "body", spec)));
             }
         }
         publish(platform, ImmutableList.copyOf(records));
@@ -165,7 +168,7 @@
 
     private static void awaitPeers(List<EntryHost> entries) {
         long end = System.nanoTime() + READY_TIMEOUT.toNanos();
-        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size())) {
+        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size() || !entry.ready())) {
             checkState(System.nanoTime() < end, "the entry hosts do not know each other after %s", READY_TIMEOUT);
             Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
         }
@@ -174,7 +177,7 @@
     private static void publish(StandInPlatform platform, ImmutableList<String> records) {
         try (HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small())) {
             PlatformClient.create(requester, platform.address())
-                    .append(ConfigFeed.STREAM, records)
+                    .append(ConfigReader.STREAM, records)
                     .join();
         }
     }
--- a/src/test/java/org/mustardlink/faults/FaultBed.java
+++ b/src/test/java/org/mustardlink/faults/FaultBed.java
@@ -11,7 +11,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.awaitility.Awaitility;
-import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.replica.ConfigReader;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.entry.EntryHost;
@@ -55,14 +55,12 @@
         awaitPeers();
     }
 
-    /** Declares a target, in place of an earlier one with the same id. */
-    void declare(String id, InetSocketAddress address) {
+    private void declare(String id, InetSocketAddress address) {
         TargetSpec spec = new TargetSpec(id, SERVICE, "a", Addresses.format(address), 8, 64, 1.0);
+        String record = Json.write(
+                ImmutableMap.of("schema", 1, "change", "change-" + id, "kind", "target", "name", id, "body", spec));
         PlatformClient.create(requester, platform.address())
-                .append(
-                        ConfigFeed.STREAM,
-                        ImmutableList.of(
-                                Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec))))
+                .append(ConfigReader.STREAM, ImmutableList.of(record))
                 .join();
     }
 
@@ -89,7 +87,8 @@
     void awaitPeers() {
         Awaitility.await()
                 .atMost(Duration.ofSeconds(10))
-                .until(() -> entries.values().stream().allMatch(entry -> entry.knownPeers() == ENTRIES.size()));
+                .until(() -> entries.values().stream()
+                        .allMatch(entry -> entry.ready() && entry.knownPeers() == ENTRIES.size()));
     }
 
     /** Returns how often each task was started, over all targets. */
--- a/src/test/java/org/mustardlink/faults/FaultSteps.java
+++ b/src/test/java/org/mustardlink/faults/FaultSteps.java
@@ -169,10 +169,8 @@
 
     @When("a target answers {string}")
     public void rawTarget(String answer) throws IOException {
-        RawTarget raw = RawTarget.start(answer);
-        bed.targets.keySet().forEach(id -> bed.declare(id, raw.address()));
-        pass(200);
-        this.raw = raw;
+        raw = RawTarget.start(answer);
+        bed.targetRelays.values().forEach(relay -> relay.pointTo(raw.address()));
     }
 
     @Then("the raw target got every task once")
