Refuse bad input with coded errors and keep it from disturbing others

Cause: oversize headers got an empty 400 that named nothing, and one Thrift frame that was announced and never completed used up the read buffers of all peers together. Ruled out: a larger body bound or more server threads against slow senders; bodies are read without holding a thread. Conclusion: a peer that leaves seven frames open can still hold up the others, since the Thrift server has no read timeout.

--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -145,6 +145,7 @@
 
     private CompletableFuture<Reply> routeSafely(Request request) {
         try {
+            HttpServers.checkHeaders(request);
             return route(request);
         } catch (RuntimeException e) {
             return CompletableFuture.failedFuture(e);
@@ -267,6 +268,7 @@
             case BODY_TIMEOUT -> 408;
             case BODY_TOO_LARGE -> 413;
             case TOO_BUSY -> 429;
+            case HEADERS_TOO_LARGE -> 431;
             default -> 500;
         };
     }
@@ -274,7 +276,8 @@
     private void write(Response response, Reply reply) {
         Connection<?> connection = response.getRequest().getContext().getConnection();
         // The rest of a body that was not read would be taken for the next request.
-        boolean unread = reply.status() == 408 || reply.status() == 413 || reply.status() == 429;
+        boolean unread =
+                reply.status() == 408 || reply.status() == 413 || reply.status() == 429 || reply.status() == 431;
         boolean last = unread || !backend.healthy();
         try {
             reply.retryAfter()
--- a/src/main/java/org/mustardlink/errors/ErrorCode.java
+++ b/src/main/java/org/mustardlink/errors/ErrorCode.java
@@ -6,6 +6,8 @@
     BAD_REQUEST,
     /** A body is larger than the configured bound. */
     BODY_TOO_LARGE,
+    /** The request line and headers are larger than the bound. */
+    HEADERS_TOO_LARGE,
     /** The path or method is unknown. */
     NOT_FOUND,
     /** No byte of a request was sent. */
--- a/src/main/java/org/mustardlink/http/HttpServers.java
+++ b/src/main/java/org/mustardlink/http/HttpServers.java
@@ -1,5 +1,6 @@
 package org.mustardlink.http;
 
+import com.google.common.base.Strings;
 import com.google.common.net.InetAddresses;
 import java.io.IOException;
 import java.io.InputStream;
@@ -11,6 +12,7 @@
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
+import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
@@ -18,6 +20,9 @@
 /** Starts Grizzly HTTP servers with the project's bounds and reads and writes bodies. */
 public final class HttpServers {
     private static final int MAX_HEADER_BYTES = 8 << 10;
+    /** The parser reads this much, so that a request a little beyond the bound still gets an answer that names it. */
+    private static final int MAX_PARSED_BYTES = 64 << 10;
+
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
 
     private HttpServers() {}
@@ -34,7 +39,7 @@
         HttpServer server = new HttpServer();
         NetworkListener listener =
                 new NetworkListener("http", address.getAddress().getHostAddress(), address.getPort());
-        listener.setMaxHttpHeaderSize(MAX_HEADER_BYTES);
+        listener.setMaxHttpHeaderSize(MAX_PARSED_BYTES);
         listener.getKeepAlive().setMaxRequestsCount(-1);
         listener.getKeepAlive().setIdleTimeoutInSeconds(60);
         listener.getTransport().setTcpNoDelay(true);
@@ -80,6 +85,24 @@
         }
     }
 
+    /**
+     * Checks the size of a request's line and headers.
+     *
+     * @throws CodedException with {@link ErrorCode#HEADERS_TOO_LARGE} beyond 8 KiB
+     */
+    public static void checkHeaders(Request request) {
+        MimeHeaders headers = request.getRequest().getHeaders();
+        long size = (long) request.getRequestURI().length()
+                + Strings.nullToEmpty(request.getQueryString()).length();
+        for (int i = 0; i < headers.size(); i++) {
+            size += headers.getName(i).getLength() + headers.getValue(i).getLength();
+        }
+        if (size > MAX_HEADER_BYTES) {
+            throw new CodedException(
+                    ErrorCode.HEADERS_TOO_LARGE, "path and headers may have " + MAX_HEADER_BYTES + " bytes at most");
+        }
+    }
+
     /** Writes a whole answer. */
     public static void write(Response response, int status, String contentType, String body) {
         byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -29,6 +29,12 @@
     /** Largest frame; a job of 4 MiB and its envelope fit. */
     static final int MAX_FRAME_BYTES = 5 << 20;
 
+    /**
+     * Bytes of all frames that are being read. The server stops reading beyond it, so it has to hold several frames: one
+     * that is never completed must not hold up every other peer.
+     */
+    private static final long MAX_OPEN_FRAME_BYTES = 6L * MAX_FRAME_BYTES;
+
     private static final int SELECTORS = 1;
     private static final int WORKERS = 2;
 
@@ -59,7 +65,7 @@
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                     .protocolFactory(new TBinaryProtocol.Factory())
                     .processor(new Peer.AsyncProcessor<>(new Handler(backend, config)));
-            args.maxReadBufferBytes = MAX_FRAME_BYTES;
+            args.maxReadBufferBytes = MAX_OPEN_FRAME_BYTES;
             TServer server = new TThreadedSelectorServer(args);
             Thread thread = new Thread(server::serve, "peer-server");
             thread.setDaemon(true);
--- a/src/test/java/org/mustardlink/faults/FaultSteps.java
+++ b/src/test/java/org/mustardlink/faults/FaultSteps.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.base.Strings;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.Uninterruptibles;
 import io.cucumber.java.After;
@@ -11,10 +12,13 @@
 import io.cucumber.java.en.Then;
 import io.cucumber.java.en.When;
 import java.io.IOException;
+import java.net.Socket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -36,7 +40,9 @@
     private final Map<String, CompletableFuture<HttpReply>> load = new LinkedHashMap<>();
     private final String keySuffix = "-" + Long.toString(System.nanoTime(), 36) + "-random";
     private final Map<Integer, Long> keyTimes = new HashMap<>();
+    private final List<Socket> sockets = new ArrayList<>();
     private FaultBed bed;
+    private String rawAnswer;
     private RawTarget raw;
     private String session;
     private CompletableFuture<Void> stopping = CompletableFuture.completedFuture(null);
@@ -44,8 +50,11 @@
     private int held;
 
     @After
-    public void closeBed() {
+    public void closeBed() throws IOException {
         stopping.join();
+        for (Socket socket : sockets) {
+            socket.close();
+        }
         bed.close();
     }
 
@@ -179,6 +188,49 @@
         assertThat(raw.starts().values()).containsExactlyElementsIn(Collections.nCopies(TASKS, 1));
     }
 
+    @When("a caller sends {string} to {string}")
+    public void sendWrong(String what, String entry) throws IOException {
+        rawAnswer = RawCaller.post(bed.entries.get(entry).callerAddress(), RawCaller.document(what, session));
+    }
+
+    @When("a caller sends {int} bytes of {word} to {string}")
+    public void sendLarge(int bytes, String what, String entry) throws IOException {
+        String filler = Strings.repeat("a", bytes);
+        String request =
+                switch (what) {
+                    case "header" -> "GET /health HTTP/1.1\r\nHost: a\r\nX-Long: " + filler + "\r\n\r\n";
+                    case "path" -> "GET /" + filler + " HTTP/1.1\r\nHost: a\r\n\r\n";
+                    case "chunks" ->
+                        "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                + Integer.toHexString(bytes) + "\r\n" + filler;
+                    default -> "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nContent-Length: " + bytes + "\r\n\r\n";
+                };
+        rawAnswer = RawCaller.exchange(bed.entries.get(entry).callerAddress(), request);
+    }
+
+    @When("{int} callers start to send a body to {string} and never end")
+    public void sendEndless(int callers, String entry) throws IOException {
+        for (int i = 0; i < callers; i++) {
+            sockets.add(RawCaller.startEndless(bed.entries.get(entry).callerAddress()));
+        }
+    }
+
+    @When("a peer announces a frame of {long} bytes to {string}")
+    public void sendFrame(long bytes, String entry) throws IOException {
+        sockets.add(RawCaller.startFrame(bed.entries.get(entry).peerAddress(), (int) bytes));
+    }
+
+    @Then("the peer's connection is closed")
+    public void peerIsClosed() throws IOException {
+        assertThat(RawCaller.isClosed(sockets.get(sockets.size() - 1))).isTrue();
+    }
+
+    @Then("the answer has status {int} and says {word}")
+    public void answered(int status, String code) {
+        assertThat(rawAnswer).startsWith("HTTP/1.1 " + status + ' ');
+        assertThat(rawAnswer).contains(code.equals("nothing") ? "" : '"' + code + '"');
+    }
+
     @When("the log is {word}")
     public void log(String state) {
         bed.platform.inject(
