--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -33,6 +33,9 @@
             new StandInCommand(),
             new LoadCommand(),
             new CapacityCommand(),
+            new ConfigCommand(),
+            new ConfigProbeCommand(),
+            new TargetCommand(),
             new VersionCommand());
 
     private Main() {}
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -42,6 +42,7 @@
 import org.mustardlink.core.policy.ExpectedFinish;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
+import org.mustardlink.membership.Membership;
 import org.mustardlink.observe.EntryObserver;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
@@ -64,6 +65,7 @@
     private final TargetClient targets;
     private final PlatformClient platform;
     private final PeerClient peers;
+    private final EntryMembership members;
     private final EntryLoop loop;
     private final CallerApi callerApi;
     private final OperatorApi operatorApi;
@@ -99,12 +101,13 @@
         platform = PlatformClient.create(
                 platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
+        members = new EntryMembership(observer.log());
         DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
         loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
         config = new HostConfig(settings, Clock.systemUTC(), loop::post, this::closeIdle);
-        peerServer = PeerServer.start(settings.peer(), this, config);
-        owners = new ListedOwners(settings.id(), peerAddress());
+        peerServer = PeerServer.start(settings.peer(), this, config, members.membership());
+        owners = new ListedOwners(settings.id(), peerAddress(), membership());
         forwarder = new Forwarder(owners, settings.id(), incarnation, observer::forwarded);
         claims = ClaimLog.start(platform, ClaimSettings.defaults(), System::currentTimeMillis);
         keyed = new KeyedSubmissions(claims, new OwnNumbers(this::openSession, System::nanoTime), System::nanoTime);
@@ -113,9 +116,11 @@
                 settings.limits().callerThreads(),
                 settings.limits().maxBodyBytes(),
                 this);
-        operatorApi = OperatorApi.start(settings.operator());
-        pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
-        pages.section("hosts", owners::addresses);
+        operatorApi = OperatorApi.start(settings.operator(), settings.operatorSecret());
+        pages = OperatorPages.create(settings, incarnation, observer, () -> leaving, config::ready);
+        pages.section("configuration", () -> ImmutableMap.of("revision", config.offset(), "ready", config.ready()));
+        pages.section("hosts", () -> membership().report());
+        members.sendOffset(config::offset);
         pages.registerAt(operatorApi);
         observer.metrics().gauge("open_jobs", loop::openJobs);
         observer.metrics().gauge("known_hosts", this::knownPeers);
@@ -125,7 +130,8 @@
         observer.metrics().gauge("claims", claims::size);
         observer.metrics().gauge("open_requests", callerApi::openRequests);
         observer.metrics().gauge("pauses", this::pauses);
-        config.start(platform, ReplicaSettings.defaults(), operatorApi, Clock.systemUTC(), peerAddress());
+        config.start(platform, replicaSettings(settings), operatorApi, Clock.systemUTC(), peerAddress());
+        members.start(settings, incarnation, peerAddress(), callerAddress());
         plannedStop = new PlannedStop(settings, peers, owners);
         addPauseCheck(this::refreshHosts);
         addPauseCheck(this::replaceConnections);
@@ -193,7 +199,12 @@
 
     /** Returns the number of entry hosts that this one can forward to. */
     public int knownPeers() {
-        return owners.size();
+        return members.aliveHosts();
+    }
+
+    /** Returns what this host knows of all entry hosts. */
+    public Membership membership() {
+        return members.membership();
     }
 
     /** Adds a check that is made after a pause of the process, before anything is started again. */
@@ -311,7 +322,7 @@
 
     @Override
     public boolean healthy() {
-        return !leaving;
+        return !leaving && !membership().view().replaced();
     }
 
     @Override
@@ -328,12 +339,16 @@
     public void stop(Duration grace) {
         leaving = true;
         logOpenJobs(LogEvent.HOST_LEAVING);
+        CompletableFuture<Void> _leaving = membership().leaving(Optional.empty());
         long end = System.nanoTime() + grace.toNanos();
         PlannedStop.awaitHealthNotice(grace);
         loop.post(new Event.StopRequested());
         PlannedStop.await(() -> loop.openJobs() == 0 && callerApi.openRequests() == 0, end);
         loop.post(new Event.HandoverRequested());
-        plannedStop.handOver(handover, ImmutableSet.copyOf(inherited));
+        Optional<String> successor = plannedStop.handOver(handover, ImmutableSet.copyOf(inherited));
+        if (successor.isPresent()) {
+            membership().leaving(successor).join();
+        }
         forwarder.giveUp();
         callerApi.drain(PlannedStop.LAST_ANSWERS);
         logOpenJobs(LogEvent.HOST_STOPPED);
@@ -350,6 +365,7 @@
         operatorApi.close();
         peerServer.close();
         loop.close();
+        members.close();
         peers.close();
         targetRequester.close();
         platformRequester.close();
@@ -373,6 +389,20 @@
                 settings.dispatch().targetIoThreads());
     }
 
+    private static ReplicaSettings replicaSettings(EntrySettings settings) {
+        EntrySettings.Configuration from = settings.configuration();
+        ReplicaSettings defaults = ReplicaSettings.defaults();
+        return new ReplicaSettings(
+                defaults.readsLog(),
+                from.logWait(),
+                from.retryPause(),
+                from.pullPeriod(),
+                defaults.peerTimeout(),
+                from.snapshotRecords(),
+                from.snapshotAge(),
+                from.snapshotJitter());
+    }
+
     private static CoreSettings coreSettings(EntrySettings settings, long incarnation) {
         return new CoreSettings(
                 settings.id(),
@@ -474,6 +504,7 @@
             config.listed(failure == null ? Optional.of(listing) : Optional.empty());
             if (failure == null) {
                 owners.update(listing);
+                members.listed(listing);
                 loop.post(new Event.EntryHostsKnown(settings.domain(), entryDomains(listing)));
             }
         });
--- a/src/main/java/org/mustardlink/entry/ListedOwners.java
+++ b/src/main/java/org/mustardlink/entry/ListedOwners.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.Maps;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -12,19 +11,24 @@
 import org.mustardlink.membership.OwnerDirectory;
 import org.mustardlink.platform.HostListing;
 
-/** Finds owners by the platform's list of hosts and by the leaves that were announced to this entry host. */
+/**
+ * Finds owners by the leaves that were announced to this entry host, then by membership, with addresses from the
+ * platform's list where it has them.
+ */
 final class ListedOwners implements OwnerDirectory {
     /** Leaves remembered; several days of planned restarts at the largest deployment planned for. */
     private static final int MAX_LEAVES = 4096;
 
     private final String self;
     private final InetSocketAddress selfAddress;
+    private final OwnerDirectory membership;
     private final Map<Incarnation, String> successors = new LinkedHashMap<>();
     private volatile ImmutableMap<String, HostListing.Host> hosts = ImmutableMap.of();
 
     private record Incarnation(String host, long number) {}
 
-    ListedOwners(String self, InetSocketAddress selfAddress) {
+    ListedOwners(String self, InetSocketAddress selfAddress, OwnerDirectory membership) {
+        this.membership = membership;
         this.self = self;
         this.selfAddress = selfAddress;
     }
@@ -42,16 +46,6 @@
         }
     }
 
-    /** Returns the number of entry hosts on the list. */
-    int size() {
-        return hosts.size();
-    }
-
-    /** Returns the Thrift addresses on the list by host id. */
-    ImmutableMap<String, String> addresses() {
-        return ImmutableMap.copyOf(Maps.transformValues(hosts, HostListing.Host::address));
-    }
-
     /** Returns the other entry hosts on the list. */
     ImmutableList<HostListing.Host> others() {
         return hosts.values().stream().filter(host -> !host.id().equals(self)).collect(ImmutableList.toImmutableList());
@@ -66,10 +60,14 @@
                     .<Owner>map(address -> new Owner.HandedOver(id, address))
                     .orElseGet(Owner.Unreachable::new);
         }
+        Owner member = membership.find(host, incarnation);
+        if (member instanceof Owner.Gone || member instanceof Owner.HandedOver) {
+            return member;
+        }
         // The list names no address for callers; forwarding does not need one.
         return address(host)
                 .<Owner>map(address -> new Owner.Alive(address, address))
-                .orElseGet(Owner.Unreachable::new);
+                .orElse(member);
     }
 
     private synchronized Optional<String> successorOf(String host, long incarnation) {
--- a/src/main/java/org/mustardlink/entry/PlannedStop.java
+++ b/src/main/java/org/mustardlink/entry/PlannedStop.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
@@ -52,12 +53,13 @@
      *
      * @param handover what to hand over, once the core has closed the sessions
      * @param inherited earlier incarnations that this one answered for
+     * @return id of the successor, if there is one
      */
-    void handOver(CompletableFuture<Handover> handover, ImmutableSet<EntryHost.Incarnation> inherited) {
+    Optional<String> handOver(CompletableFuture<Handover> handover, ImmutableSet<EntryHost.Incarnation> inherited) {
         Handover closing = handover.completeOnTimeout(null, PEER_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS)
                 .join();
         if (closing == null) {
-            return;
+            return Optional.empty();
         }
         List<HostListing.Host> candidates = owners.others().stream()
                 .filter(host -> host.domain().equals(settings.domain()) && host.state() == HostListing.State.LIVE)
@@ -66,9 +68,10 @@
             if (peers.handOver(Addresses.parse(candidate.address()), closing, PEER_TIMEOUT)
                     .join()) {
                 announce(closing, inherited, candidate.id());
-                return;
+                return Optional.of(candidate.id());
             }
         }
+        return Optional.empty();
     }
 
     private void announce(Handover closing, ImmutableSet<EntryHost.Incarnation> inherited, String successor) {
--- a/src/main/java/org/mustardlink/errors/ErrorCode.java
+++ b/src/main/java/org/mustardlink/errors/ErrorCode.java
@@ -8,6 +8,8 @@
     BODY_TOO_LARGE,
     /** The request line and headers are larger than the bound. */
     HEADERS_TOO_LARGE,
+    /** A change was sent to an operators' path without the shared secret. */
+    UNAUTHORIZED,
     /** The path or method is unknown. */
     NOT_FOUND,
     /** No byte of a request was sent. */
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.apache.thrift.TException;
+import org.apache.thrift.TProcessor;
 import org.apache.thrift.async.AsyncMethodCallback;
 import org.apache.thrift.protocol.TBinaryProtocol;
 import org.apache.thrift.server.TServer;
@@ -17,9 +18,11 @@
 import org.mustardlink.core.SubmissionId;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.membership.ExchangeHandler;
 import org.mustardlink.peer.thrift.AnswerKind;
 import org.mustardlink.peer.thrift.ConfigPage;
 import org.mustardlink.peer.thrift.DrainReport;
+import org.mustardlink.peer.thrift.Exchange;
 import org.mustardlink.peer.thrift.HandoverPart;
 import org.mustardlink.peer.thrift.Peer;
 import org.mustardlink.peer.thrift.PeerAnswer;
@@ -52,8 +55,19 @@
      * @param address where to listen
      * @param backend answers for the sessions that this process owns
      * @param config answers about configuration and drains
+     * @param exchanges answers for the membership
      */
-    public static PeerServer start(InetSocketAddress address, OwnerBackend backend, ConfigResponder config) {
+    public static PeerServer start(
+            InetSocketAddress address, OwnerBackend backend, ConfigResponder config, ExchangeHandler exchanges) {
+        return serve(address, new Peer.AsyncProcessor<>(new Handler(backend, config, exchanges)));
+    }
+
+    /** Starts a server that answers for the membership only, for measurements of it. */
+    public static PeerServer startExchange(InetSocketAddress address, ExchangeHandler exchanges) {
+        return serve(address, new Exchange.AsyncProcessor<>(new ExchangeService(exchanges)));
+    }
+
+    private static PeerServer serve(InetSocketAddress address, TProcessor processor) {
         try {
             TNonblockingServerSocket socket =
                     new TNonblockingServerSocket(new TNonblockingServerSocket.NonblockingAbstractServerSocketArgs()
@@ -64,7 +78,7 @@
                     .workerThreads(WORKERS)
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                     .protocolFactory(new TBinaryProtocol.Factory())
-                    .processor(new Peer.AsyncProcessor<>(new Handler(backend, config)));
+                    .processor(processor);
             args.maxReadBufferBytes = MAX_OPEN_FRAME_BYTES;
             TServer server = new TThreadedSelectorServer(args);
             Thread thread = new Thread(server::serve, "peer-server");
@@ -87,12 +101,13 @@
         socket.close();
     }
 
-    private static final class Handler implements Peer.AsyncIface {
+    private static final class Handler extends ExchangeService implements Peer.AsyncIface {
         private final OwnerBackend backend;
         private final ConfigResponder config;
         private final HandoverAssembly assembly = new HandoverAssembly(System::nanoTime);
 
-        private Handler(OwnerBackend backend, ConfigResponder config) {
+        private Handler(OwnerBackend backend, ConfigResponder config, ExchangeHandler exchanges) {
+            super(exchanges);
             this.backend = backend;
             this.config = config;
         }
--- a/src/main/java/org/mustardlink/peer/thrift/ConfigPage.java
+++ b/src/main/java/org/mustardlink/peer/thrift/ConfigPage.java
@@ -723,13 +723,13 @@
           case 3: // RECORDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<java.lang.String>(_list40.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem41;
-                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
+                org.apache.thrift.protocol.TList _list58 = iprot.readListBegin();
+                struct.records = new java.util.ArrayList<java.lang.String>(_list58.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem59;
+                for (int _i60 = 0; _i60 < _list58.size; ++_i60)
                 {
-                  _elem41 = iprot.readString();
-                  struct.records.add(_elem41);
+                  _elem59 = iprot.readString();
+                  struct.records.add(_elem59);
                 }
                 iprot.readListEnd();
               }
@@ -781,9 +781,9 @@
           oprot.writeFieldBegin(RECORDS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.records.size()));
-            for (java.lang.String _iter43 : struct.records)
+            for (java.lang.String _iter61 : struct.records)
             {
-              oprot.writeString(_iter43);
+              oprot.writeString(_iter61);
             }
             oprot.writeListEnd();
           }
@@ -848,9 +848,9 @@
       if (struct.isSetRecords()) {
         {
           oprot.writeI32(struct.records.size());
-          for (java.lang.String _iter44 : struct.records)
+          for (java.lang.String _iter62 : struct.records)
           {
-            oprot.writeString(_iter44);
+            oprot.writeString(_iter62);
           }
         }
       }
@@ -876,13 +876,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list45 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.records = new java.util.ArrayList<java.lang.String>(_list45.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem46;
-          for (int _i47 = 0; _i47 < _list45.size; ++_i47)
+          org.apache.thrift.protocol.TList _list63 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.records = new java.util.ArrayList<java.lang.String>(_list63.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem64;
+          for (int _i65 = 0; _i65 < _list63.size; ++_i65)
           {
-            _elem46 = iprot.readString();
-            struct.records.add(_elem46);
+            _elem64 = iprot.readString();
+            struct.records.add(_elem64);
           }
         }
         struct.setRecordsIsSet(true);
