--- a/src/main/java/org/mustardlink/config/settings/SettingKeys.java
+++ b/src/main/java/org/mustardlink/config/settings/SettingKeys.java
@@ -104,8 +104,8 @@
             "timeouts",
             "forward-margin",
             ValueType.duration("1 ms", "1 min"),
-            "500 ms",
-            "time beyond a job's deadline that its owner has to answer a forwarding host");
+            "20 ms",
+            "time before a caller's deadline at which the owner has to answer a forwarding host");
     static final SettingKey<Duration> HOSTS_REFRESH = optional(
             "timeouts",
             "hosts-refresh",
--- a/src/main/java/org/mustardlink/core/Tables.java
+++ b/src/main/java/org/mustardlink/core/Tables.java
@@ -17,6 +17,7 @@
     private final MessageBudget messages = new MessageBudget(MESSAGES_PER_START, 20);
     private final ShareTable shares;
     private boolean stopping;
+    private boolean startsHeld;
 
     Tables(CoreSettings settings, SlotSharing sharing) {
         this.shares = new ShareTable(settings.host(), sharing);
@@ -73,6 +74,15 @@
         return stopping;
     }
 
+    /** Returns whether nothing may be started now. */
+    boolean startsHeld() {
+        return startsHeld;
+    }
+
+    void holdStarts(boolean held) {
+        startsHeld = held;
+    }
+
     void stop() {
         stopping = true;
     }
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -1,26 +1,33 @@
 package org.mustardlink.entry;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.LongFunction;
 import org.mustardlink.api.CallerApi;
 import org.mustardlink.api.CallerBackend;
 import org.mustardlink.api.JobAnswer;
+import org.mustardlink.api.KeyedAnswer;
 import org.mustardlink.api.OperatorApi;
 import org.mustardlink.api.SessionAnswer;
+import org.mustardlink.claims.ClaimLog;
+import org.mustardlink.claims.ClaimSettings;
+import org.mustardlink.claims.SubmissionKey;
 import org.mustardlink.config.replica.ReplicaSettings;
 import org.mustardlink.config.settings.EntrySettings;
+import org.mustardlink.core.AnswerSnapshot;
 import org.mustardlink.core.Command;
 import org.mustardlink.core.CoreSettings;
 import org.mustardlink.core.DispatchCore;
@@ -29,19 +36,20 @@
 import org.mustardlink.core.PlacementPolicy;
 import org.mustardlink.core.Reason;
 import org.mustardlink.core.SessionId;
+import org.mustardlink.core.SessionSnapshot;
 import org.mustardlink.core.SubmissionId;
 import org.mustardlink.core.TargetSpec;
-import org.mustardlink.core.Verdict;
 import org.mustardlink.core.policy.ExpectedFinish;
 import org.mustardlink.core.policy.StandardPolicies;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.membership.Membership;
-import org.mustardlink.membership.Owner;
 import org.mustardlink.observe.EntryObserver;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
 import org.mustardlink.observe.OperatorPages;
+import org.mustardlink.peer.Handover;
+import org.mustardlink.peer.OwnerBackend;
 import org.mustardlink.peer.PeerClient;
 import org.mustardlink.peer.PeerServer;
 import org.mustardlink.platform.HostListing;
@@ -49,7 +57,7 @@
 import org.mustardlink.target.TargetClient;
 
 /** One entry host: everything that the daemon runs. Several can run in one process. */
-public final class EntryHost implements CallerBackend, AutoCloseable {
+public final class EntryHost implements CallerBackend, OwnerBackend, AutoCloseable {
     private final EntrySettings settings;
     private final EntryObserver observer;
     private final long incarnation;
@@ -65,9 +73,24 @@
     private final OperatorPages pages;
     private final PeerServer peerServer;
     private final HostConfig config;
+    private final ListedOwners owners;
+    private final Forwarder forwarder;
+    private final ClaimLog claims;
+    private final KeyedSubmissions keyed;
+    private final PlannedStop plannedStop;
     private final AtomicLong nextRequester = new AtomicLong();
     private final Map<Long, Consumer<Command>> requesters = new ConcurrentHashMap<>();
+    private final Set<Incarnation> inherited = ConcurrentHashMap.newKeySet();
+    private final CompletableFuture<Handover> handover = new CompletableFuture<>();
     private volatile boolean leaving;
+    private volatile boolean closed;
+
+    /** One process of an entry host. */
+    record Incarnation(String host, long number) {
+        static Incarnation of(SessionId session) {
+            return new Incarnation(session.host(), session.incarnation());
+        }
+    }
 
     private EntryHost(EntrySettings settings, long incarnation, PlacementPolicy placement) {
         this.settings = settings;
@@ -75,7 +98,7 @@
         this.incarnation = incarnation;
         targetRequester = HttpRequester.start(targetLimits(settings));
         platformRequester = HttpRequester.start(HttpRequester.Limits.small());
-        targets = TargetClient.create(targetRequester);
+        targets = TargetClient.create(targetRequester, this::targetSilent);
         platform = PlatformClient.create(
                 platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
@@ -84,7 +107,11 @@
         loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
         config = new HostConfig(settings, Clock.systemUTC(), loop::post, this::closeIdle);
-        peerServer = PeerServer.start(settings.peer(), incarnation, this, config, members.membership());
+        peerServer = PeerServer.start(settings.peer(), this, config, members.membership());
+        owners = new ListedOwners(settings.id(), peerAddress(), membership());
+        forwarder = new Forwarder(owners, settings.id(), incarnation, observer::forwarded);
+        claims = ClaimLog.start(platform, ClaimSettings.defaults(), System::currentTimeMillis);
+        keyed = new KeyedSubmissions(claims, new OwnNumbers(this::openSession, System::nanoTime), System::nanoTime);
         callerApi = CallerApi.start(
                 settings.caller(),
                 settings.limits().callerThreads(),
@@ -98,9 +125,19 @@
         pages.registerAt(operatorApi);
         observer.metrics().gauge("open_jobs", loop::openJobs);
         observer.metrics().gauge("known_hosts", this::knownPeers);
+        observer.metrics().gauge("dropped_target_answers", targets::droppedAnswers);
+        observer.metrics().gauge("unexpected_http_answers", targetRequester::unexpectedAnswers);
+        observer.metrics().gauge("silent_peers", peers::silentPeers);
+        observer.metrics().gauge("claims", claims::size);
+        observer.metrics().gauge("open_requests", callerApi::openRequests);
+        observer.metrics().gauge("pauses", this::pauses);
         config.start(platform, replicaSettings(settings), operatorApi, Clock.systemUTC(), peerAddress());
         members.start(settings, incarnation, peerAddress(), callerAddress());
-        refreshPeers();
+        plannedStop = new PlannedStop(settings, peers, owners);
+        addPauseCheck(this::refreshHosts);
+        addPauseCheck(this::replaceConnections);
+        addPauseCheck(config::recheck);
+        followHosts();
         observer.log()
                 .line(LogEvent.HOST_STARTED)
                 .with(LogField.INCARNATION, Long.toString(incarnation))
@@ -171,6 +208,21 @@
         return members.membership();
     }
 
+    /** Adds a check that is made after a pause of the process, before anything is started again. */
+    public void addPauseCheck(PauseCheck check) {
+        loop.pauses().add(check);
+    }
+
+    /** Returns how many pauses of the process were noticed. */
+    public long pauses() {
+        return loop.pauses().pauses();
+    }
+
+    /** Stops the core's loop for a time, as a pause of the whole process would; for tests of that fault. */
+    public void stall(Duration time) {
+        loop.stall(time);
+    }
+
     @Override
     public CompletableFuture<SessionAnswer> openSession() {
         if (!config.ready()) {
@@ -190,27 +242,83 @@
 
     @Override
     public CompletableFuture<JobAnswer> submit(SubmissionId id, JobRequest request, String document) {
-        if (isOwn(id)) {
-            return local(requester -> new Event.JobSubmitted(requester, id, request));
+        if (answersFor(id.session())) {
+            return submitOwn(id, request);
         }
-        Duration timeout = request.deadline().plus(settings.timeouts().forwardMargin());
-        return forward(id, owner -> peers.submit(owner, id, document, timeout));
+        Duration deadline = request.deadline();
+        Duration longest = settings.timeouts().forwardMargin();
+        Duration margin = deadline.dividedBy(10).compareTo(longest) < 0 ? deadline.dividedBy(10) : longest;
+        return forwarder.forward(
+                id, deadline, (owner, timeout) -> peers.submit(owner, id, document, deadline.minus(margin), timeout));
+    }
+
+    @Override
+    public CompletableFuture<KeyedAnswer> submitKeyed(SubmissionKey key, JobRequest request, String document) {
+        return keyed.submit(key, request, (id, remaining) -> submit(id, remaining, document));
     }
 
     @Override
     public CompletableFuture<JobAnswer> lookUp(SubmissionId id) {
-        if (isOwn(id)) {
-            return local(requester -> new Event.AnswerRequested(requester, id));
+        if (answersFor(id.session())) {
+            return lookUpOwn(id);
         }
-        return forward(id, owner -> peers.lookUp(owner, id, settings.timeouts().lookup()));
+        return forwarder.forward(
+                id, settings.timeouts().lookup(), (owner, timeout) -> peers.lookUp(owner, id, timeout));
     }
 
     @Override
     public CompletableFuture<JobAnswer> cancel(SubmissionId id) {
-        if (isOwn(id)) {
-            return local(requester -> new Event.JobCancelled(requester, id));
+        if (answersFor(id.session())) {
+            return cancelOwn(id);
         }
-        return forward(id, owner -> peers.cancel(owner, id, settings.timeouts().lookup()));
+        return forwarder.forward(
+                id, settings.timeouts().lookup(), (owner, timeout) -> peers.cancel(owner, id, timeout));
+    }
+
+    @Override
+    public Relation relationTo(SessionId session) {
+        if (answersFor(session)) {
+            return Relation.ANSWERS;
+        }
+        // An earlier process cannot say anything about a later one, so the order of incarnations matters.
+        boolean earlier = session.host().equals(settings.id()) && session.incarnation() < incarnation;
+        return earlier ? Relation.LATER_INCARNATION : Relation.STRANGER;
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> submitOwn(SubmissionId id, JobRequest request) {
+        return local(requester -> new Event.JobSubmitted(requester, id, request));
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> lookUpOwn(SubmissionId id) {
+        return local(requester -> new Event.AnswerRequested(requester, id));
+    }
+
+    @Override
+    public CompletableFuture<JobAnswer> cancelOwn(SubmissionId id) {
+        return local(requester -> new Event.JobCancelled(requester, id));
+    }
+
+    @Override
+    public CompletableFuture<Boolean> inherit(
+            String host, long leaver, ImmutableList<SessionSnapshot> sessions, ImmutableList<AnswerSnapshot> answers) {
+        CompletableFuture<Boolean> settled = new CompletableFuture<>();
+        long requester = register(command -> {
+            boolean accepted = command instanceof Command.InheritanceSettled result && result.accepted();
+            if (accepted) {
+                inherited.add(new Incarnation(host, leaver));
+                sessions.forEach(session -> inherited.add(Incarnation.of(session.id())));
+            }
+            settled.complete(accepted);
+        });
+        loop.post(new Event.SessionsInherited(requester, sessions, answers));
+        return settled;
+    }
+
+    @Override
+    public void ownerLeft(String host, long leaver, String successor) {
+        owners.left(host, leaver, successor);
     }
 
     @Override
@@ -224,20 +332,26 @@
     }
 
     /**
-     * Stops gracefully: fails the health check, takes nothing new and waits until every open job has its verdict.
+     * Stops as planned: fails the health check, takes nothing new, lets open jobs finish, hands its sessions over to an
+     * entry host of the same failure domain and answers every caller before it closes a connection.
      *
-     * @param grace longest time to wait
+     * @param grace time for open jobs to finish; what cannot finish gets a truthful verdict then
      */
     public void stop(Duration grace) {
         leaving = true;
         logOpenJobs(LogEvent.HOST_LEAVING);
-        loop.post(new Event.StopRequested());
-        CompletableFuture<Void> _announced = membership().leaving(Optional.empty());
+        CompletableFuture<Void> _leaving = membership().leaving(Optional.empty());
         long end = System.nanoTime() + grace.toNanos();
-        while (System.nanoTime() < end && loop.openJobs() > 0) {
-            sleep(Duration.ofMillis(20));
+        PlannedStop.awaitHealthNotice(grace);
+        loop.post(new Event.StopRequested());
+        PlannedStop.await(() -> loop.openJobs() == 0 && callerApi.openRequests() == 0, end);
+        loop.post(new Event.HandoverRequested());
+        Optional<String> successor = plannedStop.handOver(handover, ImmutableSet.copyOf(inherited));
+        if (successor.isPresent()) {
+            membership().leaving(successor).join();
         }
-        callerApi.shutdown(Duration.ofSeconds(1));
+        forwarder.giveUp();
+        callerApi.drain(PlannedStop.LAST_ANSWERS);
         logOpenJobs(LogEvent.HOST_STOPPED);
         close();
     }
@@ -245,6 +359,8 @@
     /** Ends everything at once, as a crash would. */
     @Override
     public void close() {
+        closed = true;
+        claims.close();
         config.close();
         callerApi.close();
         operatorApi.close();
@@ -256,6 +372,11 @@
         platformRequester.close();
     }
 
+    private boolean answersFor(SessionId session) {
+        Incarnation owner = Incarnation.of(session);
+        return owner.equals(new Incarnation(settings.id(), incarnation)) || inherited.contains(owner);
+    }
+
     private void logOpenJobs(LogEvent event) {
         observer.log().line(event).with(LogField.OPEN_JOBS, loop.openJobs()).write();
     }
@@ -297,10 +418,6 @@
                 settings.timeouts().retryAfter());
     }
 
-    private boolean isOwn(SubmissionId id) {
-        return id.session().host().equals(settings.id()) && id.session().incarnation() == incarnation;
-    }
-
     private CompletableFuture<JobAnswer> local(LongFunction<Event> event) {
         CompletableFuture<JobAnswer> answer = new CompletableFuture<>();
         long requester = register(command -> {
@@ -314,23 +431,6 @@
         return answer;
     }
 
-    private CompletableFuture<JobAnswer> forward(
-            SubmissionId id, Function<InetSocketAddress, CompletableFuture<JobAnswer>> call) {
-        Owner owner = membership().find(id.session().host(), id.session().incarnation());
-        if (owner instanceof Owner.Alive alive) {
-            observer.forwarded();
-            return call.apply(alive.peer());
-        }
-        if (owner instanceof Owner.HandedOver handedOver) {
-            observer.forwarded();
-            return call.apply(handedOver.peer());
-        }
-        return CompletableFuture.completedFuture(
-                owner instanceof Owner.Gone
-                        ? new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE))
-                        : PeerClient.unreachable());
-    }
-
     private long register(Consumer<Command> consumer) {
         long requester = nextRequester.incrementAndGet();
         requesters.put(requester, consumer);
@@ -347,6 +447,10 @@
             answer(delivered.requester(), command);
         } else if (command instanceof Command.ReportUnused unused) {
             answer(unused.requester(), command);
+        } else if (command instanceof Command.InheritanceSettled settled) {
+            answer(settled.requester(), command);
+        } else if (command instanceof Command.HandOver closing) {
+            handover.complete(new Handover(settings.id(), incarnation, closing.sessions(), closing.answers()));
         } else if (command instanceof Command.SessionGranted granted) {
             answer(granted.requester(), command);
         } else if (command instanceof Command.SessionRefused refused) {
@@ -372,6 +476,10 @@
                 .ifPresentOrElse(consumer -> consumer.accept(command), () -> observer.dropped(command));
     }
 
+    private void targetSilent(String target) {
+        loop.post(new Event.TargetSilent(target));
+    }
+
     private ImmutableMap<String, String> entryDomains(HostListing listing) {
         Map<String, String> domains = new HashMap<>();
         listing.hosts().stream()
@@ -381,27 +489,32 @@
         return ImmutableMap.copyOf(domains);
     }
 
-    private void refreshPeers() {
-        if (leaving) {
+    private void followHosts() {
+        if (closed) {
             return;
         }
-        CompletableFuture<HostListing> _refreshed = platform.hosts().whenComplete((listing, failure) -> {
+        CompletableFuture<HostListing> _refreshed = refreshHosts()
+                .whenComplete((_listing, _failure) -> CompletableFuture.delayedExecutor(
+                                settings.timeouts().hostsRefresh().toMillis(), TimeUnit.MILLISECONDS)
+                        .execute(this::followHosts));
+    }
+
+    private CompletableFuture<HostListing> refreshHosts() {
+        return platform.hosts().whenComplete((listing, failure) -> {
             observer.platformRead(Optional.ofNullable(failure));
             config.listed(failure == null ? Optional.of(listing) : Optional.empty());
             if (failure == null) {
+                owners.update(listing);
                 members.listed(listing);
                 loop.post(new Event.EntryHostsKnown(settings.domain(), entryDomains(listing)));
             }
-            CompletableFuture.delayedExecutor(settings.timeouts().hostsRefresh().toMillis(), TimeUnit.MILLISECONDS)
-                    .execute(this::refreshPeers);
         });
     }
 
-    private static void sleep(Duration time) {
-        try {
-            Thread.sleep(time.toMillis());
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+    private CompletableFuture<Void> replaceConnections() {
+        targetRequester.replaceIdle();
+        platformRequester.replaceIdle();
+        peers.dropIdle();
+        return CompletableFuture.completedFuture(null);
     }
 }
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -1,6 +1,7 @@
 package org.mustardlink.peer;
 
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import org.apache.thrift.TException;
 import org.apache.thrift.TProcessor;
@@ -11,12 +12,10 @@
 import org.apache.thrift.transport.TNonblockingServerSocket;
 import org.apache.thrift.transport.TTransportException;
 import org.apache.thrift.transport.layered.TFramedTransport;
-import org.mustardlink.api.CallerBackend;
 import org.mustardlink.api.JobAnswer;
 import org.mustardlink.api.JobDocument;
-import org.mustardlink.core.Reason;
+import org.mustardlink.core.JobRequest;
 import org.mustardlink.core.SubmissionId;
-import org.mustardlink.core.Verdict;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.membership.ExchangeHandler;
@@ -24,6 +23,7 @@
 import org.mustardlink.peer.thrift.ConfigPage;
 import org.mustardlink.peer.thrift.DrainReport;
 import org.mustardlink.peer.thrift.Exchange;
+import org.mustardlink.peer.thrift.HandoverPart;
 import org.mustardlink.peer.thrift.Peer;
 import org.mustardlink.peer.thrift.PeerAnswer;
 
@@ -32,6 +32,12 @@
     /** Largest frame; a job of 4 MiB and its envelope fit. */
     static final int MAX_FRAME_BYTES = 5 << 20;
 
+    /**
+     * Bytes of all frames that are being read. The server stops reading beyond it, so it has to hold several frames: one
+     * that is never completed must not hold up every other peer.
+     */
+    private static final long MAX_OPEN_FRAME_BYTES = 6L * MAX_FRAME_BYTES;
+
     private static final int SELECTORS = 1;
     private static final int WORKERS = 2;
 
@@ -47,18 +53,13 @@
      * Starts the server.
      *
      * @param address where to listen
-     * @param incarnation incarnation of this process
      * @param backend answers for the sessions that this process owns
      * @param config answers about configuration and drains
      * @param exchanges answers for the membership
      */
     public static PeerServer start(
-            InetSocketAddress address,
-            long incarnation,
-            CallerBackend backend,
-            ConfigResponder config,
-            ExchangeHandler exchanges) {
-        return serve(address, new Peer.AsyncProcessor<>(new Handler(incarnation, backend, config, exchanges)));
+            InetSocketAddress address, OwnerBackend backend, ConfigResponder config, ExchangeHandler exchanges) {
+        return serve(address, new Peer.AsyncProcessor<>(new Handler(backend, config, exchanges)));
     }
 
     /** Starts a server that answers for the membership only, for measurements of it. */
@@ -78,7 +79,7 @@
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                     .protocolFactory(new TBinaryProtocol.Factory())
                     .processor(processor);
-            args.maxReadBufferBytes = MAX_FRAME_BYTES;
+            args.maxReadBufferBytes = MAX_OPEN_FRAME_BYTES;
             TServer server = new TThreadedSelectorServer(args);
             Thread thread = new Thread(server::serve, "peer-server");
             thread.setDaemon(true);
@@ -101,13 +102,12 @@
     }
 
     private static final class Handler extends ExchangeService implements Peer.AsyncIface {
-        private final long incarnation;
-        private final CallerBackend backend;
+        private final OwnerBackend backend;
         private final ConfigResponder config;
+        private final HandoverAssembly assembly = new HandoverAssembly(System::nanoTime);
 
-        private Handler(long incarnation, CallerBackend backend, ConfigResponder config, ExchangeHandler exchanges) {
+        private Handler(OwnerBackend backend, ConfigResponder config, ExchangeHandler exchanges) {
             super(exchanges);
-            this.incarnation = incarnation;
             this.backend = backend;
             this.config = config;
         }
@@ -123,34 +123,60 @@
         }
 
         @Override
-        public void submit(String submission, String job, AsyncMethodCallback<PeerAnswer> callback) {
-            answer(
-                    submission,
-                    callback,
-                    id -> backend.submit(id, JobDocument.parse(job).toRequest(), job));
+        public void submit(String submission, String job, long deadlineMs, AsyncMethodCallback<PeerAnswer> callback) {
+            answer(submission, callback, id -> {
+                JobRequest request = JobDocument.parse(job).toRequest();
+                return backend.submitOwn(id, request.withDeadline(Duration.ofMillis(deadlineMs)));
+            });
         }
 
         @Override
         public void lookUp(String submission, AsyncMethodCallback<PeerAnswer> callback) {
-            answer(submission, callback, backend::lookUp);
+            answer(submission, callback, backend::lookUpOwn);
         }
 
         @Override
         public void cancel(String submission, AsyncMethodCallback<PeerAnswer> callback) {
-            answer(submission, callback, backend::cancel);
+            answer(submission, callback, backend::cancelOwn);
+        }
+
+        @Override
+        public void handover(HandoverPart part, AsyncMethodCallback<Boolean> callback) {
+            try {
+                HandoverAssembly.Step step = assembly.add(part);
+                if (step.whole().isEmpty()) {
+                    callback.onComplete(step.accepted());
+                    return;
+                }
+                Handover whole = step.whole().get();
+                CompletableFuture<Boolean> _settled = backend.inherit(
+                                whole.host(), whole.incarnation(), whole.sessions(), whole.answers())
+                        .whenComplete((accepted, failure) -> callback.onComplete(failure == null && accepted));
+            } catch (IllegalArgumentException e) {
+                callback.onComplete(false);
+            }
+        }
+
+        @Override
+        public void left(String host, long incarnation, String successor, AsyncMethodCallback<Void> callback) {
+            backend.ownerLeft(host, incarnation, successor);
+            callback.onComplete(null);
         }
 
         private void answer(String submission, AsyncMethodCallback<PeerAnswer> callback, Call call) {
             try {
                 SubmissionId id = SubmissionId.parse(submission);
-                if (id.session().incarnation() != incarnation) {
-                    callback.onComplete(new PeerAnswer(AnswerKind.OTHER_INCARNATION));
-                    return;
+                switch (backend.relationTo(id.session())) {
+                    case LATER_INCARNATION -> callback.onComplete(new PeerAnswer(AnswerKind.OTHER_INCARNATION));
+                    case STRANGER -> callback.onComplete(new PeerAnswer(AnswerKind.NOT_OWNER));
+                    case ANSWERS -> {
+                        CompletableFuture<JobAnswer> _answered =
+                                call.apply(id).whenComplete((answer, failure) -> complete(callback, answer, failure));
+                    }
                 }
-                CompletableFuture<JobAnswer> _answered =
-                        call.apply(id).whenComplete((answer, failure) -> complete(callback, answer, failure));
             } catch (IllegalArgumentException | CodedException e) {
-                complete(callback, new JobAnswer.Final(Verdict.failed(Reason.BAD_REQUEST)), null);
+                // The forwarding entry host checks jobs first. "Not run" could be false here: the number may be in use.
+                callback.onComplete(new PeerAnswer(AnswerKind.NOT_OWNER));
             }
         }
 
--- a/src/main/java/org/mustardlink/peer/thrift/ConfigPage.java
+++ b/src/main/java/org/mustardlink/peer/thrift/ConfigPage.java
@@ -723,13 +723,13 @@
           case 3: // RECORDS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list26 = iprot.readListBegin();
-                struct.records = new java.util.ArrayList<java.lang.String>(_list26.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _elem27;
-                for (int _i28 = 0; _i28 < _list26.size; ++_i28)
+                org.apache.thrift.protocol.TList _list58 = iprot.readListBegin();
+                struct.records = new java.util.ArrayList<java.lang.String>(_list58.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _elem59;
+                for (int _i60 = 0; _i60 < _list58.size; ++_i60)
                 {
-                  _elem27 = iprot.readString();
-                  struct.records.add(_elem27);
+                  _elem59 = iprot.readString();
+                  struct.records.add(_elem59);
                 }
                 iprot.readListEnd();
               }
@@ -781,9 +781,9 @@
           oprot.writeFieldBegin(RECORDS_FIELD_DESC);
           {
             oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRING, struct.records.size()));
-            for (java.lang.String _iter29 : struct.records)
+            for (java.lang.String _iter61 : struct.records)
             {
-              oprot.writeString(_iter29);
+              oprot.writeString(_iter61);
             }
             oprot.writeListEnd();
           }
@@ -848,9 +848,9 @@
       if (struct.isSetRecords()) {
         {
           oprot.writeI32(struct.records.size());
-          for (java.lang.String _iter30 : struct.records)
+          for (java.lang.String _iter62 : struct.records)
           {
-            oprot.writeString(_iter30);
+            oprot.writeString(_iter62);
           }
         }
       }
@@ -876,13 +876,13 @@
       }
       if (incoming.get(2)) {
         {
-          org.apache.thrift.protocol.TList _list31 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
-          struct.records = new java.util.ArrayList<java.lang.String>(_list31.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _elem32;
-          for (int _i33 = 0; _i33 < _list31.size; ++_i33)
+          org.apache.thrift.protocol.TList _list63 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRING);
+          struct.records = new java.util.ArrayList<java.lang.String>(_list63.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _elem64;
+          for (int _i65 = 0; _i65 < _list63.size; ++_i65)
           {
-            _elem32 = iprot.readString();
-            struct.records.add(_elem32);
+            _elem64 = iprot.readString();
+            struct.records.add(_elem64);
           }
         }
         struct.setRecordsIsSet(true);
