Eject failing targets, bound retries and cancellations, show the core's state

Cause: a target that failed at once drew more work than any other, refused starts were retried without a limit, a wave of cancellations sent thousands of stops in one tick ahead of new starts, and nothing of this could be seen from outside. Admission by an optimistic estimate let every accepted job start at the last moment under overload.

Change: failures count once per job against a target, and against no target once the same content fails on two; suspicion ejects with doubling pauses, real tasks re-admit, at most half of a service's targets are out. Stalled and always refusing targets count too. Retries draw on an allowance of 0.1 a start. Cancellations and stops are worked off in batches of 256 and 32. Admission counts one standard error against a job while there is a backlog.

Measured, fake clock: EjectionTest, under 1% of starts in the minute after a target turns bad, for four ways to fail.

--- a/src/main/java/org/mustardlink/core/MessageBudget.java
+++ b/src/main/java/org/mustardlink/core/Allowance.java
@@ -1,7 +1,7 @@
 package org.mustardlink.core;
 
 /** Allowance that grows with each start, so that what draws on it stays a fixed share of the starts. */
-final class MessageBudget {
+final class Allowance {
     private final double perStart;
     private final double limit;
     private double allowance;
@@ -12,7 +12,7 @@
      * @param perStart allowance gained by each start
      * @param limit largest allowance kept
      */
-    MessageBudget(double perStart, double limit) {
+    Allowance(double perStart, double limit) {
         this.perStart = perStart;
         this.limit = limit;
         this.allowance = limit / 2;
--- a/src/main/java/org/mustardlink/core/AttemptOutcomes.java
+++ b/src/main/java/org/mustardlink/core/AttemptOutcomes.java
@@ -4,13 +4,14 @@
 
 /** Applies the ends of attempts to tasks, jobs and targets. */
 final class AttemptOutcomes {
-    /** Pause before a target that refused a start is tried again, in nanoseconds. */
-    private static final long REFUSAL_PAUSE_NANOS = 20_000_000;
-
     private final Tables tables;
+    private final HealthSystem health;
+    private final GiveUpSystem giveUp;
 
-    AttemptOutcomes(Tables tables) {
+    AttemptOutcomes(Tables tables, HealthSystem health, GiveUpSystem giveUp) {
         this.tables = tables;
+        this.health = health;
+        this.giveUp = giveUp;
     }
 
     void apply(Event.AttemptEnded event, long now, Consumer<Command> out) {
@@ -25,9 +26,10 @@
     private void apply(AttemptTable.AttemptRow attempt, AttemptResult result, long now, Consumer<Command> out) {
         TaskRow task = attempt.task();
         JobRow job = task.job();
-        if (result instanceof AttemptResult.NotStarted) {
-            attempt.target().block(now + REFUSAL_PAUSE_NANOS);
+        if (result instanceof AttemptResult.NotStarted refused) {
+            tables.counters().refused(refused.cause());
         }
+        health.ended(tables, attempt, result, now);
         if (result instanceof AttemptResult.Completed) {
             tables.estimates().learn(attempt, now);
         }
@@ -42,6 +44,7 @@
         } else if (result instanceof AttemptResult.NotStarted) {
             task.moveTo(TaskState.QUEUED);
             tables.queue().addRetry(job.request().orElseThrow().service(), task);
+            giveUp.add(tables, job);
         } else if (result instanceof AttemptResult.Lost lost) {
             task.moveTo(TaskState.LOST);
             Settlement.fail(tables, job, Verdict.failed(lost.reason()), lost.reason(), now, out);
--- a/src/main/java/org/mustardlink/core/Command.java
+++ b/src/main/java/org/mustardlink/core/Command.java
@@ -84,4 +84,12 @@
      * @param term how long
      */
     record OfferShares(String to, ImmutableList<SlotLoan> loans, Duration term) implements Command {}
+
+    /**
+     * Delivers the state of the core.
+     *
+     * @param requester the handle of the request
+     * @param snapshot the state after the events of the tick that came before the request
+     */
+    record DeliverSnapshot(long requester, CoreSnapshot snapshot) implements Command {}
 }
--- a/src/main/java/org/mustardlink/core/DispatchCore.java
+++ b/src/main/java/org/mustardlink/core/DispatchCore.java
@@ -20,18 +20,22 @@
     private final Intake intake;
     private final AttemptOutcomes outcomes;
     private final GiveUpSystem giveUp = new GiveUpSystem();
+    private final CancelTable cancels = new CancelTable();
     private final ShareSystem shareSystem = new ShareSystem();
     private final ImmutableList<DispatchSystem> systems;
 
     private DispatchCore(CoreSettings settings, Policies policies) {
         this.tables = new Tables(settings, policies.sharing());
         this.intake = new Intake(tables, policies.admission(), giveUp);
-        this.outcomes = new AttemptOutcomes(tables);
+        HealthSystem health = new HealthSystem(policies.ejection());
+        this.outcomes = new AttemptOutcomes(tables, health, giveUp);
         this.systems = ImmutableList.of(
                 new DeadlineSystem(),
                 giveUp,
+                health,
                 new PlacementSystem(policies.placement()),
                 shareSystem,
+                tables.stops(),
                 new RetentionSystem());
     }
 
@@ -66,12 +70,16 @@
         ImmutableList.Builder<Command> commands = ImmutableList.builder();
         Consumer<Command> out = commands::add;
         events.forEach(event -> apply(event, now, out));
+        cancels.drain(cancelled -> intake.cancel(cancelled, now, out));
         systems.forEach(system -> system.run(tables, now, out));
         return commands.build();
     }
 
     /** Returns the monotonic time in nanoseconds of the next tick that is due without an event, if any. */
     public OptionalLong nextDue(long now) {
+        if (!cancels.isEmpty() || !tables.stops().isEmpty()) {
+            return OptionalLong.of(now);
+        }
         OptionalLong deadline = tables.jobs().nextDeadline();
         if (deadline.isEmpty() || tables.queue().size() == 0) {
             return deadline;
@@ -85,14 +93,9 @@
         return tables.jobs().open();
     }
 
-    /** Returns the learned speed of a declared target, relative to 1. */
-    double targetSpeed(String id) {
-        return tables.targets().find(id).orElseThrow().speed();
-    }
-
-    /** Returns the slots of a declared target that this host may use. */
-    int targetShare(String id) {
-        return tables.targets().find(id).orElseThrow().share();
+    /** Returns the state of the core, for its own thread; others send {@link Event.SnapshotRequested}. */
+    public CoreSnapshot snapshot(long now) {
+        return CoreSnapshot.of(tables, now);
     }
 
     private void apply(Event event, long now, Consumer<Command> out) {
@@ -105,7 +108,7 @@
         } else if (event instanceof Event.AnswerRequested requested) {
             intake.lookUp(requested, out);
         } else if (event instanceof Event.JobCancelled cancelled) {
-            intake.cancel(cancelled, now, out);
+            cancels.add(cancelled);
         } else if (event instanceof Event.RequesterGone gone) {
             intake.forget(gone);
         } else if (event instanceof Event.TargetsDeclared declared) {
@@ -113,6 +116,8 @@
             tables.shares().assign(tables.targets());
         } else if (event instanceof Event.TargetsDraining draining) {
             tables.targets().drain(draining.targets());
+        } else if (event instanceof Event.SnapshotRequested requested) {
+            out.accept(new Command.DeliverSnapshot(requested.requester(), CoreSnapshot.of(tables, now)));
         } else if (event instanceof Event.TeamsDeclared declared) {
             tables.teams().declare(declared.teams());
         } else if (event instanceof Event.EntryHostsKnown known) {
--- a/src/main/java/org/mustardlink/core/Event.java
+++ b/src/main/java/org/mustardlink/core/Event.java
@@ -115,6 +115,13 @@
      */
     record SharesOffered(String from, ImmutableList<SlotLoan> loans, Duration term) implements Event {}
 
+    /**
+     * An operator's page or a metric asks for the state of the core. A {@link Command.DeliverSnapshot} follows.
+     *
+     * @param requester handle that the snapshot is delivered to
+     */
+    record SnapshotRequested(long requester) implements Event {}
+
     /** The entry host was asked to stop: no new session or submission is accepted from now on. */
     record StopRequested() implements Event {}
 }
--- a/src/main/java/org/mustardlink/core/JobRow.java
+++ b/src/main/java/org/mustardlink/core/JobRow.java
@@ -70,6 +70,11 @@
         return settledNanos;
     }
 
+    /** Returns a fingerprint of the content, equal for equal jobs under different ids. */
+    long fingerprint() {
+        return fingerprint;
+    }
+
     boolean matches(JobRequest other) {
         return request.isEmpty() || fingerprint == other.fingerprint();
     }
--- a/src/main/java/org/mustardlink/core/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/core/PlacementSystem.java
@@ -13,7 +13,11 @@
 
     private static final double NANOS_PER_MS = 1e6;
 
+    /** Time after which one retry is started without an allowance, so that retries alone cannot wait for each other. */
+    private static final long SPARE_RETRY_NANOS = 200_000_000;
+
     private final PlacementPolicy policy;
+    private long retriedNanos = Long.MIN_VALUE;
 
     PlacementSystem(PlacementPolicy policy) {
         this.policy = policy;
@@ -45,13 +49,21 @@
         }
     }
 
+    private boolean mayRetry(Tables tables, long now) {
+        return tables.retries().available()
+                || retriedNanos == Long.MIN_VALUE
+                || now - retriedNanos >= SPARE_RETRY_NANOS;
+    }
+
     private Optional<TargetRow> placeNext(
             Tables tables, ServiceQueue queue, PlacementView view, Consumer<Command> out) {
         double workAhead = 0;
-        if (!queue.retries().isEmpty()) {
+        if (!queue.retries().isEmpty() && mayRetry(tables, view.now())) {
             TaskRow retry = queue.retries().peekFirst();
             Optional<TargetRow> target = choose(tables, retry, 0, view);
             if (target.isPresent()) {
+                tables.retries().take();
+                retriedNanos = view.now();
                 start(tables, queue.takeRetry(), target.get(), view.now(), out);
                 return target;
             }
@@ -115,8 +127,10 @@
 
     private static void start(Tables tables, TaskRow task, TargetRow target, long now, Consumer<Command> out) {
         tables.messages().started();
+        tables.retries().started();
         tables.teams().started(task.job().request().orElseThrow().team());
         int attempt = task.start();
+        tables.counters().started(attempt > 1);
         long expectedNanos = (long) (task.expectedWork() / target.speed() * NANOS_PER_MS);
         AttemptTable.AttemptRow row = new AttemptTable.AttemptRow(task, attempt, target, now, expectedNanos);
         target.attemptStarted(row);
--- a/src/main/java/org/mustardlink/core/QueueTable.java
+++ b/src/main/java/org/mustardlink/core/QueueTable.java
@@ -29,7 +29,7 @@
         Optional.ofNullable(byService.get(service)).ifPresent(queue -> queue.remove(job));
     }
 
-    /** Returns the longest queued task of a job that was not tried before, if there is one. */
+    /** Returns the longest queued task of a job, if there is one. */
     Optional<TaskRow> longest(JobRow job) {
         return find(job.request().orElseThrow().service()).flatMap(queue -> queue.longest(job));
     }
--- a/src/main/java/org/mustardlink/core/ServiceQueue.java
+++ b/src/main/java/org/mustardlink/core/ServiceQueue.java
@@ -2,11 +2,13 @@
 
 import com.google.common.collect.Iterables;
 import java.util.ArrayDeque;
+import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Stream;
 
 /** Tasks of one service that wait for a slot: retries first, then teams in turn, their classes in turn, by deadline. */
 final class ServiceQueue {
@@ -87,9 +89,14 @@
                 allowed, team -> Iterables.concat(Iterables.transform(team.classes(), ClassFlow::jobs))));
     }
 
-    /** Returns the longest queued task of a job that was not tried before, if there is one. */
+    /** Returns the longest queued task of a job, if there is one. */
     Optional<TaskRow> longest(JobRow job) {
-        return Optional.ofNullable(byJob.get(job)).map(queue -> queue.task(0));
+        Optional<TaskRow> first = Optional.ofNullable(byJob.get(job)).map(queue -> queue.task(0));
+        if (retries.isEmpty()) {
+            return first;
+        }
+        return Stream.concat(first.stream(), retries.stream().filter(task -> task.job() == job))
+                .max(Comparator.comparingDouble(TaskRow::expectedWork));
     }
 
     TaskRow takeRetry() {
--- a/src/main/java/org/mustardlink/core/ShareSystem.java
+++ b/src/main/java/org/mustardlink/core/ShareSystem.java
@@ -49,6 +49,7 @@
         askedNanos = now;
         // A request that draws no offer goes to the next host; the counter starts again after one that asked elsewhere.
         unanswered = spill ? 0 : unanswered + 1;
+        tables.counters().peerMessage();
         out.accept(new Command.ReportLoad(peers.get(Math.floorMod(turn++, peers.size())), needs));
     }
 
@@ -92,6 +93,7 @@
                 .collect(ImmutableList.toImmutableList());
         tables.shares().lent(offered, now);
         tables.shares().assign(tables.targets());
+        tables.counters().peerMessage();
         out.accept(new Command.OfferShares(event.from(), offered, ShareTable.TERM));
     }
 
--- /dev/null
+++ b/src/main/java/org/mustardlink/core/StopTable.java
@@ -0,0 +1,38 @@
+package org.mustardlink.core;
+
+import java.util.ArrayDeque;
+import java.util.Queue;
+import java.util.function.Consumer;
+
+/** Running tasks of settled jobs that are to be stopped, worked off in bounded batches behind the starts of a tick. */
+final class StopTable implements DispatchSystem {
+    /** Stops sent in one tick; each is a request on a connection that starts need too. */
+    private static final int BATCH = 32;
+
+    private final Queue<AttemptTable.AttemptRow> pending = new ArrayDeque<>();
+
+    void add(AttemptTable.AttemptRow attempt) {
+        pending.add(attempt);
+    }
+
+    boolean isEmpty() {
+        return pending.isEmpty();
+    }
+
+    @Override
+    public void run(Tables tables, long _now, Consumer<Command> out) {
+        int sent = 0;
+        while (!pending.isEmpty() && sent < BATCH) {
+            AttemptTable.AttemptRow attempt = pending.remove();
+            TaskId task = attempt.task().id();
+            // An attempt that ended in the meantime needs no stop.
+            if (tables.attempts()
+                    .find(task)
+                    .filter(row -> row.attempt() == attempt.attempt())
+                    .isPresent()) {
+                out.accept(new Command.StopTask(task, attempt.target().spec()));
+                sent++;
+            }
+        }
+    }
+}
--- a/src/main/java/org/mustardlink/core/Tables.java
+++ b/src/main/java/org/mustardlink/core/Tables.java
@@ -5,6 +5,9 @@
     /** Half of the 0.1 messages a task that are allowed; the answers of peers draw on the other half. */
     private static final double MESSAGES_PER_START = 0.05;
 
+    /** Share of the starts that may be retries, so that refusals cannot multiply the load on the targets. */
+    private static final double RETRIES_PER_START = 0.1;
+
     private final CoreSettings settings;
     private final SessionTable sessions;
     private final JobTable jobs = new JobTable();
@@ -14,7 +17,10 @@
     private final QueueTable queue = new QueueTable(teams);
     private final Backlog backlog = new Backlog(this);
     private final Estimates estimates = new Estimates();
-    private final MessageBudget messages = new MessageBudget(MESSAGES_PER_START, 20);
+    private final Allowance messages = new Allowance(MESSAGES_PER_START, 20);
+    private final Allowance retries = new Allowance(RETRIES_PER_START, 100);
+    private final StopTable stops = new StopTable();
+    private final Counters counters = new Counters();
     private final ShareTable shares;
     private boolean stopping;
 
@@ -57,7 +63,7 @@
     }
 
     /** Returns the budget of messages between entry hosts. */
-    MessageBudget messages() {
+    Allowance messages() {
         return messages;
     }
 
@@ -69,6 +75,19 @@
         return backlog;
     }
 
+    /** Returns the budget of starts after a start that certainly did not happen. */
+    Allowance retries() {
+        return retries;
+    }
+
+    StopTable stops() {
+        return stops;
+    }
+
+    Counters counters() {
+        return counters;
+    }
+
     boolean stopping() {
         return stopping;
     }
--- a/src/main/java/org/mustardlink/core/TargetRow.java
+++ b/src/main/java/org/mustardlink/core/TargetRow.java
@@ -15,6 +15,31 @@
     private static final long REPORT_LIFE_NANOS = 100_000_000;
 
     private final List<AttemptTable.AttemptRow> running = new ArrayList<>();
+    /** Pause after the first refusal of a start, in nanoseconds; it doubles with each further one up to a second. */
+    private static final long REFUSAL_PAUSE_NANOS = 20_000_000;
+
+    private static final int MOST_REFUSAL_DOUBLINGS = 6;
+
+    /** Real tasks that an ejected target must complete, one at a time, before it is used as before. */
+    private static final int PROBES = 3;
+
+    /** Suspicion of a target that stalls: enough for an ejection. */
+    private static final double STALL_SUSPICION = 3;
+
+    /** Time without a failure after which earlier ejections are forgotten, in nanoseconds. */
+    private static final long FORGET_NANOS = 300_000_000_000L;
+
+    /** Least delay past the expected end before a task counts as stuck, in nanoseconds. */
+    private static final long STUCK_NANOS = 1_000_000_000;
+
+    /** Factor on the expected run time before a task counts as stuck; declared times are wrong by up to 4x. */
+    private static final int STUCK_FACTOR = 4;
+
+    private double suspicion;
+    private int ejections;
+    private int probesLeft;
+    private int refusals;
+    private long ejectedUntilNanos = Long.MIN_VALUE;
     private TargetSpec spec;
     private double logSpeed;
     private double speed;
@@ -67,12 +92,12 @@
 
     boolean accepts(long now) {
         forgetOldReport(now);
-        return usable(now) && freeSlots() > 0;
+        return usable(now) && freeSlots() > 0 && (probesLeft == 0 || running.isEmpty());
     }
 
     /** Returns whether the target may take a task now or once a running one ends. */
     boolean usable(long now) {
-        return isAlive() && share() > 0 && blockedUntilNanos <= now;
+        return isAlive() && !isEjected(now) && share() > 0 && blockedUntilNanos <= now;
     }
 
     /** Returns whether the target belongs to the own failure domain or has lent slots. */
@@ -131,8 +156,76 @@
         draining = isDraining;
     }
 
-    void block(long untilNanos) {
-        blockedUntilNanos = untilNanos;
+    /** Counts a failure that is the target's fault. */
+    void failed() {
+        suspicion++;
+    }
+
+    /** Takes back a failure that turned out to be the job's fault. */
+    void forgive() {
+        suspicion = Math.max(0, suspicion - 1);
+    }
+
+    void suspect() {
+        suspicion = Math.max(suspicion, STALL_SUSPICION);
+    }
+
+    void succeeded(long now) {
+        refusals = 0;
+        blockedUntilNanos = Long.MIN_VALUE;
+        suspicion = Math.max(0, suspicion - 0.5);
+        if (probesLeft > 0 && !isEjected(now)) {
+            probesLeft--;
+            suspicion = 0;
+        }
+        if (ejections > 0 && probesLeft == 0 && now - ejectedUntilNanos > FORGET_NANOS) {
+            ejections = 0;
+        }
+    }
+
+    /** Pauses after a start that the target refused. */
+    void refused(long now) {
+        blockedUntilNanos = now + (REFUSAL_PAUSE_NANOS << Math.min(refusals, MOST_REFUSAL_DOUBLINGS));
+        refusals++;
+    }
+
+    /** Returns whether the target refused so many starts in a row that its load reports cannot be true. */
+    boolean refusesAlways() {
+        return refusals > MOST_REFUSAL_DOUBLINGS;
+    }
+
+    void eject(long untilNanos) {
+        ejectedUntilNanos = untilNanos;
+        probesLeft = PROBES;
+        ejections++;
+        suspicion = 0;
+    }
+
+    boolean isEjected(long now) {
+        return ejectedUntilNanos > now;
+    }
+
+    CoreSnapshot.Target snapshot(long now) {
+        return new CoreSnapshot.Target(
+                spec.id(), running.size(), share(), speed, draining, isEjected(now), probesLeft > 0);
+    }
+
+    TargetHealth health(double ejectedShare) {
+        return new TargetHealth(suspicion, probesLeft > 0, ejections, ejectedShare);
+    }
+
+    /** Returns whether every slot is taken by a task that should have ended long ago. */
+    boolean isStalled(long now) {
+        if (running.isEmpty() || freeSlots() > 0) {
+            return false;
+        }
+        for (AttemptTable.AttemptRow attempt : running) {
+            long age = now - attempt.startedNanos();
+            if (age < STUCK_FACTOR * attempt.expectedNanos() + STUCK_NANOS) {
+                return false;
+            }
+        }
+        return true;
     }
 
     /**
--- a/src/main/java/org/mustardlink/core/policy/BacklogAdmission.java
+++ b/src/main/java/org/mustardlink/core/policy/BacklogAdmission.java
@@ -5,8 +5,20 @@
 import org.mustardlink.core.AdmissionPolicy;
 import org.mustardlink.core.JobEstimate;
 
-/** Refuses jobs whose expected end lies beyond their deadline even if their tasks are shorter than estimated. */
+/**
+ * Refuses jobs whose expected end lies beyond their deadline.
+ *
+ * <p>Without a backlog a job gets the benefit of the doubt: its tasks count as one standard error shorter than estimated.
+ * With one they count as one standard error longer, because under overload every accepted job starts at the last moment
+ * that admission allows, and those that then end late have wasted capacity.
+ */
 public final class BacklogAdmission implements AdmissionPolicy {
+    /** Share of the deadline that a wait must exceed to count as a backlog. */
+    private static final double QUEUED_SHARE = 0.05;
+
+    /** Factor on the wait for the running tasks, which the backlog leaves out. */
+    private static final double WAIT_MARGIN = 1.1;
+
     private static final double SHORTEST_RETRY_MS = 50;
     private static final double LONGEST_RETRY_MS = 30_000;
 
@@ -19,8 +31,9 @@
 
     @Override
     public Optional<Duration> refuse(JobEstimate estimate) {
-        double endMs = (estimate.waitMs() + estimate.runMs()) * Math.exp(-estimate.error());
-        if (endMs <= estimate.deadlineMs()) {
+        boolean queued = estimate.waitMs() > QUEUED_SHARE * estimate.deadlineMs();
+        double runMs = estimate.runMs() * Math.exp(queued ? estimate.error() : -estimate.error());
+        if (WAIT_MARGIN * estimate.waitMs() + runMs <= estimate.deadlineMs()) {
             return Optional.empty();
         }
         double excessMs = estimate.waitMs() + estimate.runMs() - estimate.deadlineMs();
--- a/src/main/java/org/mustardlink/core/policy/StandardPolicies.java
+++ b/src/main/java/org/mustardlink/core/policy/StandardPolicies.java
@@ -10,6 +10,6 @@
 
     /** Returns the policies of the daemon with the given placement. */
     public static Policies with(PlacementPolicy placement) {
-        return new Policies(placement, BacklogAdmission.create(), SlotSharing.FIXED);
+        return new Policies(placement, BacklogAdmission.create(), SuspicionEjection.create(), SlotSharing.FIXED);
     }
 }
--- /dev/null
+++ b/src/test/java/org/mustardlink/core/EjectionTest.java
@@ -0,0 +1,94 @@
+package org.mustardlink.core;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Arrays;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.mustardlink.core.policy.StandardPolicies;
+
+/** Ejection of failing targets and the budget of retries. */
+class EjectionTest {
+    private static final Duration DEADLINE = Duration.ofSeconds(20);
+
+    private final FakeTargets targets = new FakeTargets(DispatchCore.create(
+                    CoreSettings.defaults("entry", 1), StandardPolicies.with(PlacementPolicy.fastestFree())))
+            .declare(4, 1, 1, 1, 1, 1, 1);
+
+    /** Guards against a target that fails in any way and therefore draws the load of the others. */
+    @ParameterizedTest
+    @EnumSource(
+            value = FakeTargets.Mode.class,
+            names = {"FAIL_FAST", "STALL", "REFUSE", "NO_CONNECTION"})
+    void a_black_hole_gets_few_starts_in_the_minute_after_it_turns_bad(FakeTargets.Mode mode) {
+        load(100);
+        int before = targets.starts();
+        int badBefore = targets.starts("t3");
+        targets.mode("t3", mode);
+        load(1200);
+
+        double share = (targets.starts("t3") - badBefore) / (double) (targets.starts() - before);
+        assertThat(share).isLessThan(0.01);
+    }
+
+    /** Guards against a target that stays out after it has recovered. */
+    @Test
+    void a_target_returns_after_it_has_recovered() {
+        load(100);
+        targets.mode("t3", FakeTargets.Mode.FAIL_FAST);
+        load(40);
+        targets.mode("t3", FakeTargets.Mode.NORMAL);
+        load(300);
+        int before = targets.starts("t3");
+        load(100);
+
+        assertThat(targets.starts("t3") - before).isGreaterThan(10);
+    }
+
+    /** Guards against one poison job, submitted again and again, that ejects the whole fleet. */
+    @Test
+    void a_poison_job_ejects_no_target() {
+        load(50);
+        long[] poison = new long[12];
+        Arrays.fill(poison, 50);
+        for (int i = 0; i < 20; i++) {
+            for (int target = 0; target < 6; target++) {
+                targets.mode("t" + target, FakeTargets.Mode.FAIL_FAST);
+            }
+            targets.submit("clerks", "check", DEADLINE, 50, poison);
+            targets.runFor(Duration.ofMillis(5));
+            for (int target = 0; target < 6; target++) {
+                targets.mode("t" + target, FakeTargets.Mode.NORMAL);
+            }
+            load(1);
+        }
+
+        for (int target = 0; target < 6; target++) {
+            assertThat(targets.target("t" + target).ejected()).isFalse();
+        }
+    }
+
+    /** Guards against refusals that multiply the load on targets which are already full. */
+    @Test
+    void retries_stay_within_their_budget() {
+        for (int target = 0; target < 6; target++) {
+            targets.mode("t" + target, FakeTargets.Mode.REFUSE);
+        }
+        load(200);
+
+        assertThat(targets.starts()).isLessThan(200 * 8 + 200);
+    }
+
+    /** Submits one job of 8 tasks of 50 to 126 ms every 50 ms. */
+    private void load(int jobs) {
+        for (int i = 0; i < jobs; i++) {
+            long[] times = new long[8];
+            Arrays.setAll(
+                    times, index -> 50 + 10L * index + targets.submissions().size() % 7);
+            targets.submit("clerks", "check", DEADLINE, 100, times);
+            targets.runFor(Duration.ofMillis(50));
+        }
+    }
+}
--- a/src/test/java/org/mustardlink/core/EstimateTest.java
+++ b/src/test/java/org/mustardlink/core/EstimateTest.java
@@ -22,7 +22,7 @@
             targets.runFor(Duration.ofMillis(200));
         }
 
-        double ratio = targets.core().targetSpeed("t1") / targets.core().targetSpeed("t0");
+        double ratio = targets.target("t1").speed() / targets.target("t0").speed();
         assertThat(ratio).isWithin(1.5).of(5);
     }
 
--- a/src/test/java/org/mustardlink/core/FairnessTest.java
+++ b/src/test/java/org/mustardlink/core/FairnessTest.java
@@ -87,6 +87,46 @@
         assertThat(verdict.retryAfter().orElseThrow()).isGreaterThan(Duration.ofSeconds(20));
     }
 
+    /** Guards against a wave of cancellations that delays the answers of other callers or floods targets with stops. */
+    @Test
+    void a_wave_of_cancellations_is_worked_off_in_batches() {
+        FakeTargets targets = targets().declare(64, 1, 1);
+        for (int i = 0; i < 3000; i++) {
+            SubmissionId id = targets.submit("waves", "check", LONG, 500, 500);
+            targets.at(10_000_000_000L, new Event.JobCancelled(2, id));
+        }
+        targets.runUntil(9_999_000_000L);
+        SubmissionId other = targets.submit("quiet", "check", LONG, 100, 100);
+        targets.runUntil(11_500_000_000L);
+
+        assertThat(targets.largestStopBatch()).isAtMost(32);
+        assertThat(targets.responseNanos(other)).isLessThan(700_000_000L);
+        assertThat(targets.core().openJobs()).isEqualTo(0);
+        assertThat(targets.core().snapshot(0).counts().verdicts()).containsKey(Reason.CANCELLED_RUNNING);
+    }
+
+    /** Guards against overload that spends capacity on tasks which end too late, and against a slow recovery. */
+    @Test
+    void overload_costs_little_goodput_and_ends_with_the_load() {
+        FakeTargets targets = targets().declare(8, 1);
+        List<SubmissionId> during = new ArrayList<>();
+        for (int i = 0; i < 7200; i++) {
+            during.add(targets.submit("clerks", "check", Duration.ofSeconds(2), 100, 100));
+            targets.runFor(Duration.ofNanos(8_333_333));
+        }
+        long done = during.stream()
+                .filter(id -> targets.verdict(id)
+                        .filter(verdict -> verdict.reason() == Reason.OK)
+                        .isPresent())
+                .count();
+        targets.runFor(Duration.ofSeconds(2));
+        SubmissionId after = targets.submit("clerks", "check", Duration.ofSeconds(2), 100, 100);
+        targets.runFor(Duration.ofSeconds(1));
+
+        assertThat(done / 4800.0).isGreaterThan(0.95);
+        assertThat(targets.responseNanos(after)).isLessThan(150_000_000L);
+    }
+
     private static FakeTargets targets() {
         return new FakeTargets(DispatchCore.create(
                 CoreSettings.defaults("entry", 1), StandardPolicies.with(PlacementPolicy.fastestFree())));
--- a/src/test/java/org/mustardlink/core/FakeTargets.java
+++ b/src/test/java/org/mustardlink/core/FakeTargets.java
@@ -54,6 +54,7 @@
     private long nextPending;
     private long now = 1;
     private int slots;
+    private int largestStopBatch;
 
     private record Pending(long at, long sequence, Event event) {}
 
@@ -148,6 +149,17 @@
         return core;
     }
 
+    CoreSnapshot.Target target(String id) {
+        return core.snapshot(now).targets().stream()
+                .filter(target -> target.id().equals(id))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    int largestStopBatch() {
+        return largestStopBatch;
+    }
+
     Optional<Verdict> verdict(SubmissionId id) {
         return Optional.ofNullable(verdicts.get(id));
     }
@@ -181,6 +193,7 @@
     }
 
     private void tick(List<Event> events) {
+        int stops = stopped.size();
         for (Command command : core.tick(events, now)) {
             if (command instanceof Command.StartTask start) {
                 start(start);
@@ -197,6 +210,7 @@
                 unhandled.add(command);
             }
         }
+        largestStopBatch = Math.max(largestStopBatch, stopped.size() - stops);
     }
 
     private void start(Command.StartTask start) {
--- a/src/test/java/org/mustardlink/core/ShareTest.java
+++ b/src/test/java/org/mustardlink/core/ShareTest.java
@@ -20,10 +20,10 @@
         ImmutableList<DispatchCore> cores = ImmutableList.of(core("a"), core("b"), core("c"));
 
         for (String target : ImmutableList.of("t0", "t1", "t2")) {
-            assertThat(cores.stream().mapToInt(core -> core.targetShare(target)).sum())
+            assertThat(cores.stream().mapToInt(core -> share(core, target)).sum())
                     .isEqualTo(8);
         }
-        assertThat(core("d").targetShare("t0")).isEqualTo(0);
+        assertThat(share(core("d"), "t0")).isEqualTo(0);
     }
 
     /** Guards against two hosts using a lent slot at once and against loans that never end. */
@@ -69,6 +69,14 @@
     }
 
     private static int total(DispatchCore core) {
-        return core.targetShare("t0") + core.targetShare("t1") + core.targetShare("t2");
+        return share(core, "t0") + share(core, "t1") + share(core, "t2");
+    }
+
+    private static int share(DispatchCore core, String target) {
+        return core.snapshot(0).targets().stream()
+                .filter(row -> row.id().equals(target))
+                .findFirst()
+                .orElseThrow()
+                .share();
     }
 }
