Add slot sharing that uses slots a recent load report shows as free

Cause: equal parts cost no message but hide free slots: with jobs of 20 tasks a host's part of 26 slots is full while its neighbours' are not.

Change: SlotSharing.REPORTED opens slots beyond the own part while a load report is at most 20 ms old and shows more than one slot free.

--- a/src/main/java/org/mustardlink/core/AttemptOutcomes.java
+++ b/src/main/java/org/mustardlink/core/AttemptOutcomes.java
@@ -23,11 +23,20 @@
         });
     }
 
+    /** A start that a full target refuses costs two messages, which leave the allowance of messages to be smaller. */
+    private void payFor(AttemptResult.NotStarted refused) {
+        if (tables.shares().borrowing() && refused.cause() == AttemptResult.NotStartedCause.BUSY) {
+            tables.messages().take();
+            tables.messages().take();
+        }
+    }
+
     private void apply(AttemptTable.AttemptRow attempt, AttemptResult result, long now, Consumer<Command> out) {
         TaskRow task = attempt.task();
         JobRow job = task.job();
         if (result instanceof AttemptResult.NotStarted refused) {
             tables.counters().refused(refused.cause());
+            payFor(refused);
         }
         health.ended(tables, attempt, result, now);
         if (result instanceof AttemptResult.Completed) {
--- a/src/main/java/org/mustardlink/core/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/core/PlacementSystem.java
@@ -34,6 +34,11 @@
     }
 
     private void fill(Tables tables, String service, ServiceQueue queue, long now, Consumer<Command> out) {
+        tables.targets()
+                .borrow(
+                        service,
+                        tables.shares().borrowing() && tables.messages().available(),
+                        now);
         List<TargetRow> free = tables.targets().accepting(service, now);
         if (free.isEmpty()) {
             return;
--- a/src/main/java/org/mustardlink/core/ShareTable.java
+++ b/src/main/java/org/mustardlink/core/ShareTable.java
@@ -41,6 +41,11 @@
         domainByHost = event.domainByHost();
     }
 
+    /** Returns whether slots beyond the own part may be used when a load report shows them as free. */
+    boolean borrowing() {
+        return sharing == SlotSharing.REPORTED;
+    }
+
     boolean moving() {
         return sharing == SlotSharing.MOVING;
     }
--- a/src/main/java/org/mustardlink/core/SlotSharing.java
+++ b/src/main/java/org/mustardlink/core/SlotSharing.java
@@ -6,6 +6,8 @@
     LOCAL_VIEW,
     /** Each host uses an equal part of each target. */
     FIXED,
+    /** Equal parts, and beyond them slots that a load report of the last moment shows as free. */
+    REPORTED,
     /** Equal parts, of which unused slots are lent for a short term to hosts whose tasks wait. */
     MOVING
 }
--- a/src/main/java/org/mustardlink/core/TargetRow.java
+++ b/src/main/java/org/mustardlink/core/TargetRow.java
@@ -35,6 +35,12 @@
     /** Factor on the expected run time before a task counts as stuck; declared times are wrong by up to 4x. */
     private static final int STUCK_FACTOR = 4;
 
+    /** Age up to which a load report opens slots beyond the own part, in nanoseconds. */
+    private static final long BORROW_NANOS = 20_000_000;
+
+    /** Reported free slots that are left to the hosts whose parts they belong to. */
+    private static final int SLOTS_LEFT = 1;
+
     private double suspicion;
     private int ejections;
     private int probesLeft;
@@ -47,6 +53,7 @@
     private int share;
     private int spillShare;
     private boolean spilling;
+    private boolean borrowing;
     private int connections;
     private int othersBusy;
     private long reportedNanos = Long.MIN_VALUE;
@@ -73,7 +80,10 @@
 
     @Override
     public int freeSlots() {
-        return Math.max(0, Math.min(Math.min(share(), connections), spec.slots() - othersBusy) - running.size());
+        int unused = spec.slots() - othersBusy - running.size();
+        int part = Math.min(share(), connections) - running.size();
+        int borrowed = borrowing && share > 0 ? Math.min(unused - SLOTS_LEFT, connections - running.size()) : 0;
+        return Math.max(0, Math.min(unused, Math.max(part, borrowed)));
     }
 
     @Override
@@ -105,6 +115,11 @@
         return share > 0;
     }
 
+    /** Allows slots beyond the own part, as long as the last load report is recent. */
+    void borrow(boolean allowed, long now) {
+        borrowing = allowed && reportedNanos != Long.MIN_VALUE && now - reportedNanos <= BORROW_NANOS;
+    }
+
     void spill(boolean allowed) {
         spilling = allowed;
     }
--- a/src/main/java/org/mustardlink/core/TargetTable.java
+++ b/src/main/java/org/mustardlink/core/TargetTable.java
@@ -58,6 +58,13 @@
         return accepting;
     }
 
+    /** Allows or forbids slots beyond the own part of each target of a service. */
+    void borrow(String service, boolean allowed, long now) {
+        for (TargetRow row : of(service)) {
+            row.borrow(allowed, now);
+        }
+    }
+
     /** Opens the targets of other domains while the own domain has no target that takes new work. */
     private void allowSpill(String service) {
         boolean deserted = true;
--- a/src/test/java/org/mustardlink/core/ShareTest.java
+++ b/src/test/java/org/mustardlink/core/ShareTest.java
@@ -48,6 +48,22 @@
         assertThat(total(lender)).isEqualTo(total(core("a")));
     }
 
+    /** Guards against slots that stay unused although the target just reported them free, and against guessing. */
+    @Test
+    void a_recent_load_report_opens_slots_beyond_the_own_part() {
+        FakeTargets targets = new FakeTargets(DispatchCore.create(
+                        CoreSettings.defaults("a", 1),
+                        Policies.of(PlacementPolicy.fastestFree()).withSharing(SlotSharing.REPORTED)))
+                .declare(8, 1)
+                .send(new Event.EntryHostsKnown("balanza", HOSTS));
+        int part = targets.target("t0").share();
+        targets.submit("clerks", "check", Duration.ofMinutes(1), 500, 500, 500, 500, 500, 500, 500, 500, 5);
+        assertThat(targets.starts()).isEqualTo(part);
+        targets.runFor(Duration.ofMillis(10));
+
+        assertThat(targets.target("t0").outstanding()).isEqualTo(7);
+    }
+
     private static <T extends Command> T first(FakeTargets targets, Class<T> type) {
         return Iterables.filter(targets.drainCommands(), type).iterator().next();
     }
