--- a/src/main/java/org/mustardlink/core/AttemptOutcomes.java
+++ b/src/main/java/org/mustardlink/core/AttemptOutcomes.java
@@ -4,16 +4,17 @@
 
 /** Applies the ends of attempts to tasks, jobs and targets. */
 final class AttemptOutcomes {
-    /** Pause before a target that refused a start is tried again, in nanoseconds. */
-    private static final long REFUSAL_PAUSE_NANOS = 20_000_000;
-
     /** Pause of a target that went silent; a new connection is tried after it. */
     private static final long SILENCE_PAUSE_NANOS = 1_000_000_000;
 
     private final Tables tables;
+    private final HealthSystem health;
+    private final GiveUpSystem giveUp;
 
-    AttemptOutcomes(Tables tables) {
+    AttemptOutcomes(Tables tables, HealthSystem health, GiveUpSystem giveUp) {
         this.tables = tables;
+        this.health = health;
+        this.giveUp = giveUp;
     }
 
     void apply(Event.AttemptEnded event, long now, Consumer<Command> out) {
@@ -29,13 +30,22 @@
         tables.targets().find(event.target()).ifPresent(target -> target.block(now + SILENCE_PAUSE_NANOS));
     }
 
+    /** A start that a full target refuses costs two messages, which leave the allowance of messages to be smaller. */
+    private void payFor(AttemptResult.NotStarted refused) {
+        if (tables.shares().borrowing() && refused.cause() == AttemptResult.NotStartedCause.BUSY) {
+            tables.messages().take();
+            tables.messages().take();
+        }
+    }
+
     private void apply(AttemptTable.AttemptRow attempt, AttemptResult result, long now, Consumer<Command> out) {
         TaskRow task = attempt.task();
         JobRow job = task.job();
-        if (result instanceof AttemptResult.NotStarted refused
-                && refused.cause() != AttemptResult.NotStartedCause.HOST_PAUSED) {
-            attempt.target().block(now + REFUSAL_PAUSE_NANOS);
+        if (result instanceof AttemptResult.NotStarted refused) {
+            tables.counters().refused(refused.cause());
+            payFor(refused);
         }
+        health.ended(tables, attempt, result, now);
         if (result instanceof AttemptResult.Completed) {
             tables.estimates().learn(attempt, now);
         }
@@ -50,6 +60,7 @@
         } else if (result instanceof AttemptResult.NotStarted) {
             task.moveTo(TaskState.QUEUED);
             tables.queue().addRetry(job.request().orElseThrow().service(), task);
+            giveUp.add(tables, job);
         } else if (result instanceof AttemptResult.Lost lost) {
             task.moveTo(TaskState.LOST);
             Settlement.fail(tables, job, Verdict.failed(lost.reason()), lost.reason(), now, out);
--- a/src/main/java/org/mustardlink/core/JobRow.java
+++ b/src/main/java/org/mustardlink/core/JobRow.java
@@ -56,6 +56,7 @@
         return request;
     }
 
+    /** Returns a fingerprint of the content, equal for equal jobs under different ids; empty if it is not known. */
     OptionalLong fingerprint() {
         return fingerprint;
     }
--- a/src/test/java/org/mustardlink/core/ShareTest.java
+++ b/src/test/java/org/mustardlink/core/ShareTest.java
@@ -20,10 +20,10 @@
         ImmutableList<DispatchCore> cores = ImmutableList.of(core("a"), core("b"), core("c"));
 
         for (String target : ImmutableList.of("t0", "t1", "t2")) {
-            assertThat(cores.stream().mapToInt(core -> core.targetShare(target)).sum())
+            assertThat(cores.stream().mapToInt(core -> share(core, target)).sum())
                     .isEqualTo(8);
         }
-        assertThat(core("d").targetShare("t0")).isEqualTo(0);
+        assertThat(share(core("d"), "t0")).isEqualTo(0);
     }
 
     /** Guards against two hosts using a lent slot at once and against loans that never end. */
@@ -48,6 +48,22 @@
         assertThat(total(lender)).isEqualTo(total(core("a")));
     }
 
+    /** Guards against slots that stay unused although the target just reported them free, and against guessing. */
+    @Test
+    void a_recent_load_report_opens_slots_beyond_the_own_part() {
+        FakeTargets targets = new FakeTargets(DispatchCore.create(
+                        CoreSettings.defaults("a", 1),
+                        Policies.of(PlacementPolicy.fastestFree()).withSharing(SlotSharing.REPORTED)))
+                .declare(8, 1)
+                .send(new Event.EntryHostsKnown("balanza", HOSTS));
+        int part = targets.target("t0").share();
+        targets.submit("clerks", "check", Duration.ofMinutes(1), 500, 500, 500, 500, 500, 500, 500, 500, 5);
+        assertThat(targets.starts()).isEqualTo(part);
+        targets.runFor(Duration.ofMillis(10));
+
+        assertThat(targets.target("t0").outstanding()).isEqualTo(7);
+    }
+
     private static <T extends Command> T first(FakeTargets targets, Class<T> type) {
         return Iterables.filter(targets.drainCommands(), type).iterator().next();
     }
@@ -69,6 +85,14 @@
     }
 
     private static int total(DispatchCore core) {
-        return core.targetShare("t0") + core.targetShare("t1") + core.targetShare("t2");
+        return share(core, "t0") + share(core, "t1") + share(core, "t2");
+    }
+
+    private static int share(DispatchCore core, String target) {
+        return core.snapshot(0).targets().stream()
+                .filter(row -> row.id().equals(target))
+                .findFirst()
+                .orElseThrow()
+                .share();
     }
 }
