Build no log text below the level and report target changes once

Cause: every job built the text of a debug line that nobody writes, and every configuration change logged the unchanged set of targets again. Conclusion: the cost per job of the observer is not measured yet.

--- a/src/main/java/org/mustardlink/cli/TopCommand.java
+++ b/src/main/java/org/mustardlink/cli/TopCommand.java
@@ -107,7 +107,7 @@
                                 gauge(metrics, "heap_max_bytes") >> 20)
                 + rates(before, now)
                 + '\n'
-                + Table.ofJson(status.path("targets"))
+                + (status.path("targets").isEmpty() ? "no target is declared\n" : Table.ofJson(status.path("targets")))
                 + '\n'
                 + histograms(metrics.path("timers"))
                 + '\n';
--- a/src/main/java/org/mustardlink/observe/EntryObserver.java
+++ b/src/main/java/org/mustardlink/observe/EntryObserver.java
@@ -189,7 +189,9 @@
     }
 
     private void declared(ImmutableList<TargetSpec> specs) {
-        targets.declare(specs);
+        if (!targets.declare(specs)) {
+            return;
+        }
         log.line(LogEvent.TARGETS_DECLARED).with(LogField.COUNT, specs.size()).write();
     }
 
--- a/src/main/java/org/mustardlink/observe/EventLog.java
+++ b/src/main/java/org/mustardlink/observe/EventLog.java
@@ -91,14 +91,20 @@
     /** One line under construction; {@link #write} ends it. */
     public final class Line {
         private final LogEvent event;
+        private final boolean enabled;
         private final Map<String, Object> fields = new LinkedHashMap<>();
 
         private Line(LogEvent event) {
             this.event = event;
+            this.enabled = LOGGER.isEnabled(event.level());
         }
 
         /** Adds a field. */
         public Line with(LogField field, Object value) {
+            if (!enabled) {
+                // Events below the level are on the path of every job, so they must not build text.
+                return this;
+            }
             Object plain = value instanceof Number ? value : String.valueOf(value);
             fields.put(field.id(), plain);
             return this;
@@ -106,7 +112,7 @@
 
         /** Writes the line, unless its level is off or its event has used up its lines. */
         public void write() {
-            if (!LOGGER.isEnabled(event.level())) {
+            if (!enabled) {
                 return;
             }
             long dropped = windows.get(event).admit(System.nanoTime(), linesPerSecond);
--- a/src/main/java/org/mustardlink/observe/TargetBoard.java
+++ b/src/main/java/org/mustardlink/observe/TargetBoard.java
@@ -60,10 +60,15 @@
         }
     }
 
-    void declare(List<TargetSpec> specs) {
+    /** Replaces the declared targets and returns whether that changed anything. */
+    boolean declare(List<TargetSpec> specs) {
+        if (specs.equals(declared)) {
+            return false;
+        }
         declared = ImmutableList.copyOf(specs);
         Set<String> ids = declared.stream().map(TargetSpec::id).collect(ImmutableSet.toImmutableSet());
         targets.keySet().retainAll(ids);
+        return true;
     }
 
     void drain(Set<String> ids) {
