--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -103,7 +103,7 @@
         refreshPeers();
         observer.log()
                 .line(LogEvent.HOST_STARTED)
-                .with(LogField.INCARNATION, Long.toString(incarnation))
+                .with(LogField.INCARNATION, incarnation)
                 .with(LogField.CALLER_ADDRESS, Addresses.format(callerAddress()))
                 .with(LogField.OPERATOR_ADDRESS, Addresses.format(operatorAddress()))
                 .with(LogField.PEER_ADDRESS, Addresses.format(peerAddress()))
--- a/src/main/java/org/mustardlink/observe/EventLog.java
+++ b/src/main/java/org/mustardlink/observe/EventLog.java
@@ -106,6 +106,10 @@
                 return this;
             }
             Object plain = value instanceof Number ? value : String.valueOf(value);
+            if (field == LogField.INCARNATION && value instanceof Long incarnation) {
+                // The form of session ids; as a JSON number it would lose its last digits in many readers.
+                plain = Long.toString(incarnation, Character.MAX_RADIX);
+            }
             fields.put(field.id(), plain);
             return this;
         }
--- a/src/main/java/org/mustardlink/observe/OperatorPages.java
+++ b/src/main/java/org/mustardlink/observe/OperatorPages.java
@@ -120,7 +120,7 @@
                         "id", settings.id(),
                         "domain", settings.domain(),
                         "region", settings.region(),
-                        "incarnation", Long.toString(incarnation),
+                        "incarnation", Long.toString(incarnation, Character.MAX_RADIX),
                         "started", started.toString(),
                         "leaving", leaving.getAsBoolean(),
                         "ready", configured.getAsBoolean() && !leaving.getAsBoolean(),
