--- a/src/main/java/org/mustardlink/observe/EventLog.java
+++ b/src/main/java/org/mustardlink/observe/EventLog.java
@@ -91,22 +91,32 @@
     /** One line under construction; {@link #write} ends it. */
     public final class Line {
         private final LogEvent event;
+        private final boolean enabled;
         private final Map<String, Object> fields = new LinkedHashMap<>();
 
         private Line(LogEvent event) {
             this.event = event;
+            this.enabled = LOGGER.isEnabled(event.level());
         }
 
         /** Adds a field. */
         public Line with(LogField field, Object value) {
+            if (!enabled) {
+                // Events below the level are on the path of every job, so they must not build text.
+                return this;
+            }
             Object plain = value instanceof Number ? value : String.valueOf(value);
+            if (field == LogField.INCARNATION && value instanceof Long incarnation) {
+                // The form of session ids; as a JSON number it would lose its last digits in many readers.
+                plain = Long.toString(incarnation, Character.MAX_RADIX);
+            }
             fields.put(field.id(), plain);
             return this;
         }
 
         /** Writes the line, unless its level is off or its event has used up its lines. */
         public void write() {
-            if (!LOGGER.isEnabled(event.level())) {
+            if (!enabled) {
                 return;
             }
             long dropped = windows.get(event).admit(System.nanoTime(), linesPerSecond);
