Prove and measure the membership with real Thrift hosts

Change: RealHostsTest runs six hosts over Thrift through a kill, a planned leave, a restart under the same address, a relay that swallows what is sent to one host, and a cut between domains. `mustardlink members bench` measures traffic, CPU time and how fast kills, leaves and joins are known.

--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -31,6 +31,7 @@
             new TopCommand(),
             new SettingsCommand(),
             new StandInCommand(),
+            new MembersCommand(),
             new LoadCommand(),
             new CapacityCommand(),
             new ConfigCommand(),
--- /dev/null
+++ b/src/test/java/org/mustardlink/peer/SilentRelay.java
@@ -0,0 +1,89 @@
+package org.mustardlink.peer;
+
+import com.google.common.net.HostAndPort;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+
+/** Forwards TCP connections to one host and can swallow everything that is sent to it. */
+final class SilentRelay implements AutoCloseable {
+    private final ServerSocket server;
+    private volatile HostAndPort destination = HostAndPort.fromParts("127.0.0.1", 1);
+    private volatile boolean silent;
+
+    private SilentRelay(ServerSocket server) {
+        this.server = server;
+    }
+
+    static SilentRelay start() throws IOException {
+        SilentRelay relay = new SilentRelay(new ServerSocket(0, 100, InetAddress.getLoopbackAddress()));
+        run(relay::accept);
+        return relay;
+    }
+
+    String address() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    void pointTo(String address) {
+        destination = HostAndPort.fromString(address);
+    }
+
+    void silence() {
+        silent = true;
+    }
+
+    void heal() {
+        silent = false;
+    }
+
+    @Override
+    public void close() {
+        closeQuietly(server);
+    }
+
+    private void accept() {
+        while (!server.isClosed()) {
+            try {
+                Socket near = server.accept();
+                Socket far = new Socket(destination.getHost(), destination.getPort());
+                run(() -> pump(near, far, true));
+                run(() -> pump(far, near, false));
+            } catch (IOException e) {
+                // The destination is not up yet, or the relay was closed.
+            }
+        }
+    }
+
+    private void pump(Socket from, Socket to, boolean inward) {
+        byte[] buffer = new byte[4096];
+        try {
+            for (int n = from.getInputStream().read(buffer);
+                    n >= 0;
+                    n = from.getInputStream().read(buffer)) {
+                if (!(inward && silent)) {
+                    to.getOutputStream().write(buffer, 0, n);
+                }
+            }
+        } catch (IOException e) {
+            // The other direction closed the connection.
+        }
+        closeQuietly(from);
+        closeQuietly(to);
+    }
+
+    private static void run(Runnable task) {
+        Thread thread = new Thread(task, "relay");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static void closeQuietly(AutoCloseable resource) {
+        try {
+            resource.close();
+        } catch (Exception e) {
+            // Nothing is left to do with it.
+        }
+    }
+}
