--- a/src/main/java/org/mustardlink/config/settings/EntrySettings.java
+++ b/src/main/java/org/mustardlink/config/settings/EntrySettings.java
@@ -98,7 +98,7 @@
      * @param connect time to open a connection to a target
      * @param idleConnection time after which an unused connection is closed
      * @param lookup longest wait for a session's owner to answer a lookup
-     * @param forwardMargin time beyond a deadline that an owner has to answer a forwarding host
+     * @param forwardMargin time before a caller's deadline at which an owner has to answer a forwarding host
      * @param hostsRefresh time between two reads of the platform's list of hosts
      * @param stopGrace longest time that a planned stop waits for open jobs
      */
--- a/src/main/java/org/mustardlink/core/DispatchCore.java
+++ b/src/main/java/org/mustardlink/core/DispatchCore.java
@@ -20,6 +20,7 @@
     private final Intake intake;
     private final AttemptOutcomes outcomes;
     private final GiveUpSystem giveUp = new GiveUpSystem();
+    private final Succession succession;
     private final ShareSystem shareSystem = new ShareSystem();
     private final ImmutableList<DispatchSystem> systems;
 
@@ -27,6 +28,7 @@
         this.tables = new Tables(settings, policies.sharing());
         this.intake = new Intake(tables, policies.admission(), giveUp);
         this.outcomes = new AttemptOutcomes(tables);
+        this.succession = new Succession(tables);
         this.systems = ImmutableList.of(
                 new DeadlineSystem(),
                 giveUp,
@@ -122,8 +124,26 @@
             shareSystem.lend(tables, reported, now, out);
         } else if (event instanceof Event.SharesOffered offered) {
             shareSystem.borrow(tables, offered, now);
-        } else if (event instanceof Event.StopRequested) {
+        } else if (event instanceof Event.TargetSilent silent) {
+            outcomes.targetSilent(silent, now);
+        } else {
+            applyLifecycle(event, now, out);
+        }
+    }
+
+    private void applyLifecycle(Event event, long now, Consumer<Command> out) {
+        if (event instanceof Event.StopRequested) {
             tables.stop();
+        } else if (event instanceof Event.GraceEnded) {
+            succession.endGrace(now, out);
+        } else if (event instanceof Event.HandoverRequested) {
+            succession.handOver(now, out);
+        } else if (event instanceof Event.SessionsInherited inherited) {
+            succession.inherit(inherited, now, out);
+        } else if (event instanceof Event.StartsHeld) {
+            tables.holdStarts(true);
+        } else if (event instanceof Event.StartsResumed) {
+            tables.holdStarts(false);
         }
     }
 }
--- a/src/main/java/org/mustardlink/core/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/core/PlacementSystem.java
@@ -21,6 +21,9 @@
 
     @Override
     public void run(Tables tables, long now, Consumer<Command> out) {
+        if (tables.startsHeld()) {
+            return;
+        }
         for (String service : tables.queue().services()) {
             ServiceQueue queue = tables.queue().find(service).orElseThrow();
             if (queue.size() > 0) {
--- a/src/main/java/org/mustardlink/errors/ErrorCode.java
+++ b/src/main/java/org/mustardlink/errors/ErrorCode.java
@@ -6,6 +6,8 @@
     BAD_REQUEST,
     /** A body is larger than the configured bound. */
     BODY_TOO_LARGE,
+    /** The request line and headers are larger than the bound. */
+    HEADERS_TOO_LARGE,
     /** A change was sent to an operators' path without the shared secret. */
     UNAUTHORIZED,
     /** The path or method is unknown. */
@@ -14,6 +16,12 @@
     NOT_SENT,
     /** A request may have been sent, and no whole answer arrived. */
     NO_ANSWER,
+    /** A request was sent, and no whole answer arrived in time. */
+    TIMED_OUT,
+    /** Too many requests, or too many bytes of them, are open. */
+    TOO_BUSY,
+    /** A body did not arrive in time. */
+    BODY_TIMEOUT,
     /** The platform answered with an error. */
     PLATFORM_ERROR,
     /** The settings are malformed. */
--- a/src/main/java/org/mustardlink/peer/thrift/ExchangeFrame.java
+++ b/src/main/java/org/mustardlink/peer/thrift/ExchangeFrame.java
@@ -719,14 +719,14 @@
           case 2: // DELTAS
             if (schemeField.type == org.apache.thrift.protocol.TType.LIST) {
               {
-                org.apache.thrift.protocol.TList _list8 = iprot.readListBegin();
-                struct.deltas = new java.util.ArrayList<MemberRecord>(_list8.size);
-                @org.apache.thrift.annotation.Nullable MemberRecord _elem9;
-                for (int _i10 = 0; _i10 < _list8.size; ++_i10)
+                org.apache.thrift.protocol.TList _list40 = iprot.readListBegin();
+                struct.deltas = new java.util.ArrayList<MemberRecord>(_list40.size);
+                @org.apache.thrift.annotation.Nullable MemberRecord _elem41;
+                for (int _i42 = 0; _i42 < _list40.size; ++_i42)
                 {
-                  _elem9 = new MemberRecord();
-                  _elem9.read(iprot);
-                  struct.deltas.add(_elem9);
+                  _elem41 = new MemberRecord();
+                  _elem41.read(iprot);
+                  struct.deltas.add(_elem41);
                 }
                 iprot.readListEnd();
               }
@@ -754,15 +754,15 @@
           case 5: // ATTACHMENTS
             if (schemeField.type == org.apache.thrift.protocol.TType.MAP) {
               {
-                org.apache.thrift.protocol.TMap _map11 = iprot.readMapBegin();
-                struct.attachments = new java.util.HashMap<java.lang.String,java.nio.ByteBuffer>(2*_map11.size);
-                @org.apache.thrift.annotation.Nullable java.lang.String _key12;
-                @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer _val13;
-                for (int _i14 = 0; _i14 < _map11.size; ++_i14)
+                org.apache.thrift.protocol.TMap _map43 = iprot.readMapBegin();
+                struct.attachments = new java.util.HashMap<java.lang.String,java.nio.ByteBuffer>(2*_map43.size);
+                @org.apache.thrift.annotation.Nullable java.lang.String _key44;
+                @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer _val45;
+                for (int _i46 = 0; _i46 < _map43.size; ++_i46)
                 {
-                  _key12 = iprot.readString();
-                  _val13 = iprot.readBinary();
-                  struct.attachments.put(_key12, _val13);
+                  _key44 = iprot.readString();
+                  _val45 = iprot.readBinary();
+                  struct.attachments.put(_key44, _val45);
                 }
                 iprot.readMapEnd();
               }
@@ -796,9 +796,9 @@
         oprot.writeFieldBegin(DELTAS_FIELD_DESC);
         {
           oprot.writeListBegin(new org.apache.thrift.protocol.TList(org.apache.thrift.protocol.TType.STRUCT, struct.deltas.size()));
-          for (MemberRecord _iter15 : struct.deltas)
+          for (MemberRecord _iter47 : struct.deltas)
           {
-            _iter15.write(oprot);
+            _iter47.write(oprot);
           }
           oprot.writeListEnd();
         }
@@ -814,10 +814,10 @@
         oprot.writeFieldBegin(ATTACHMENTS_FIELD_DESC);
         {
           oprot.writeMapBegin(new org.apache.thrift.protocol.TMap(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING, struct.attachments.size()));
-          for (java.util.Map.Entry<java.lang.String, java.nio.ByteBuffer> _iter16 : struct.attachments.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.nio.ByteBuffer> _iter48 : struct.attachments.entrySet())
           {
-            oprot.writeString(_iter16.getKey());
-            oprot.writeBinary(_iter16.getValue());
+            oprot.writeString(_iter48.getKey());
+            oprot.writeBinary(_iter48.getValue());
           }
           oprot.writeMapEnd();
         }
@@ -864,9 +864,9 @@
       if (struct.isSetDeltas()) {
         {
           oprot.writeI32(struct.deltas.size());
-          for (MemberRecord _iter17 : struct.deltas)
+          for (MemberRecord _iter49 : struct.deltas)
           {
-            _iter17.write(oprot);
+            _iter49.write(oprot);
           }
         }
       }
@@ -879,10 +879,10 @@
       if (struct.isSetAttachments()) {
         {
           oprot.writeI32(struct.attachments.size());
-          for (java.util.Map.Entry<java.lang.String, java.nio.ByteBuffer> _iter18 : struct.attachments.entrySet())
+          for (java.util.Map.Entry<java.lang.String, java.nio.ByteBuffer> _iter50 : struct.attachments.entrySet())
           {
-            oprot.writeString(_iter18.getKey());
-            oprot.writeBinary(_iter18.getValue());
+            oprot.writeString(_iter50.getKey());
+            oprot.writeBinary(_iter50.getValue());
           }
         }
       }
@@ -899,14 +899,14 @@
       }
       if (incoming.get(1)) {
         {
-          org.apache.thrift.protocol.TList _list19 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
-          struct.deltas = new java.util.ArrayList<MemberRecord>(_list19.size);
-          @org.apache.thrift.annotation.Nullable MemberRecord _elem20;
-          for (int _i21 = 0; _i21 < _list19.size; ++_i21)
+          org.apache.thrift.protocol.TList _list51 = iprot.readListBegin(org.apache.thrift.protocol.TType.STRUCT);
+          struct.deltas = new java.util.ArrayList<MemberRecord>(_list51.size);
+          @org.apache.thrift.annotation.Nullable MemberRecord _elem52;
+          for (int _i53 = 0; _i53 < _list51.size; ++_i53)
           {
-            _elem20 = new MemberRecord();
-            _elem20.read(iprot);
-            struct.deltas.add(_elem20);
+            _elem52 = new MemberRecord();
+            _elem52.read(iprot);
+            struct.deltas.add(_elem52);
           }
         }
         struct.setDeltasIsSet(true);
@@ -921,15 +921,15 @@
       }
       if (incoming.get(4)) {
         {
-          org.apache.thrift.protocol.TMap _map22 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
-          struct.attachments = new java.util.HashMap<java.lang.String,java.nio.ByteBuffer>(2*_map22.size);
-          @org.apache.thrift.annotation.Nullable java.lang.String _key23;
-          @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer _val24;
-          for (int _i25 = 0; _i25 < _map22.size; ++_i25)
+          org.apache.thrift.protocol.TMap _map54 = iprot.readMapBegin(org.apache.thrift.protocol.TType.STRING, org.apache.thrift.protocol.TType.STRING); 
+          struct.attachments = new java.util.HashMap<java.lang.String,java.nio.ByteBuffer>(2*_map54.size);
+          @org.apache.thrift.annotation.Nullable java.lang.String _key55;
+          @org.apache.thrift.annotation.Nullable java.nio.ByteBuffer _val56;
+          for (int _i57 = 0; _i57 < _map54.size; ++_i57)
           {
-            _key23 = iprot.readString();
-            _val24 = iprot.readBinary();
-            struct.attachments.put(_key23, _val24);
+            _key55 = iprot.readString();
+            _val56 = iprot.readBinary();
+            struct.attachments.put(_key55, _val56);
           }
         }
         struct.setAttachmentsIsSet(true);
