--- a/src/main/java/org/mustardlink/standin/ReplicaFleet.java
+++ b/src/main/java/org/mustardlink/standin/ReplicaFleet.java
@@ -201,7 +201,7 @@
                 PlatformClient.create(requester, ReplicaFleet.this.platform.address(), Duration.ofSeconds(3));
         private final ConfigPeerClient client = ConfigPeerClient.start();
         private final ConfigReplica replica = new ConfigReplica(Schemas.SUPPORTED, this::seen);
-        private final PeerServer server = PeerServer.start(loopback(), 1, null, this);
+        private final PeerServer server = PeerServer.start(loopback(), 1, null, this, null);
         private final ConfigService service;
 
         private Node(int index, ReplicaSettings settings) {
