Ask a peer for configuration as soon as an exchange shows it is ahead

Cause: the exchanges of the membership carried the configuration offset, and nothing acted on it.

Change: HostConfig is the attachment that sends the offset and pulls from a peer whose offset is ahead. The choice of the reader stands: every host reads the log itself and asks a random peer about twice a second.

--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -98,7 +98,7 @@
         pages = OperatorPages.create(settings, incarnation, observer, () -> leaving, config::ready);
         pages.section("configuration", () -> ImmutableMap.of("revision", config.offset(), "ready", config.ready()));
         pages.section("hosts", () -> membership().report());
-        members.sendOffset(config::offset);
+        membership().attach(Membership.CONFIG_OFFSET, config);
         pages.registerAt(operatorApi);
         observer.metrics().gauge("open_jobs", loop::openJobs);
         observer.metrics().gauge("known_hosts", this::knownPeers);
--- a/src/main/java/org/mustardlink/entry/EntryMembership.java
+++ b/src/main/java/org/mustardlink/entry/EntryMembership.java
@@ -2,14 +2,10 @@
 
 import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
-import java.nio.ByteBuffer;
-import java.util.Optional;
-import java.util.function.LongSupplier;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.http.Addresses;
-import org.mustardlink.membership.Attachment;
 import org.mustardlink.membership.Member;
 import org.mustardlink.membership.MemberState;
 import org.mustardlink.membership.Membership;
@@ -62,15 +58,6 @@
         client.close();
     }
 
-    /** Sends this host's configuration offset along with the exchanges. */
-    void sendOffset(LongSupplier configOffset) {
-        membership.attach(
-                Membership.CONFIG_OFFSET,
-                Attachment.sending(() -> Optional.of(ByteBuffer.allocate(Long.BYTES)
-                        .putLong(configOffset.getAsLong())
-                        .flip())));
-    }
-
     /** Takes the platform's list. */
     void listed(HostListing listing) {
         membership.listed(
--- a/src/main/java/org/mustardlink/entry/HostConfig.java
+++ b/src/main/java/org/mustardlink/entry/HostConfig.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
 import java.time.Clock;
 import java.time.Duration;
 import java.util.LinkedHashMap;
@@ -29,13 +30,14 @@
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.drain.TargetReport;
 import org.mustardlink.http.Addresses;
+import org.mustardlink.membership.Attachment;
 import org.mustardlink.peer.ConfigPeerClient;
 import org.mustardlink.peer.ConfigResponder;
 import org.mustardlink.platform.HostListing;
 import org.mustardlink.platform.LogService;
 
 /** An entry host's configuration and drains: the copy, what keeps it current, and who asks about it. */
-final class HostConfig implements ConfigResponder, ConfigPeers, AutoCloseable {
+final class HostConfig implements ConfigResponder, ConfigPeers, Attachment, AutoCloseable {
     /** Time between two decisions about drains; a mark is noticed well within the bound of 2 s. */
     private static final Duration DRAIN_PERIOD = Duration.ofMillis(500);
 
@@ -149,6 +151,29 @@
         return drains.report(target);
     }
 
+    /** Returns the offset of this host, which goes along with the exchanges of the membership. */
+    @Override
+    public Optional<ByteBuffer> outgoing() {
+        return replica.ready()
+                ? Optional.of(ByteBuffer.allocate(Long.BYTES)
+                        .putLong(replica.offset())
+                        .flip())
+                : Optional.empty();
+    }
+
+    /** Asks a peer at once that is ahead of this host. */
+    @Override
+    public void received(String host, long _incarnation, ByteBuffer value) {
+        if (value.remaining() == Long.BYTES && value.getLong(value.position()) > replica.offset()) {
+            known.orElseGet(ImmutableList::of).stream()
+                    .filter(peer -> peer.id().equals(host))
+                    .findFirst()
+                    .ifPresent(peer -> service.ifPresent(running -> {
+                        CompletableFuture<Boolean> _pulled = running.pull(peer);
+                    }));
+        }
+    }
+
     @Override
     public void close() {
         service.ifPresent(ConfigService::close);
