--- a/src/main/java/org/mustardlink/standin/StandInTarget.java
+++ b/src/main/java/org/mustardlink/standin/StandInTarget.java
@@ -33,6 +33,7 @@
     private final Settings settings;
     private final ScheduledExecutorService timer;
     private final HttpServer server;
+    private final ConnectionCounter connections;
     private final Map<String, Running> running = new HashMap<>();
     private final Map<String, Integer> starts = new HashMap<>();
     private Mode mode = Mode.NORMAL;
@@ -48,8 +49,9 @@
      * @param refused starts refused
      * @param stops requests to stop a task
      * @param probes everything else, health checks among it
+     * @param peakConnections most connections open at once
      */
-    public record Messages(long starts, long refused, long stops, long probes) {}
+    public record Messages(long starts, long refused, long stops, long probes, int peakConnections) {}
 
     /**
      * Settings of a stand-in target.
@@ -92,12 +94,17 @@
             thread.setDaemon(true);
             return thread;
         });
+        connections = new ConnectionCounter();
         server = HttpServers.start(address, THREADS, new HttpHandler() {
             @Override
             public void service(Request request, Response response) {
                 handle(request, response);
             }
         });
+        server.getListener("http")
+                .getTransport()
+                .getConnectionMonitoringConfig()
+                .addProbes(connections);
     }
 
     /** Starts a stand-in. */
@@ -123,7 +130,7 @@
     /** Returns the messages received. */
     public synchronized Messages messages() {
         long started = starts.values().stream().mapToLong(Integer::longValue).sum();
-        return new Messages(started, refused, stops, probes);
+        return new Messages(started, refused, stops, probes, connections.peak());
     }
 
     /** Returns the slots in use. */
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkState;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -14,7 +15,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.mustardlink.config.ConfigFeed;
-import org.mustardlink.config.EntrySettings;
+import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.PlacementPolicy;
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.entry.EntryHost;
@@ -30,6 +31,9 @@
     /** The service that every target serves. */
     public static final String SERVICE = "yard";
 
+    /** Connections that each target accepts, divided over the entry hosts of its domain. */
+    private static final int CONNECTIONS = 64;
+
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(10);
 
     private final StandInPlatform platform;
@@ -102,17 +106,19 @@
                         domain,
                         Addresses.format(target.address()),
                         shape.slots(),
-                        64,
+                        CONNECTIONS,
                         options.speedsDeclared() ? speed : 1.0);
                 records.add(Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec)));
             }
         }
         publish(platform, ImmutableList.copyOf(records));
+        ImmutableMap<String, String> changes =
+                ImmutableMap.of("limits.target-connections", Integer.toString(CONNECTIONS / shape.entriesPerDomain()));
         for (String domain : shape.domains()) {
             for (int i = 0; i < shape.entriesPerDomain(); i++) {
                 String id = domain + "-entry-" + i;
                 EntryHost entry = EntryHost.start(
-                        new EntrySettings(id, domain, loopback(), loopback(), platform.address()),
+                        EntrySettings.local(id, domain, platform.address(), changes),
                         Incarnations.next(Clock.systemUTC()),
                         options.policies().get());
                 entries.add(entry);
