--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.Maps;
 import java.net.InetSocketAddress;
+import java.time.Clock;
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
@@ -18,7 +20,7 @@
 import org.mustardlink.api.JobAnswer;
 import org.mustardlink.api.OperatorApi;
 import org.mustardlink.api.SessionAnswer;
-import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.replica.ReplicaSettings;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.Command;
 import org.mustardlink.core.CoreSettings;
@@ -33,6 +35,10 @@
 import org.mustardlink.core.Verdict;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
+import org.mustardlink.observe.EntryObserver;
+import org.mustardlink.observe.LogEvent;
+import org.mustardlink.observe.LogField;
+import org.mustardlink.observe.OperatorPages;
 import org.mustardlink.peer.PeerClient;
 import org.mustardlink.peer.PeerServer;
 import org.mustardlink.platform.HostListing;
@@ -42,6 +48,7 @@
 /** One entry host: everything that the daemon runs. Several can run in one process. */
 public final class EntryHost implements CallerBackend, AutoCloseable {
     private final EntrySettings settings;
+    private final EntryObserver observer;
     private final long incarnation;
     private final HttpRequester targetRequester;
     private final HttpRequester platformRequester;
@@ -51,8 +58,9 @@
     private final EntryLoop loop;
     private final CallerApi callerApi;
     private final OperatorApi operatorApi;
+    private final OperatorPages pages;
     private final PeerServer peerServer;
-    private final ConfigFeed configFeed;
+    private final HostConfig config;
     private final AtomicLong nextRequester = new AtomicLong();
     private final Map<Long, Consumer<Command>> requesters = new ConcurrentHashMap<>();
     private volatile ImmutableMap<String, InetSocketAddress> peerAddresses = ImmutableMap.of();
@@ -60,6 +68,7 @@
 
     private EntryHost(EntrySettings settings, long incarnation, PlacementPolicy placement) {
         this.settings = settings;
+        this.observer = EntryObserver.create(settings);
         this.incarnation = incarnation;
         targetRequester = HttpRequester.start(targetLimits(settings));
         platformRequester = HttpRequester.start(HttpRequester.Limits.small());
@@ -68,17 +77,30 @@
                 platformRequester, settings.platform(), settings.timeouts().platform());
         peers = PeerClient.start();
         DispatchCore core = DispatchCore.create(coreSettings(settings, incarnation), placement);
-        loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute);
+        loop = new EntryLoop(settings.id(), core, settings.dispatch().eventsPerTick(), this::execute, observer);
         loop.start();
-        peerServer = PeerServer.start(settings.peer(), incarnation, this);
+        config = new HostConfig(settings, Clock.systemUTC(), event -> loop.post(ofDomain(event)), this::closeIdle);
+        peerServer = PeerServer.start(settings.peer(), incarnation, this, config);
         callerApi = CallerApi.start(
                 settings.caller(),
                 settings.limits().callerThreads(),
                 settings.limits().maxBodyBytes(),
                 this);
         operatorApi = OperatorApi.start(settings.operator());
-        configFeed = ConfigFeed.start(platform, declared -> loop.post(new Event.TargetsDeclared(ofDomain(declared))));
+        pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
+        pages.section("hosts", () -> Maps.transformValues(peerAddresses, Addresses::format));
+        pages.registerAt(operatorApi);
+        observer.metrics().gauge("open_jobs", loop::openJobs);
+        observer.metrics().gauge("known_hosts", this::knownPeers);
+        config.start(platform, ReplicaSettings.defaults(), operatorApi, Clock.systemUTC(), peerAddress());
         refreshPeers();
+        observer.log()
+                .line(LogEvent.HOST_STARTED)
+                .with(LogField.INCARNATION, incarnation)
+                .with(LogField.CALLER_ADDRESS, Addresses.format(callerAddress()))
+                .with(LogField.OPERATOR_ADDRESS, Addresses.format(operatorAddress()))
+                .with(LogField.PEER_ADDRESS, Addresses.format(peerAddress()))
+                .write();
     }
 
     /**
@@ -122,6 +144,16 @@
         return loop.openJobs();
     }
 
+    /** Returns whether the configuration is known, so that work can be taken. */
+    public boolean ready() {
+        return config.ready();
+    }
+
+    /** Returns the offset of the first configuration record that this host does not hold. */
+    public long configOffset() {
+        return config.offset();
+    }
+
     /** Returns the number of entry hosts that this one can forward to. */
     public int knownPeers() {
         return peerAddresses.size();
@@ -129,6 +161,9 @@
 
     @Override
     public CompletableFuture<SessionAnswer> openSession() {
+        if (!config.ready()) {
+            return CompletableFuture.completedFuture(new SessionAnswer.Refused(Reason.NOT_READY));
+        }
         CompletableFuture<SessionAnswer> answer = new CompletableFuture<>();
         long requester = register(command -> {
             if (command instanceof Command.SessionGranted granted) {
@@ -183,19 +218,21 @@
      */
     public void stop(Duration grace) {
         leaving = true;
+        logOpenJobs(LogEvent.HOST_LEAVING);
         loop.post(new Event.StopRequested());
         long end = System.nanoTime() + grace.toNanos();
         while (System.nanoTime() < end && loop.openJobs() > 0) {
             sleep(Duration.ofMillis(20));
         }
         callerApi.shutdown(Duration.ofSeconds(1));
+        logOpenJobs(LogEvent.HOST_STOPPED);
         close();
     }
 
     /** Ends everything at once, as a crash would. */
     @Override
     public void close() {
-        configFeed.close();
+        config.close();
         callerApi.close();
         operatorApi.close();
         peerServer.close();
@@ -205,11 +242,18 @@
         platformRequester.close();
     }
 
-    /** Returns the targets of this host's failure domain; their connections are divided over its entry hosts only. */
-    private ImmutableList<TargetSpec> ofDomain(ImmutableList<TargetSpec> declared) {
-        return declared.stream()
-                .filter(target -> target.domain().equals(settings.domain()))
-                .collect(ImmutableList.toImmutableList());
+    private void logOpenJobs(LogEvent event) {
+        observer.log().line(event).with(LogField.OPEN_JOBS, loop.openJobs()).write();
+    }
+
+    /** Leaves out targets of other failure domains; a target's connections are divided over its domain's hosts only. */
+    private Event ofDomain(Event event) {
+        if (event instanceof Event.TargetsDeclared declared) {
+            return new Event.TargetsDeclared(declared.targets().stream()
+                    .filter(target -> target.domain().equals(settings.domain()))
+                    .collect(ImmutableList.toImmutableList()));
+        }
+        return event;
     }
 
     private static HttpRequester.Limits targetLimits(EntrySettings settings) {
@@ -258,7 +302,10 @@
             return CompletableFuture.completedFuture(new JobAnswer.Final(Verdict.failed(Reason.OWNER_GONE)));
         }
         return Optional.ofNullable(peerAddresses.get(id.session().host()))
-                .map(call)
+                .map(owner -> {
+                    observer.forwarded();
+                    return call.apply(owner);
+                })
                 .orElseGet(() -> CompletableFuture.completedFuture(PeerClient.unreachable()));
     }
 
@@ -269,9 +316,9 @@
     }
 
     private void execute(Command command) {
+        observer.issued(command);
         if (command instanceof Command.StartTask start) {
-            CompletableFuture<Void> _posted = targets.start(start)
-                    .thenAccept(result -> loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result)));
+            start(start);
         } else if (command instanceof Command.StopTask stop) {
             targets.stop(stop);
         } else if (command instanceof Command.DeliverVerdict delivered) {
@@ -285,8 +332,22 @@
         }
     }
 
+    private void start(Command.StartTask start) {
+        long began = System.nanoTime();
+        config.drains().started(start);
+        CompletableFuture<Void> _posted = targets.start(start).thenAccept(result -> {
+            config.drains().ended(start, Duration.ofNanos(System.nanoTime() - began));
+            loop.post(new Event.AttemptEnded(start.task(), start.attempt(), result));
+        });
+    }
+
+    private void closeIdle(TargetSpec target) {
+        targetRequester.closeIdle(Addresses.parse(target.address()));
+    }
+
     private void answer(long requester, Command command) {
-        Optional.ofNullable(requesters.remove(requester)).ifPresent(consumer -> consumer.accept(command));
+        Optional.ofNullable(requesters.remove(requester))
+                .ifPresentOrElse(consumer -> consumer.accept(command), () -> observer.dropped(command));
     }
 
     private void refreshPeers() {
@@ -294,6 +355,8 @@
             return;
         }
         CompletableFuture<HostListing> _refreshed = platform.hosts().whenComplete((listing, failure) -> {
+            observer.platformRead(Optional.ofNullable(failure));
+            config.listed(failure == null ? Optional.of(listing) : Optional.empty());
             if (failure == null) {
                 peerAddresses = listing.hosts().stream()
                         .filter(host -> host.kind() == HostListing.Kind.ENTRY)
--- /dev/null
+++ b/src/main/java/org/mustardlink/load/Bench.java
@@ -0,0 +1,205 @@
+package org.mustardlink.load;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Collections;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.mustardlink.api.VerdictDocument;
+import org.mustardlink.caller.CallerClient;
+import org.mustardlink.core.Outcome;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.standin.TestBed;
+
+/** Measures one entry host with 1 ms tasks: the time it adds, or the starts it makes for the processor time it uses. */
+public final class Bench {
+    private static final long RUN_MS = 1;
+    private static final Duration DEADLINE = Duration.ofSeconds(10);
+    private static final Duration WARMUP = Duration.ofSeconds(5);
+
+    private final Settings settings;
+    private final Histogram addedMicros = new ConcurrentHistogram(3);
+    private final AtomicLong tasksDone = new AtomicLong();
+    private final AtomicLong failed = new AtomicLong();
+    private final AtomicLong sequence = new AtomicLong();
+    private volatile boolean measuring;
+
+    private Bench(Settings settings) {
+        this.settings = settings;
+    }
+
+    /**
+     * Settings of a measurement.
+     *
+     * @param entry caller address of the entry host
+     * @param pid process id of the entry host, to read its processor time; empty if it is not known
+     * @param seconds length of the measured stretch after 5 s of warm-up
+     * @param tasksPerJob tasks of each job
+     * @param jobsAtOnce jobs in flight of the throughput measurement
+     * @param jobsPerSecond rate of the latency measurement
+     */
+    public record Settings(
+            InetSocketAddress entry,
+            Optional<Long> pid,
+            int seconds,
+            int tasksPerJob,
+            int jobsAtOnce,
+            int jobsPerSecond) {
+        public Settings {
+            checkArgument(seconds > 0, "seconds must be positive: %s", seconds);
+            checkArgument(jobsAtOnce > 0, "jobsAtOnce must be positive: %s", jobsAtOnce);
+            checkArgument(jobsPerSecond > 0, "jobsPerSecond must be positive: %s", jobsPerSecond);
+        }
+    }
+
+    /**
+     * Result of a measurement.
+     *
+     * @param tasksPerSecond tasks complete each second
+     * @param cores processor time of the entry host for each second, {@code NaN} if not known
+     * @param startsPerCoreSecond tasks for each second of processor time, {@code NaN} if not known
+     * @param failed jobs that failed, warm-up included
+     * @param addedP50Ms time from sending to the answer less the run time, in milliseconds, median
+     * @param addedP99Ms the same at p99
+     */
+    public record Result(
+            double tasksPerSecond,
+            double cores,
+            double startsPerCoreSecond,
+            long failed,
+            double addedP50Ms,
+            double addedP99Ms) {}
+
+    /** Measures the added time at a constant rate of arrivals. */
+    public static Result latency(Settings settings) {
+        Bench bench = new Bench(settings);
+        return bench.run(client -> bench.atRate(client));
+    }
+
+    /** Measures the throughput with a constant number of jobs in flight. */
+    public static Result throughput(Settings settings) {
+        Bench bench = new Bench(settings);
+        return bench.run(client -> bench.atOnce(client));
+    }
+
+    private Result run(Driver driver) {
+        HttpRequester.Limits limits =
+                new HttpRequester.Limits(4096, 4096, Duration.ofSeconds(5), Duration.ofSeconds(60), 2);
+        try (HttpRequester requester = HttpRequester.start(limits)) {
+            CallerClient client = new CallerClient(requester);
+            Thread thread = new Thread(() -> driver.drive(client), "bench");
+            thread.setDaemon(true);
+            thread.start();
+            Uninterruptibles.sleepUninterruptibly(WARMUP);
+            Result result = measure();
+            thread.interrupt();
+            return result;
+        }
+    }
+
+    private Result measure() {
+        long startNanos = System.nanoTime();
+        long startTasks = tasksDone.get();
+        Optional<Duration> startCpu = cpu();
+        measuring = true;
+        Uninterruptibles.sleepUninterruptibly(Duration.ofSeconds(settings.seconds()));
+        measuring = false;
+        double seconds = (System.nanoTime() - startNanos) / 1e9;
+        double tasks = tasksDone.get() - startTasks;
+        double cores = cpu().flatMap(end -> startCpu.map(end::minus))
+                .map(used -> used.toNanos() / 1e9 / seconds)
+                .orElse(Double.NaN);
+        return new Result(
+                tasks / seconds,
+                cores,
+                tasks / seconds / cores,
+                failed.get(),
+                addedMicros.getValueAtPercentile(50) / 1000.0,
+                addedMicros.getValueAtPercentile(99) / 1000.0);
+    }
+
+    private Optional<Duration> cpu() {
+        return settings.pid()
+                .flatMap(ProcessHandle::of)
+                .flatMap(process -> process.info().totalCpuDuration());
+    }
+
+    private void atRate(CallerClient client) {
+        String session = client.openSession(settings.entry()).join();
+        long intervalNanos = TimeUnit.SECONDS.toNanos(1) / settings.jobsPerSecond();
+        long next = System.nanoTime();
+        while (!Thread.currentThread().isInterrupted()) {
+            next += intervalNanos;
+            long intended = next;
+            for (long left = next - System.nanoTime(); left > 0; left = next - System.nanoTime()) {
+                LockSupport.parkNanos(left);
+                if (Thread.currentThread().isInterrupted()) {
+                    return;
+                }
+            }
+            submit(client, session, intended, () -> {});
+        }
+    }
+
+    private void atOnce(CallerClient client) {
+        String session = client.openSession(settings.entry()).join();
+        Semaphore slots = new Semaphore(settings.jobsAtOnce());
+        try {
+            while (true) {
+                slots.acquire();
+                submit(client, session, System.nanoTime(), slots::release);
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void submit(CallerClient client, String session, long startNanos, Runnable onEnd) {
+        CompletableFuture<Void> _answered = client.submit(
+                        settings.entry(), session, sequence.getAndIncrement(), document(), DEADLINE)
+                .handle((verdict, failure) -> {
+                    record(startNanos, verdict, failure);
+                    onEnd.run();
+                    return null;
+                });
+    }
+
+    private void record(long startNanos, VerdictDocument verdict, Throwable failure) {
+        if (failure != null || verdict.outcome() != Outcome.COMPLETE) {
+            failed.incrementAndGet();
+            return;
+        }
+        tasksDone.addAndGet(settings.tasksPerJob());
+        if (measuring) {
+            addedMicros.recordValue(Math.max(0, (System.nanoTime() - startNanos) / 1000 - RUN_MS * 1000));
+        }
+    }
+
+    private ImmutableMap<String, Object> document() {
+        ImmutableMap<String, Object> task =
+                ImmutableMap.of("payload", "{\"runMs\":" + RUN_MS + ",\"answer\":\"ok\"}", "declaredMs", RUN_MS);
+        return ImmutableMap.of(
+                "service",
+                TestBed.SERVICE,
+                "team",
+                "bench",
+                "tasks",
+                ImmutableList.copyOf(Collections.nCopies(settings.tasksPerJob(), task)));
+    }
+
+    @FunctionalInterface
+    private interface Driver {
+        void drive(CallerClient client);
+    }
+}
--- a/src/main/java/org/mustardlink/load/LoadRun.java
+++ b/src/main/java/org/mustardlink/load/LoadRun.java
@@ -70,8 +70,10 @@
                 settings.capacity().speeds().size(),
                 settings.capacity().slots(),
                 settings.capacity().speeds());
-        TestBed.Options options =
-                new TestBed.Options(Policies.find(policy, settings.seed()), settings.speedsDeclared());
+        TestBed.Options options = new TestBed.Options(
+                Policies.find(policy, settings.seed()),
+                settings.speedsDeclared(),
+                TestBed.Options.defaults().platform());
         try (TestBed bed = TestBed.start(shape, options);
                 FaultInjector faults = new FaultInjector(bed, settings)) {
             drive(bed.callerAddresses(), faults::start);
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -14,7 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
-import org.mustardlink.config.ConfigFeed;
+import org.mustardlink.config.replica.ConfigReader;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.PlacementPolicy;
 import org.mustardlink.core.TargetSpec;
@@ -73,11 +73,17 @@
      *
      * @param policies makes the placement policy of one entry host
      * @param speedsDeclared whether configuration declares the true speeds; otherwise it declares 1 for each target
+     * @param platform where the platform listens; port 0 takes a free one
      */
-    public record Options(Supplier<PlacementPolicy> policies, boolean speedsDeclared) {
+    public record Options(Supplier<PlacementPolicy> policies, boolean speedsDeclared, InetSocketAddress platform) {
         /** Returns the policy of the daemon with declared speeds. */
         public static Options defaults() {
-            return new Options(PlacementPolicy::fastestFree, true);
+            return new Options(PlacementPolicy::fastestFree, true, loopback());
+        }
+
+        /** Returns the same options with another address of the platform. */
+        public Options withPlatform(InetSocketAddress address) {
+            return new Options(policies, speedsDeclared, address);
         }
     }
 
@@ -88,7 +94,7 @@
 
     /** Starts a deployment with options and waits until the platform knows all of it. */
     public static TestBed start(Shape shape, Options options) {
-        StandInPlatform platform = StandInPlatform.start(loopback());
+        StandInPlatform platform = StandInPlatform.start(options.platform());
         List<StandInTarget> targets = new ArrayList<>();
         List<EntryHost> entries = new ArrayList<>();
         List<String> records = new ArrayList<>();
@@ -108,12 +114,13 @@
                         shape.slots(),
                         CONNECTIONS,
                         options.speedsDeclared() ? speed : 1.0);
-                records.add(Json.write(new ConfigFeed.TargetRecord(1, "change-" + id, "target", id, spec)));
+                records.add(Json.write(ImmutableMap.of(
+                        "schema", 1, "change", "change-" + id, "kind", "target", "name", id, "body", spec)));
             }
         }
         publish(platform, ImmutableList.copyOf(records));
-        ImmutableMap<String, String> changes =
-                ImmutableMap.of("limits.target-connections", Integer.toString(CONNECTIONS / shape.entriesPerDomain()));
+        ImmutableMap<String, String> changes = ImmutableMap.of(
+                "limits.target-connections", Integer.toString(CONNECTIONS / Math.max(1, shape.entriesPerDomain())));
         for (String domain : shape.domains()) {
             for (int i = 0; i < shape.entriesPerDomain(); i++) {
                 String id = domain + "-entry-" + i;
@@ -171,7 +178,7 @@
 
     private static void awaitPeers(List<EntryHost> entries) {
         long end = System.nanoTime() + READY_TIMEOUT.toNanos();
-        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size())) {
+        while (entries.stream().anyMatch(entry -> entry.knownPeers() < entries.size() || !entry.ready())) {
             checkState(System.nanoTime() < end, "the entry hosts do not know each other after %s", READY_TIMEOUT);
             Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
         }
@@ -180,7 +187,7 @@
     private static void publish(StandInPlatform platform, ImmutableList<String> records) {
         try (HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small())) {
             PlatformClient.create(requester, platform.address())
-                    .append(ConfigFeed.STREAM, records)
+                    .append(ConfigReader.STREAM, records)
                     .join();
         }
     }
