--- a/src/main/java/org/mustardlink/core/AttemptOutcomes.java
+++ b/src/main/java/org/mustardlink/core/AttemptOutcomes.java
@@ -15,7 +15,8 @@
 
     void apply(Event.AttemptEnded event, long now, Consumer<Command> out) {
         tables.attempts().remove(event.task(), event.attempt()).ifPresent(attempt -> {
-            attempt.target().attemptEnded();
+            attempt.target().attemptEnded(attempt);
+            event.result().load().ifPresent(load -> attempt.target().report(load, now));
             apply(attempt, event.result(), now, out);
         });
     }
@@ -26,6 +27,9 @@
         if (result instanceof AttemptResult.NotStarted) {
             attempt.target().block(now + REFUSAL_PAUSE_NANOS);
         }
+        if (result instanceof AttemptResult.Completed) {
+            tables.estimates().learn(attempt, now);
+        }
         if (!job.isOpen()) {
             return;
         }
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.time.Clock;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
@@ -33,6 +34,7 @@
 import org.mustardlink.core.SubmissionId;
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.core.Verdict;
+import org.mustardlink.core.policy.ExpectedFinish;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.observe.EntryObserver;
@@ -86,7 +88,7 @@
                 settings.limits().callerThreads(),
                 settings.limits().maxBodyBytes(),
                 this);
-        operatorApi = OperatorApi.start(settings.operator());
+        operatorApi = OperatorApi.start(settings.operator(), settings.operatorSecret());
         pages = OperatorPages.create(settings, incarnation, observer, () -> leaving);
         pages.section("hosts", () -> Maps.transformValues(peerAddresses, Addresses::format));
         pages.registerAt(operatorApi);
@@ -96,7 +98,7 @@
         refreshPeers();
         observer.log()
                 .line(LogEvent.HOST_STARTED)
-                .with(LogField.INCARNATION, incarnation)
+                .with(LogField.INCARNATION, Long.toString(incarnation))
                 .with(LogField.CALLER_ADDRESS, Addresses.format(callerAddress()))
                 .with(LogField.OPERATOR_ADDRESS, Addresses.format(operatorAddress()))
                 .with(LogField.PEER_ADDRESS, Addresses.format(peerAddress()))
@@ -110,7 +112,7 @@
      * @param incarnation number that no earlier process with this host id has used; later ones are greater
      */
     public static EntryHost start(EntrySettings settings, long incarnation) {
-        return start(settings, incarnation, PlacementPolicy.fastestFree());
+        return start(settings, incarnation, ExpectedFinish.create());
     }
 
     /**
@@ -350,6 +352,15 @@
                 .ifPresentOrElse(consumer -> consumer.accept(command), () -> observer.dropped(command));
     }
 
+    private ImmutableMap<String, String> entryDomains(HostListing listing) {
+        Map<String, String> domains = new HashMap<>();
+        listing.hosts().stream()
+                .filter(host -> host.kind() == HostListing.Kind.ENTRY && host.state() == HostListing.State.LIVE)
+                .forEach(host -> domains.put(host.id(), host.domain()));
+        domains.put(settings.id(), settings.domain());
+        return ImmutableMap.copyOf(domains);
+    }
+
     private void refreshPeers() {
         if (leaving) {
             return;
@@ -358,6 +369,7 @@
             observer.platformRead(Optional.ofNullable(failure));
             config.listed(failure == null ? Optional.of(listing) : Optional.empty());
             if (failure == null) {
+                loop.post(new Event.EntryHostsKnown(settings.domain(), entryDomains(listing)));
                 peerAddresses = listing.hosts().stream()
                         .filter(host -> host.kind() == HostListing.Kind.ENTRY)
                         .collect(ImmutableMap.toImmutableMap(
--- a/src/main/java/org/mustardlink/standin/StandInTarget.java
+++ b/src/main/java/org/mustardlink/standin/StandInTarget.java
@@ -95,16 +95,16 @@
             return thread;
         });
         connections = new ConnectionCounter();
-        server = HttpServers.start(address, THREADS, new HttpHandler() {
-            @Override
-            public void service(Request request, Response response) {
-                handle(request, response);
-            }
-        });
-        server.getListener("http")
-                .getTransport()
-                .getConnectionMonitoringConfig()
-                .addProbes(connections);
+        server = HttpServers.start(
+                address,
+                THREADS,
+                new HttpHandler() {
+                    @Override
+                    public void service(Request request, Response response) {
+                        handle(request, response);
+                    }
+                },
+                connections);
     }
 
     /** Starts a stand-in. */
