Handle small whole requests on the I/O thread

Cause: a profile of the entry host showed each caller's request handed from the I/O thread to a worker, although the handler only parses a small body and posts an event. Stand-in targets paid the same hand-over.

Change: a server whose handler does not block runs it on the I/O thread when the whole body has arrived and is at most 4 KiB; other requests keep the workers, so a slow or large upload delays nobody else.

--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
-import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
@@ -29,12 +28,7 @@
     private CallerApi(InetSocketAddress address, int threads, int maxBodyBytes, CallerBackend backend) {
         this.maxBodyBytes = maxBodyBytes;
         this.backend = backend;
-        this.server = HttpServers.start(address, threads, new HttpHandler() {
-            @Override
-            public void service(Request request, Response response) {
-                handle(request, response);
-            }
-        });
+        this.server = HttpServers.startNonBlocking(address, threads, this::handle);
     }
 
     /**
--- a/src/main/java/org/mustardlink/standin/StandInTarget.java
+++ b/src/main/java/org/mustardlink/standin/StandInTarget.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
@@ -95,16 +94,7 @@
             return thread;
         });
         connections = new ConnectionCounter();
-        server = HttpServers.start(
-                address,
-                THREADS,
-                new HttpHandler() {
-                    @Override
-                    public void service(Request request, Response response) {
-                        handle(request, response);
-                    }
-                },
-                connections);
+        server = HttpServers.startNonBlocking(address, THREADS, this::handle, connections);
     }
 
     /** Starts a stand-in. */
