--- a/src/main/java/org/mustardlink/api/CallerApi.java
+++ b/src/main/java/org/mustardlink/api/CallerApi.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.glassfish.grizzly.Connection;
-import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
@@ -51,12 +50,7 @@
         this.bodies =
                 new BodyReader(new BodyReader.Limits(maxBodyBytes, (long) OPEN_BODIES * maxBodyBytes, BODY_TIMEOUT));
         this.backend = backend;
-        this.server = HttpServers.start(address, threads, new HttpHandler() {
-            @Override
-            public void service(Request request, Response response) {
-                handle(request, response);
-            }
-        });
+        this.server = HttpServers.startNonBlocking(address, threads, this::handle);
     }
 
     /**
--- a/src/main/java/org/mustardlink/cli/LoadCommand.java
+++ b/src/main/java/org/mustardlink/cli/LoadCommand.java
@@ -16,6 +16,7 @@
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.Json;
 import org.mustardlink.load.Arrivals;
+import org.mustardlink.load.Bench;
 import org.mustardlink.load.DistributionPlot;
 import org.mustardlink.load.DomainCapacity;
 import org.mustardlink.load.Fault;
@@ -68,11 +69,33 @@
         parser.addArgument("--timeline").action(Arguments.storeTrue()).help("print one row a second");
         parser.addArgument("--plot").metavar("FILE.png").help("draw the distributions");
         parser.addArgument("--plot-group").setDefault("all").help("group of jobs to draw");
+        parser.addArgument("--bench").choices("latency", "throughput").help("measure --entry with 1 ms tasks instead");
+        parser.addArgument("--pid").type(Long.class).help("process id of the measured entry host");
+        parser.addArgument("--job-tasks").type(Integer.class).setDefault(1).help("tasks of each job of --bench");
+        parser.addArgument("--at-once").type(Integer.class).setDefault(64).help("jobs in flight, --bench throughput");
+        parser.addArgument("--rate").type(Integer.class).setDefault(100).help("jobs a second, --bench latency");
         parser.setDefault(Main.COMMAND, this);
     }
 
     @Override
     public int run(Namespace arguments) {
+        Optional<String> bench = Optional.ofNullable(arguments.getString("bench"));
+        return bench.isPresent() ? runBench(bench.get(), arguments) : runLoad(arguments);
+    }
+
+    private static int runBench(String kind, Namespace arguments) {
+        Bench.Settings settings = new Bench.Settings(
+                addresses(arguments.getString("entry")).get(0),
+                Optional.ofNullable(arguments.getLong("pid")),
+                arguments.getInt("seconds"),
+                arguments.getInt("job_tasks"),
+                arguments.getInt("at_once"),
+                arguments.getInt("rate"));
+        System.out.println(Json.write(kind.equals("latency") ? Bench.latency(settings) : Bench.throughput(settings)));
+        return ExitCode.OK;
+    }
+
+    private static int runLoad(Namespace arguments) {
         LoadSettings settings = settings(arguments);
         List<String> policies = Optional.ofNullable(arguments.getString("compare"))
                 .map(COMMAS::splitToList)
--- a/src/main/java/org/mustardlink/cli/StandInCommand.java
+++ b/src/main/java/org/mustardlink/cli/StandInCommand.java
@@ -1,5 +1,6 @@
 package org.mustardlink.cli;
 
+import com.google.common.collect.ImmutableList;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CountDownLatch;
 import net.sourceforge.argparse4j.inf.Namespace;
@@ -8,6 +9,7 @@
 import org.mustardlink.http.Addresses;
 import org.mustardlink.standin.StandInPlatform;
 import org.mustardlink.standin.StandInTarget;
+import org.mustardlink.standin.TestBed;
 
 /** {@code standin platform} and {@code standin target}: runs a stand-in until the process is ended. */
 final class StandInCommand implements Subcommand {
@@ -26,6 +28,20 @@
         Subparser target = kinds.addParser("target")
                 .help("a target that runs tasks by waiting")
                 .epilog("example: mustardlink standin target --address 127.0.0.1:7300 --slots 8 --speed 2");
+        Subparser deployment = kinds.addParser("deployment")
+                .help("a platform and targets of one failure domain that it declares")
+                .epilog("example: mustardlink standin deployment --address 127.0.0.1:7200 --targets 10");
+        deployment
+                .addArgument("--targets")
+                .type(new CountArgument(1, 1000))
+                .setDefault(10)
+                .metavar("N")
+                .help("targets of 8 slots and speed 1; default 10");
+        deployment
+                .addArgument("--domain")
+                .setDefault("balanza")
+                .metavar("NAME")
+                .help("failure domain of the targets; default balanza");
         target.addArgument("--slots")
                 .type(new CountArgument(1, 10_000))
                 .setDefault(8)
@@ -38,6 +54,7 @@
                 .help("speed relative to 1; default 1");
         add(platform, "platform");
         add(target, "target");
+        add(deployment, "deployment");
     }
 
     private void add(Subparser parser, String what) {
@@ -58,12 +75,7 @@
     public int run(Namespace arguments) {
         String what = arguments.getString(WHAT);
         InetSocketAddress address = arguments.get("address");
-        InetSocketAddress actual = what.equals("platform")
-                ? StandInPlatform.start(address).address()
-                : StandInTarget.start(
-                                address,
-                                new StandInTarget.Settings(arguments.getInt("slots"), arguments.getDouble("speed")))
-                        .address();
+        InetSocketAddress actual = start(what, address, arguments);
         System.out.println("stand-in " + what + " listens on " + Addresses.format(actual));
         try {
             new CountDownLatch(1).await();
@@ -72,4 +84,26 @@
         }
         return ExitCode.OK;
     }
+
+    private static InetSocketAddress start(String what, InetSocketAddress address, Namespace arguments) {
+        return switch (what) {
+            case "platform" -> StandInPlatform.start(address).address();
+            case "deployment" -> {
+                TestBed.Shape shape = new TestBed.Shape(
+                        ImmutableList.of(arguments.getString("domain")),
+                        0,
+                        arguments.getInt("targets"),
+                        8,
+                        ImmutableList.of(1.0));
+                yield TestBed.start(shape, TestBed.Options.defaults().withPlatform(address))
+                        .platform()
+                        .address();
+            }
+            default ->
+                StandInTarget.start(
+                                address,
+                                new StandInTarget.Settings(arguments.getInt("slots"), arguments.getDouble("speed")))
+                        .address();
+        };
+    }
 }
--- a/src/main/java/org/mustardlink/http/HttpServers.java
+++ b/src/main/java/org/mustardlink/http/HttpServers.java
@@ -7,10 +7,12 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import org.glassfish.grizzly.ConnectionProbe;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.NetworkListener;
 import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.RequestExecutorProvider;
 import org.glassfish.grizzly.http.server.Response;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
@@ -19,29 +21,79 @@
 
 /** Starts Grizzly HTTP servers with the project's bounds and reads and writes bodies. */
 public final class HttpServers {
+    private static final RequestExecutorProvider WORKERS = new RequestExecutorProvider.WorkerThreadProvider();
     private static final int MAX_HEADER_BYTES = 8 << 10;
     /** The parser reads this much, so that a request a little beyond the bound still gets an answer that names it. */
     private static final int MAX_PARSED_BYTES = 64 << 10;
 
     private static final Duration READ_TIMEOUT = Duration.ofSeconds(10);
 
+    /** Largest body that an I/O thread handles itself; parsing a larger one would delay other connections. */
+    private static final int MAX_INLINE_BYTES = 4 << 10;
+
     private HttpServers() {}
 
+    /** Handles a request without blocking once its body is there. */
+    @FunctionalInterface
+    public interface Service {
+        /** Handles a request; an answer given later suspends the response. */
+        void handle(Request request, Response response);
+    }
+
+    /**
+     * Starts a server whose I/O thread handles a small request itself if the whole body has arrived, which saves the
+     * hand-over to a worker; other requests go to the workers.
+     *
+     * @param address where to listen; port 0 takes a free one
+     * @param threads worker threads
+     * @param service handles every request; it must not block
+     * @param probes told of connections from the start
+     * @throws CodedException if the address cannot be bound
+     */
+    public static HttpServer startNonBlocking(
+            InetSocketAddress address, int threads, Service service, ConnectionProbe... probes) {
+        return start(
+                address,
+                threads,
+                new HttpHandler() {
+                    @Override
+                    public void service(Request request, Response response) {
+                        service.handle(request, response);
+                    }
+
+                    @Override
+                    public RequestExecutorProvider getRequestExecutorProvider() {
+                        return request -> hasSmallWholeBody(request) ? null : WORKERS.getExecutor(request);
+                    }
+                },
+                probes);
+    }
+
+    private static boolean hasSmallWholeBody(Request request) {
+        long length = request.getContentLengthLong();
+        return length <= MAX_INLINE_BYTES
+                && !request.getRequest().isChunked()
+                && request.getInputBuffer().available() >= length;
+    }
+
     /**
      * Starts a server.
      *
      * @param address where to listen; port 0 takes a free one
      * @param threads worker threads
      * @param handler handles every request
+     * @param probes told of connections from the start
      * @throws CodedException if the address cannot be bound
      */
-    public static HttpServer start(InetSocketAddress address, int threads, HttpHandler handler) {
+    public static HttpServer start(
+            InetSocketAddress address, int threads, HttpHandler handler, ConnectionProbe... probes) {
         HttpServer server = new HttpServer();
         NetworkListener listener =
                 new NetworkListener("http", address.getAddress().getHostAddress(), address.getPort());
         listener.setMaxHttpHeaderSize(MAX_PARSED_BYTES);
         listener.getKeepAlive().setMaxRequestsCount(-1);
         listener.getKeepAlive().setIdleTimeoutInSeconds(60);
+        listener.getTransport().getConnectionMonitoringConfig().addProbes(probes);
         listener.getTransport().setTcpNoDelay(true);
         listener.getTransport().setReadTimeout(READ_TIMEOUT.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS);
         listener.getTransport().setSelectorRunnersCount(1);
--- a/src/main/java/org/mustardlink/load/LoadRun.java
+++ b/src/main/java/org/mustardlink/load/LoadRun.java
@@ -59,7 +59,7 @@
     private Result run() {
         if (!settings.entries().isEmpty()) {
             drive(settings.entries(), () -> {});
-            return result(ImmutableMap.of());
+            return result(ImmutableMap.of(), ImmutableMap.of());
         }
         ImmutableList<String> domains = IntStream.range(0, settings.domains())
                 .mapToObj(i -> i < DOMAINS.size() ? DOMAINS.get(i) : "domain-" + i)
@@ -70,12 +70,14 @@
                 settings.capacity().speeds().size(),
                 settings.capacity().slots(),
                 settings.capacity().speeds());
-        TestBed.Options options =
-                new TestBed.Options(Policies.find(policy, settings.seed()), settings.speedsDeclared());
+        TestBed.Options options = new TestBed.Options(
+                Policies.find(policy, settings.seed()),
+                settings.speedsDeclared(),
+                TestBed.Options.defaults().platform());
         try (TestBed bed = TestBed.start(shape, options);
                 FaultInjector faults = new FaultInjector(bed, settings)) {
             drive(bed.callerAddresses(), faults::start);
-            return result(messages(bed));
+            return result(messages(bed), counts(bed));
         }
     }
 
@@ -144,10 +146,13 @@
         }
     }
 
-    private Result result(ImmutableMap<String, Double> messages) {
-        long tasks = jobs.stream().mapToLong(job -> job.tasks().size()).sum();
-        ImmutableMap<String, Long> counts =
-                ImmutableMap.of("jobs", (long) jobs.size(), "tasks", tasks, "wrongAnswers", recorder.wrongAnswers());
+    private Result result(ImmutableMap<String, Double> messages, ImmutableMap<String, Long> atTargets) {
+        ImmutableMap<String, Long> counts = ImmutableMap.<String, Long>builder()
+                .put("jobs", (long) jobs.size())
+                .put("tasks", jobs.stream().mapToLong(job -> job.tasks().size()).sum())
+                .put("wrong answers", recorder.wrongAnswers())
+                .putAll(atTargets)
+                .buildOrThrow();
         RunReport report = new RunReport(
                 policy,
                 settings.seed(),
@@ -170,10 +175,20 @@
                 .put("refused start", sum(all, StandInTarget.Messages::refused) / tasks)
                 .put("probe", sum(all, StandInTarget.Messages::probes) / tasks)
                 .put("cancel", sum(all, StandInTarget.Messages::stops) / tasks)
-                .put("started twice", (double) bed.repeatedStarts())
                 .buildOrThrow();
     }
 
+    private static ImmutableMap<String, Long> counts(TestBed bed) {
+        return ImmutableMap.of(
+                "tasks started twice",
+                bed.repeatedStarts(),
+                "most connections at one target",
+                bed.targets().stream()
+                        .mapToLong(target -> target.messages().peakConnections())
+                        .max()
+                        .orElse(0));
+    }
+
     private static double sum(
             List<StandInTarget.Messages> all, java.util.function.ToLongFunction<StandInTarget.Messages> kind) {
         return all.stream().mapToLong(kind).sum();
--- a/src/main/java/org/mustardlink/load/RunRecorder.java
+++ b/src/main/java/org/mustardlink/load/RunRecorder.java
@@ -47,8 +47,8 @@
         double ideal = settings.capacity().idealMs(job, settings.networkMs());
         double pooled = pooledMs[job.number()];
         seconds[second].complete(response, ideal, pooled);
-        group("all").complete(response, ideal, pooled);
-        group("class " + job.jobClass().label()).complete(response, ideal, pooled);
+        group(totalOf(job)).complete(response, ideal, pooled);
+        group(classOf(job)).complete(response, ideal, pooled);
         group("team " + job.team()).complete(response, ideal, pooled);
     }
 
@@ -58,8 +58,8 @@
             return;
         }
         seconds[second].failed(reason);
-        group("all").failed(reason);
-        group("class " + job.jobClass().label()).failed(reason);
+        group(totalOf(job)).failed(reason);
+        group(classOf(job)).failed(reason);
         group("team " + job.team()).failed(reason);
     }
 
@@ -97,6 +97,15 @@
         return rows.build();
     }
 
+    private static String totalOf(JobPlan job) {
+        return job.cancelNanos().isPresent() ? "cancelled" : "all";
+    }
+
+    private static String classOf(JobPlan job) {
+        return "class "
+                + (job.cancelNanos().isPresent() ? "cancelled" : job.jobClass().label());
+    }
+
     private void addWork(JobPlan job, long endNanos) {
         int second = secondOf(endNanos);
         if (second >= 0) {
--- a/src/main/java/org/mustardlink/standin/StandInTarget.java
+++ b/src/main/java/org/mustardlink/standin/StandInTarget.java
@@ -11,7 +11,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
@@ -33,6 +32,7 @@
     private final Settings settings;
     private final ScheduledExecutorService timer;
     private final HttpServer server;
+    private final ConnectionCounter connections;
     private final Map<String, Running> running = new HashMap<>();
     private final Map<String, Integer> starts = new HashMap<>();
     private Mode mode = Mode.NORMAL;
@@ -48,8 +48,9 @@
      * @param refused starts refused
      * @param stops requests to stop a task
      * @param probes everything else, health checks among it
+     * @param peakConnections most connections open at once
      */
-    public record Messages(long starts, long refused, long stops, long probes) {}
+    public record Messages(long starts, long refused, long stops, long probes, int peakConnections) {}
 
     /**
      * Settings of a stand-in target.
@@ -92,12 +93,8 @@
             thread.setDaemon(true);
             return thread;
         });
-        server = HttpServers.start(address, THREADS, new HttpHandler() {
-            @Override
-            public void service(Request request, Response response) {
-                handle(request, response);
-            }
-        });
+        connections = new ConnectionCounter();
+        server = HttpServers.startNonBlocking(address, THREADS, this::handle, connections);
     }
 
     /** Starts a stand-in. */
@@ -123,7 +120,7 @@
     /** Returns the messages received. */
     public synchronized Messages messages() {
         long started = starts.values().stream().mapToLong(Integer::longValue).sum();
-        return new Messages(started, refused, stops, probes);
+        return new Messages(started, refused, stops, probes, connections.peak());
     }
 
     /** Returns the slots in use. */
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -32,6 +32,9 @@
     /** The service that every target serves. */
     public static final String SERVICE = "yard";
 
+    /** Connections that each target accepts, divided over the entry hosts of its domain. */
+    private static final int CONNECTIONS = 64;
+
     private static final Duration READY_TIMEOUT = Duration.ofSeconds(10);
 
     private final StandInPlatform platform;
@@ -71,11 +74,17 @@
      *
      * @param policies makes the placement policy of one entry host
      * @param speedsDeclared whether configuration declares the true speeds; otherwise it declares 1 for each target
+     * @param platform where the platform listens; port 0 takes a free one
      */
-    public record Options(Supplier<PlacementPolicy> policies, boolean speedsDeclared) {
+    public record Options(Supplier<PlacementPolicy> policies, boolean speedsDeclared, InetSocketAddress platform) {
         /** Returns the policy of the daemon with declared speeds. */
         public static Options defaults() {
-            return new Options(ExpectedFinish::create, true);
+            return new Options(ExpectedFinish::create, true, loopback());
+        }
+
+        /** Returns the same options with another address of the platform. */
+        public Options withPlatform(InetSocketAddress address) {
+            return new Options(policies, speedsDeclared, address);
         }
     }
 
@@ -86,7 +95,7 @@
 
     /** Starts a deployment with options and waits until the platform knows all of it. */
     public static TestBed start(Shape shape, Options options) {
-        StandInPlatform platform = StandInPlatform.start(loopback());
+        StandInPlatform platform = StandInPlatform.start(options.platform());
         List<StandInTarget> targets = new ArrayList<>();
         List<EntryHost> entries = new ArrayList<>();
         List<String> records = new ArrayList<>();
@@ -104,18 +113,20 @@
                         domain,
                         Addresses.format(target.address()),
                         shape.slots(),
-                        64,
+                        CONNECTIONS,
                         options.speedsDeclared() ? speed : 1.0);
                 records.add(Json.write(ImmutableMap.of(
                         "schema", 1, "change", "change-" + id, "kind", "target", "name", id, "body", spec)));
             }
         }
         publish(platform, ImmutableList.copyOf(records));
+        ImmutableMap<String, String> changes = ImmutableMap.of(
+                "limits.target-connections", Integer.toString(CONNECTIONS / Math.max(1, shape.entriesPerDomain())));
         for (String domain : shape.domains()) {
             for (int i = 0; i < shape.entriesPerDomain(); i++) {
                 String id = domain + "-entry-" + i;
                 EntryHost entry = EntryHost.start(
-                        EntrySettings.local(id, domain, platform.address(), Map.of()),
+                        EntrySettings.local(id, domain, platform.address(), changes),
                         Incarnations.next(Clock.systemUTC()),
                         options.policies().get());
                 entries.add(entry);
