Count a target as stalled only when this host's own part of it is stuck

Cause: a target counted as full when other hosts' reported load took its slots, so a single task of several seconds whose declared time was too short made it a stalled target. Working targets were ejected all the time. Change: a stall needs the host's whole part taken by overdue tasks, and a lone task gets ten times the time. The new test in EjectionTest failed before.

--- a/src/main/java/org/mustardlink/core/TargetRow.java
+++ b/src/main/java/org/mustardlink/core/TargetRow.java
@@ -35,6 +35,9 @@
     /** Factor on the expected run time before a task counts as stuck; declared times are wrong by up to 4x. */
     private static final int STUCK_FACTOR = 4;
 
+    /** The same factor for a task that runs alone; 3% of tasks last ten times the usual time. */
+    private static final int LONE_STUCK_FACTOR = 40;
+
     /** Age up to which a load report opens slots beyond the own part, in nanoseconds. */
     private static final long BORROW_NANOS = 20_000_000;
 
@@ -234,14 +237,20 @@
         return new TargetHealth(suspicion, probesLeft > 0, ejections, ejectedShare);
     }
 
-    /** Returns whether every slot is taken by a task that should have ended long ago. */
+    /**
+     * Returns whether this host's whole part is taken by tasks that should have ended long ago.
+     *
+     * <p>Slots that other hosts fill say nothing about this host's tasks, and a single overdue task is more likely one
+     * of the few that last several seconds than a stall, so it gets more time.
+     */
     boolean isStalled(long now) {
-        if (running.isEmpty() || freeSlots() > 0) {
+        if (running.isEmpty() || running.size() < Math.min(share(), connections)) {
             return false;
         }
+        int factor = running.size() == 1 ? LONE_STUCK_FACTOR : STUCK_FACTOR;
         for (AttemptTable.AttemptRow attempt : running) {
             long age = now - attempt.startedNanos();
-            if (age < STUCK_FACTOR * attempt.expectedNanos() + STUCK_NANOS) {
+            if (age < factor * attempt.expectedNanos() + STUCK_NANOS) {
                 return false;
             }
         }
--- a/src/test/java/org/mustardlink/core/EjectionTest.java
+++ b/src/test/java/org/mustardlink/core/EjectionTest.java
@@ -81,6 +81,18 @@
         assertThat(targets.starts()).isLessThan(200 * 8 + 200);
     }
 
+    /** Guards against the ejection of a working target because one long task runs while other hosts fill its slots. */
+    @Test
+    void one_long_task_on_a_target_that_others_fill_is_no_stall() {
+        TargetRow target = new TargetRow(new TargetSpec("t0", "yard", "balanza", "127.0.0.1:1", 8, 64, 1.0));
+        target.share(3, 1, 21);
+        target.attemptStarted(new AttemptTable.AttemptRow(
+                null, 1, target, 0, Duration.ofMillis(50).toNanos()));
+        target.report(new LoadReport(8, 8), 0);
+
+        assertThat(target.isStalled(Duration.ofSeconds(3).toNanos())).isFalse();
+    }
+
     /** Submits one job of 8 tasks of 50 to 126 ms every 50 ms. */
     private void load(int jobs) {
         for (int i = 0; i < jobs; i++) {
