Put teams' quotas and weights in force

Cause: configuration declared teams, and the core knew quotas, but nothing passed one to the other: every team had weight 1 and no limit. Change: each entry host gets the quota divided by the listed entry hosts, rounded up, whenever configuration or the list changes. Conclusion: quotas follow the number of hosts within one reading of the platform's list.

--- a/src/main/java/org/mustardlink/entry/HostConfig.java
+++ b/src/main/java/org/mustardlink/entry/HostConfig.java
@@ -49,6 +49,7 @@
 
     private final EntrySettings settings;
     private final DrainWatch drains;
+    private final TeamQuotas quotas;
     private final ConfigReplica replica;
     private final ConfigPeerClient client = ConfigPeerClient.start();
     private final ScheduledExecutorService timer;
@@ -68,7 +69,11 @@
         this.settings = settings;
         this.own = settings.peer();
         this.drains = new DrainWatch(clock, core, target -> closeLater(target, drained));
-        this.replica = new ConfigReplica(Schemas.SUPPORTED, drains::configured);
+        this.quotas = new TeamQuotas(core);
+        this.replica = new ConfigReplica(Schemas.SUPPORTED, view -> {
+            drains.configured(view);
+            quotas.configured(view);
+        });
         this.timer = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "drains");
             thread.setDaemon(true);
@@ -106,6 +111,7 @@
     /** Notes the result of reading the platform's list of hosts; empty if it could not be read. */
     void listed(Optional<HostListing> listing) {
         listing.ifPresent(drains::listed);
+        listing.ifPresent(quotas::listed);
         Map<InetSocketAddress, Peer> found = new LinkedHashMap<>();
         settings.peers().forEach(seed -> found.put(seed, new Peer(Addresses.format(seed), "", seed)));
         listing.ifPresent(list -> list.hosts().stream()
