End a stall ejection with the target's next answer

Cause: a target counted as stalled when every slot of this host's part held an overdue task. A part has two or three slots, so a few long tasks kept a working target out for 5 to 40 s and then on probation.

Change: the next completed task lifts an ejection for a stall. A stalled target has no free slot, so the ejection itself costs nothing meanwhile.

Measured: EjectionTest under a fake clock.

--- a/src/main/java/org/mustardlink/core/HealthSystem.java
+++ b/src/main/java/org/mustardlink/core/HealthSystem.java
@@ -90,7 +90,7 @@
         checkedNanos = now;
         for (TargetRow target : tables.targets().all()) {
             if (!target.isEjected(now) && target.isStalled(now)) {
-                target.suspect();
+                target.stalled();
                 consider(tables, target, now);
             }
         }
--- a/src/main/java/org/mustardlink/core/TargetRow.java
+++ b/src/main/java/org/mustardlink/core/TargetRow.java
@@ -42,6 +42,7 @@
     private static final int SLOTS_LEFT = 1;
 
     private double suspicion;
+    private boolean stalled;
     private int ejections;
     private int probesLeft;
     private int refusals;
@@ -181,7 +182,9 @@
         suspicion = Math.max(0, suspicion - 1);
     }
 
-    void suspect() {
+    /** Marks the target as stalled: enough for an ejection, which ends with its next answer. */
+    void stalled() {
+        stalled = true;
         suspicion = Math.max(suspicion, STALL_SUSPICION);
     }
 
@@ -189,6 +192,14 @@
         refusals = 0;
         blockedUntilNanos = Long.MIN_VALUE;
         suspicion = Math.max(0, suspicion - 0.5);
+        if (stalled) {
+            // Long tasks on every slot look like a stall; the answer shows that the target works.
+            stalled = false;
+            suspicion = 0;
+            probesLeft = 0;
+            ejectedUntilNanos = Long.MIN_VALUE;
+            ejections = Math.max(0, ejections - 1);
+        }
         if (probesLeft > 0 && !isEjected(now)) {
             probesLeft--;
             suspicion = 0;
--- a/src/test/java/org/mustardlink/core/EjectionTest.java
+++ b/src/test/java/org/mustardlink/core/EjectionTest.java
@@ -70,6 +70,24 @@
         }
     }
 
+    /** Guards against long tasks on every slot that keep a working target out as if it stalled. */
+    @Test
+    void a_target_that_answers_late_is_used_again_at_once() {
+        load(50);
+        // One task more than there are slots, because a core without queued tasks does not look for stalled targets.
+        for (int i = 0; i < 25; i++) {
+            targets.submit("clerks", "check", DEADLINE, 100, 5000);
+        }
+        targets.runFor(Duration.ofSeconds(4));
+        assertThat(targets.target("t0").ejected()).isTrue();
+        targets.runFor(Duration.ofSeconds(8));
+
+        for (int target = 0; target < 6; target++) {
+            assertThat(targets.target("t" + target).ejected()).isFalse();
+            assertThat(targets.target("t" + target).probing()).isFalse();
+        }
+    }
+
     /** Guards against refusals that multiply the load on targets which are already full. */
     @Test
     void retries_stay_within_their_budget() {
