--- a/src/main/java/org/mustardlink/core/HealthSystem.java
+++ b/src/main/java/org/mustardlink/core/HealthSystem.java
@@ -57,7 +57,7 @@
             return true;
         }
         if (known.only().isPresent() && known.only().get() != attempt.target()) {
-            known.only().get().forgive();
+            known.only().get().withdrawFailure();
             failedJobs.put(job, new FailedJob(Optional.empty()));
         }
         return false;
--- a/src/main/java/org/mustardlink/core/TargetRow.java
+++ b/src/main/java/org/mustardlink/core/TargetRow.java
@@ -181,7 +181,7 @@
     }
 
     /** Takes back a failure that turned out to be the job's fault. */
-    void forgive() {
+    void withdrawFailure() {
         suspicion = Math.max(0, suspicion - 1);
     }
 
--- a/src/main/java/org/mustardlink/core/TargetTable.java
+++ b/src/main/java/org/mustardlink/core/TargetTable.java
@@ -67,12 +67,12 @@
 
     /** Opens the targets of other domains while the own domain has no target that takes new work. */
     private void allowSpill(String service) {
-        boolean deserted = true;
+        boolean noneAlive = true;
         for (TargetRow row : of(service)) {
-            deserted &= !(row.isOwn() && row.isAlive());
+            noneAlive &= !(row.isOwn() && row.isAlive());
         }
         for (TargetRow row : of(service)) {
-            row.spill(deserted);
+            row.spill(noneAlive);
         }
     }
 
--- a/src/main/java/org/mustardlink/entry/EntryHost.java
+++ b/src/main/java/org/mustardlink/entry/EntryHost.java
@@ -282,7 +282,7 @@
         }
         // An earlier process cannot say anything about a later one, so the order of incarnations matters.
         boolean earlier = session.host().equals(settings.id()) && session.incarnation() < incarnation;
-        return earlier ? Relation.LATER_INCARNATION : Relation.STRANGER;
+        return earlier ? Relation.LATER_INCARNATION : Relation.NOT_OWNER;
     }
 
     @Override
--- a/src/main/java/org/mustardlink/peer/OwnerBackend.java
+++ b/src/main/java/org/mustardlink/peer/OwnerBackend.java
@@ -20,7 +20,7 @@
         /** It is a later incarnation of the owner's host, so the owner is gone. */
         LATER_INCARNATION,
         /** It cannot tell anything about the owner. */
-        STRANGER
+        NOT_OWNER
     }
 
     /** Returns how this process stands to a session. */
--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -168,7 +168,7 @@
                 SubmissionId id = SubmissionId.parse(submission);
                 switch (backend.relationTo(id.session())) {
                     case LATER_INCARNATION -> callback.onComplete(new PeerAnswer(AnswerKind.OTHER_INCARNATION));
-                    case STRANGER -> callback.onComplete(new PeerAnswer(AnswerKind.NOT_OWNER));
+                    case NOT_OWNER -> callback.onComplete(new PeerAnswer(AnswerKind.NOT_OWNER));
                     case ANSWERS -> {
                         CompletableFuture<JobAnswer> _answered =
                                 call.apply(id).whenComplete((answer, failure) -> complete(callback, answer, failure));
