--- a/src/main/java/org/mustardlink/standin/StandInPlatform.java
+++ b/src/main/java/org/mustardlink/standin/StandInPlatform.java
@@ -21,11 +21,11 @@
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.Request;
 import org.glassfish.grizzly.http.server.Response;
+import org.mustardlink.directory.HostListing;
+import org.mustardlink.directory.PlatformClient;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.http.HttpServers;
 import org.mustardlink.http.Json;
-import org.mustardlink.platform.HostListing;
-import org.mustardlink.platform.PlatformClient;
 
 /**
  * A stand-in for the platform: an in-memory log with offsets and a list of hosts, over HTTP.
--- a/src/main/java/org/mustardlink/standin/TestBed.java
+++ b/src/main/java/org/mustardlink/standin/TestBed.java
@@ -19,13 +19,13 @@
 import org.mustardlink.core.PlacementPolicy;
 import org.mustardlink.core.TargetSpec;
 import org.mustardlink.core.policy.ExpectedFinish;
+import org.mustardlink.directory.HostListing;
+import org.mustardlink.directory.PlatformClient;
 import org.mustardlink.entry.EntryHost;
 import org.mustardlink.entry.Incarnations;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.http.Json;
-import org.mustardlink.platform.HostListing;
-import org.mustardlink.platform.PlatformClient;
 
 /** A whole deployment inside one process: a stand-in platform, stand-in targets and entry hosts in failure domains. */
 public final class TestBed implements AutoCloseable {
--- a/src/test/java/org/mustardlink/config/replica/FakeLog.java
+++ b/src/test/java/org/mustardlink/config/replica/FakeLog.java
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.mustardlink.directory.LogPage;
+import org.mustardlink.directory.LogService;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
-import org.mustardlink.platform.LogPage;
-import org.mustardlink.platform.LogService;
 
 /** A log in memory that answers at once and never waits for records. */
 final class FakeLog implements LogService {
--- a/src/test/java/org/mustardlink/entry/DrainWatchTest.java
+++ b/src/test/java/org/mustardlink/entry/DrainWatchTest.java
@@ -15,7 +15,7 @@
 import org.mustardlink.config.records.ConfigView;
 import org.mustardlink.config.records.Schemas;
 import org.mustardlink.core.Event;
-import org.mustardlink.platform.HostListing;
+import org.mustardlink.directory.HostListing;
 
 class DrainWatchTest {
     private static final String TARGET = """
--- a/src/test/java/org/mustardlink/entry/TeamQuotasTest.java
+++ b/src/test/java/org/mustardlink/entry/TeamQuotasTest.java
@@ -12,7 +12,7 @@
 import org.mustardlink.config.records.Schemas;
 import org.mustardlink.core.Event;
 import org.mustardlink.core.TeamSpec;
-import org.mustardlink.platform.HostListing;
+import org.mustardlink.directory.HostListing;
 
 class TeamQuotasTest {
     private static final String TEAM = """
--- a/src/test/java/org/mustardlink/faults/FaultBed.java
+++ b/src/test/java/org/mustardlink/faults/FaultBed.java
@@ -14,13 +14,13 @@
 import org.mustardlink.config.replica.ConfigReader;
 import org.mustardlink.config.settings.EntrySettings;
 import org.mustardlink.core.TargetSpec;
+import org.mustardlink.directory.HostListing;
+import org.mustardlink.directory.PlatformClient;
 import org.mustardlink.entry.EntryHost;
 import org.mustardlink.entry.Incarnations;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.http.Json;
-import org.mustardlink.platform.HostListing;
-import org.mustardlink.platform.PlatformClient;
 import org.mustardlink.standin.StandInPlatform;
 import org.mustardlink.standin.StandInTarget;
 
