--- a/src/main/java/org/mustardlink/pool/PoolJob.java
+++ b/src/main/java/org/mustardlink/pool/PoolJob.java
@@ -8,6 +8,8 @@
 final class PoolJob {
     /** An answer later than this many objectives is worth nothing to the caller. */
     private static final int WORTHLESS_AFTER_OBJECTIVES = 3;
+    /** Share of the expected time that a job may still need when it is given up: declared times are off by half. */
+    private static final double OPTIMISM = 0.5;
 
     private final JobOrder order;
     private final long sequence;
@@ -38,7 +40,8 @@
         objectiveNanos = now + objective;
         long expected = (long) (chain * slowness);
         latestStartNanos = objectiveNanos - expected;
-        lastStartNanos = Math.min(now + WORTHLESS_AFTER_OBJECTIVES * objective, deadlineNanos) - expected;
+        lastStartNanos =
+                Math.min(now + WORTHLESS_AFTER_OBJECTIVES * objective, deadlineNanos) - (long) (OPTIMISM * expected);
         work = order.work() * slowness;
         ImmutableList.Builder<PoolTask> builder = ImmutableList.builder();
         for (int step = 0; step < order.steps().size(); step++) {
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -177,12 +177,11 @@
         tables.target(targetId).ifPresent(PoolTarget::raiseFence);
     }
 
-    /** Runs every system once: ends what is too late, then starts what has room, then asks for reports. */
+    /** Runs every system once: starts what has room, then ends what is too late, then asks for reports. */
     public void tick(long now) {
         if (released) {
             return;
         }
-        jobs.expire(now).forEach(job -> runs.stopAll(job, now));
         runs.tick(now);
         for (PoolJob job : new ArrayList<>(tables.jobs())) {
             if (job.order().resumed() && job.allDone()) {
@@ -191,6 +190,7 @@
         }
         boolean allTaken = tables.targets().stream().allMatch(PoolTarget::taken);
         placement.tick(now, allTaken || now > resumeNanos);
+        jobs.expire(now).forEach(job -> runs.stopAll(job, now));
         leases.tick(now);
     }
 
