--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -41,6 +41,7 @@
         private final long deadlineNanos;
         private Optional<PoolId> pool = Optional.empty();
         private Optional<Claim> master = Optional.empty();
+        private Optional<Claim> deniedBy = Optional.empty();
         private boolean bound;
 
         private OpenRequest(JobOrder order, String service, long now) {
@@ -89,7 +90,7 @@
     private void dispatch(OpenRequest request, long now) {
         Optional<PoolId> pool = request.bound ? request.pool : choose(request.service, now);
         Optional<Claim> master = pool.flatMap(known -> directory.master(known, now));
-        if (master.isEmpty()) {
+        if (master.isEmpty() || master.equals(request.deniedBy)) {
             request.master = Optional.empty();
             return;
         }
@@ -130,6 +131,8 @@
         } else if (result instanceof JobResult.Abandoned abandoned) {
             end(request, Answer.of(Answer.Kind.TIMED_OUT, abandoned.why()));
         } else if (result instanceof JobResult.Moved) {
+            // The next claim, or the next life of this one's host, goes on with the job.
+            request.deniedBy = request.master.or(() -> request.deniedBy);
             request.master = Optional.empty();
             dispatch(request, now);
         } else if (result instanceof JobResult.Redirected redirected) {
@@ -211,7 +214,7 @@
         Optional<Claim> current = directory.master(request.pool.orElseThrow(), now);
         if (current.isEmpty()) {
             request.master = Optional.empty();
-        } else if (!current.equals(request.master)) {
+        } else if (!current.equals(request.master) && !current.equals(request.deniedBy)) {
             send(request, request.pool.get(), current.get(), now);
         }
     }
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -253,7 +253,9 @@
                     .with(LogField.REASON, result)
                     .with(LogField.ELAPSED_MS, arrived == null ? -1 : (System.nanoTime() - arrived) / 1_000_000)
                     .write();
-            if (!(result instanceof JobResult.Moved)) {
+            // After a redirection another pool of this host may get the same request.
+            boolean isFinal = !(result instanceof JobResult.Moved) && !(result instanceof JobResult.Redirected);
+            if (isFinal) {
                 recent.put(request, result);
             }
             results.finished(request, result);
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -28,6 +28,8 @@
     public static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /** After its start a host waits this long for others to be heard of, so that the first claim is the lasting one. */
     private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
+    /** The same for a pool whose master is known to be gone; a heartbeat of a live claimant arrives within it. */
+    private static final long SHORT_SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
     /** A write of a claim without an answer counts as failed after this long; the store usually answers within 10 ms. */
     private static final long CLAIM_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     /** A host of the pool's own domain is up this long before it takes the pool back. */
@@ -37,6 +39,8 @@
     private static final long ALONE_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** Pause between probes of a pool in another domain, and how long an answer counts. */
     private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
+    /** Another domain's pool answers for this long before it is claimed: after a cut its own hosts are heard within it. */
+    private static final long REACHABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     /** Time for a superseding claim to be heard of after a target has refused our token. */
     private static final long FENCED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -51,6 +55,7 @@
     private final Map<PoolId, Long> probedNanos = new HashMap<>();
     private final Map<PoolId, Long> reachedNanos = new HashMap<>();
     private final Map<PoolId, Long> fencedSince = new HashMap<>();
+    private final Map<PoolId, Long> reachableSince = new HashMap<>();
     private long lastCompanyNanos;
     private ImmutableSet<PoolId> pools = ImmutableSet.of();
     private boolean stopping;
@@ -185,7 +190,9 @@
 
     private void acquire(Claim claim) {
         Claim known = claims.get(claim.pool());
-        if (stopping || (known != null && !claim.supersedes(known))) {
+        // The claim may have been read back from the log before its write is answered.
+        boolean stillHighest = known == null || known.equals(claim) || claim.supersedes(known);
+        if (stopping || !stillHighest) {
             return;
         }
         claims.put(claim.pool(), claim);
@@ -248,7 +255,7 @@
 
     /** Claims the pools that this host should be the master of. */
     public void tick(long now) {
-        if (stopping || now - startedNanos < SETTLING_NANOS) {
+        if (stopping || now - startedNanos < SHORT_SETTLING_NANOS) {
             return;
         }
         if (peers.values().stream().anyMatch(peer -> peer.alive(now))) {
@@ -262,6 +269,9 @@
                 }
                 continue;
             }
+            if (!settled(pool, now)) {
+                continue;
+            }
             boolean fencedOut = now - fencedSince.getOrDefault(pool, now) > FENCED_NANOS;
             if (fencedOut || (!owned.contains(pool) && shouldClaim(pool, now) && reachable(pool, now))) {
                 fencedSince.remove(pool);
@@ -280,13 +290,38 @@
         }
     }
 
+    /**
+     * Returns whether enough is known of other hosts to claim a pool. Shortly after this host's start a live master may
+     * not have been heard of yet; a master whose host has started again since is known to be gone.
+     */
+    private boolean settled(PoolId pool, long now) {
+        if (now - startedNanos >= SETTLING_NANOS) {
+            return true;
+        }
+        Claim claim = claims.get(pool);
+        if (claim == null) {
+            return false;
+        }
+        Peer holder = peers.get(claim.host());
+        boolean holderGone =
+                claim.host().equals(self.id()) || (holder != null && holder.info.incarnation() != claim.incarnation());
+        return holderGone && isFirstOfAll(pool);
+    }
+
+    private boolean isFirstOfAll(PoolId pool) {
+        Comparator<HostInfo> order = order(pool);
+        return peers.values().stream().allMatch(peer -> order.compare(self, peer.info) < 0);
+    }
+
     /** Returns whether a pool's targets answer; those of this host's own domain are taken to do so. */
     private boolean reachable(PoolId pool, long now) {
         if (pool.domain().equals(self.domain())) {
             return true;
         }
         Long reached = reachedNanos.get(pool);
-        if (reached != null && now - reached < 2 * PROBE_NANOS) {
+        if (reached == null || now - reached >= 2 * PROBE_NANOS) {
+            reachableSince.remove(pool);
+        } else if (now - reachableSince.computeIfAbsent(pool, _pool -> now) > REACHABLE_NANOS) {
             return true;
         }
         Long probed = probedNanos.get(pool);
--- /dev/null
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -0,0 +1,214 @@
+package org.mustardlink.front;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.mustardlink.ownership.Claim;
+import org.mustardlink.pool.Capacity;
+import org.mustardlink.pool.JobOrder;
+import org.mustardlink.pool.JobResult;
+import org.mustardlink.pool.PoolId;
+import org.mustardlink.pool.PoolLoad;
+import org.mustardlink.pool.RequestId;
+import org.mustardlink.pool.StepSpec;
+
+/** Tests how requests follow the masters of their pools. */
+final class FrontTest {
+    private static final PoolId EAST = new PoolId("yard", "east");
+    private static final PoolId WEST = new PoolId("yard", "west");
+    private static final Claim EAST_MASTER = new Claim(EAST, "east-1", 1, 1);
+    private static final Claim EAST_NEXT = new Claim(EAST, "east-2", 2, 2);
+    private static final Claim WEST_MASTER = new Claim(WEST, "west-1", 3, 1);
+
+    private final Map<PoolId, Claim> masters = new HashMap<>();
+    private final List<Sent> sent = new ArrayList<>();
+    private final List<Claim> withdrawn = new ArrayList<>();
+    private final Map<Long, Answer> answers = new HashMap<>();
+    private final Front front = new Front("east", new Directory(), new Recorder());
+
+    private record Sent(Claim master, JobOrder order) {}
+
+    private final class Directory implements PoolDirectory {
+        @Override
+        public ImmutableList<PoolId> pools(String _service) {
+            return ImmutableList.of(EAST, WEST);
+        }
+
+        @Override
+        public Optional<Claim> master(PoolId pool, long _now) {
+            return Optional.ofNullable(masters.get(pool));
+        }
+
+        @Override
+        public PoolLoad load(PoolId _pool) {
+            return PoolLoad.NONE;
+        }
+    }
+
+    private final class Recorder implements FrontActions {
+        @Override
+        public void submit(Claim master, JobOrder order) {
+            sent.add(new Sent(master, order));
+        }
+
+        @Override
+        public void withdraw(Claim master, RequestId _request, String _job) {
+            withdrawn.add(master);
+        }
+
+        @Override
+        public void answer(long request, Answer answer) {
+            answers.put(request, answer);
+        }
+    }
+
+    private static long ms(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private void submit(long number, long now) {
+        StepSpec step = new StepSpec(
+                1,
+                new Capacity(1_000, 0, 0),
+                Duration.ofMillis(100),
+                ImmutableList.of(),
+                Optional.empty(),
+                Integer.MAX_VALUE);
+        JobOrder order = new JobOrder(
+                new RequestId("east-1", 1, number),
+                "job-" + number,
+                "queue",
+                "",
+                ImmutableList.of(step),
+                3,
+                Duration.ofMillis(60),
+                1.6,
+                Duration.ofMillis(1_500),
+                false,
+                true);
+        front.submit(order, "yard", now);
+    }
+
+    @Test
+    void a_job_goes_to_the_pool_of_its_own_domain() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+
+        submit(1, 0);
+
+        assertThat(sent.get(0).master()).isEqualTo(EAST_MASTER);
+        assertThat(sent.get(0).order().mayMove()).isTrue();
+    }
+
+    @Test
+    void a_job_goes_to_another_domain_while_its_own_has_no_master() {
+        masters.put(WEST, WEST_MASTER);
+
+        submit(1, 0);
+
+        assertThat(sent.get(0).master()).isEqualTo(WEST_MASTER);
+    }
+
+    /** Guards against a second run beside a first one: only the next master of the pool knows what runs. */
+    @Test
+    void a_job_whose_master_is_lost_waits_for_the_next_master_of_the_same_pool() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        submit(1, 0);
+
+        masters.remove(EAST);
+        front.tick(ms(100));
+        assertThat(sent).hasSize(1);
+        masters.put(EAST, EAST_NEXT);
+        front.tick(ms(200));
+
+        assertThat(sent.get(1).master()).isEqualTo(EAST_NEXT);
+        assertThat(sent.get(1).order().resumed()).isTrue();
+        assertThat(sent.get(1).order().remaining()).isEqualTo(Duration.ofMillis(1_300));
+    }
+
+    /** Guards against a storm of messages between a front and a host that isn't the master any more. */
+    @Test
+    void a_host_that_denies_to_be_the_master_is_not_asked_again_under_the_same_claim() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+
+        for (int i = 0; i < 10; i++) {
+            front.answered(1, new JobResult.Moved(), ms(i));
+            front.tick(ms(i));
+        }
+        assertThat(sent).hasSize(1);
+        masters.put(EAST, EAST_NEXT);
+        front.tick(ms(50));
+
+        assertThat(sent).hasSize(2);
+    }
+
+    @Test
+    void a_redirected_job_goes_to_the_other_pool_and_may_not_move_again() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        submit(1, 0);
+
+        front.answered(1, new JobResult.Redirected(WEST), ms(1));
+
+        assertThat(sent.get(1).master()).isEqualTo(WEST_MASTER);
+        assertThat(sent.get(1).order().mayMove()).isFalse();
+        assertThat(sent.get(1).order().resumed()).isFalse();
+    }
+
+    @Test
+    void a_request_without_any_master_is_refused_soon_as_not_run() {
+        submit(1, 0);
+
+        front.tick(ms(100));
+        assertThat(answers).isEmpty();
+        front.tick(ms(300));
+
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
+        assertThat(answers.get(1L).retryAfter()).isPresent();
+    }
+
+    /** Guards against a false "not run": the lost master may have started tasks. */
+    @Test
+    void a_request_whose_master_stays_lost_is_never_called_not_run() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+        masters.remove(EAST);
+
+        front.tick(ms(1_490));
+
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.TIMED_OUT);
+    }
+
+    @Test
+    void a_caller_that_leaves_withdraws_its_job() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+
+        front.callerGone(1, ms(10));
+
+        assertThat(withdrawn).containsExactly(EAST_MASTER);
+        assertThat(front.openRequests()).isEqualTo(0);
+        assertThat(answers).isEmpty();
+    }
+
+    @Test
+    void orders_are_repeated_when_the_link_to_the_master_is_replaced() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+
+        front.linkReplaced("west-1", ms(10));
+        front.linkReplaced("east-1", ms(20));
+
+        assertThat(sent).hasSize(2);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -0,0 +1,229 @@
+package org.mustardlink.ownership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.mustardlink.pool.PoolId;
+
+/** Tests which host claims a pool, and when it gives one up. */
+final class PoolOwnershipTest {
+    private static final PoolId EAST = new PoolId("yard", "east");
+    private static final PoolId WEST = new PoolId("yard", "west");
+    private static final HostInfo EAST_1 = new HostInfo("east-1", "east", 11, "127.0.0.1:1", 750);
+    private static final HostInfo EAST_2 = new HostInfo("east-2", "east", 12, "127.0.0.1:2", 500);
+    private static final HostInfo WEST_1 = new HostInfo("west-1", "west", 13, "127.0.0.1:3", 750);
+
+    private final Recorder recorder = new Recorder();
+
+    private static long ms(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private static final class Recorder implements OwnershipActions {
+        private final List<Claim> written = new ArrayList<>();
+        private final List<Claim> acquired = new ArrayList<>();
+        private final List<PoolId> released = new ArrayList<>();
+        private final List<PoolId> probed = new ArrayList<>();
+
+        @Override
+        public void writeClaim(Claim claim) {
+            written.add(claim);
+        }
+
+        @Override
+        public void probe(PoolId pool) {
+            probed.add(pool);
+        }
+
+        @Override
+        public void acquired(Claim claim) {
+            acquired.add(claim);
+        }
+
+        @Override
+        public void released(PoolId pool, String _why) {
+            released.add(pool);
+        }
+    }
+
+    private PoolOwnership ownership(HostInfo self, PoolId... pools) {
+        PoolOwnership ownership = new PoolOwnership(self, recorder, 0);
+        ownership.poolsListed(ImmutableSet.copyOf(pools));
+        return ownership;
+    }
+
+    private static void hear(PoolOwnership ownership, HostInfo host, long now) {
+        ownership.introduced(host, true, now);
+        ownership.heard(host.id(), host.incarnation(), false, now);
+    }
+
+    @Test
+    void the_host_with_more_processors_of_the_domain_claims_the_pool() {
+        PoolOwnership first = ownership(EAST_1, EAST);
+        hear(first, EAST_2, ms(1_250));
+        first.tick(ms(1_300));
+        assertThat(recorder.written).containsExactly(new Claim(EAST, "east-1", 11, 1));
+
+        recorder.written.clear();
+        PoolOwnership second = ownership(EAST_2, EAST);
+        hear(second, EAST_1, ms(1_250));
+        second.tick(ms(1_300));
+        assertThat(recorder.written).isEmpty();
+    }
+
+    /** Guards against a pool without a master: the long poll may bring the claim before the append is answered. */
+    @Test
+    void a_claim_that_is_read_back_before_its_write_is_answered_still_makes_this_host_the_master() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.tick(ms(1_300));
+        Claim claim = recorder.written.get(0);
+
+        ownership.claimed(claim);
+        ownership.claimAnswered(claim, PoolOwnership.ClaimOutcome.WRITTEN, ms(1_310));
+
+        assertThat(recorder.acquired).containsExactly(claim);
+        assertThat(ownership.owns(EAST)).isTrue();
+    }
+
+    @Test
+    void a_master_that_reads_a_higher_claim_gives_the_pool_up() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.tick(ms(1_300));
+        ownership.claimAnswered(recorder.written.get(0), PoolOwnership.ClaimOutcome.WRITTEN, ms(1_310));
+
+        ownership.claimed(new Claim(EAST, "east-2", 12, 2));
+
+        assertThat(recorder.released).containsExactly(EAST);
+        assertThat(ownership.owns(EAST)).isFalse();
+    }
+
+    @Test
+    void a_silent_master_is_replaced_and_a_heard_one_is_not() {
+        PoolOwnership ownership = ownership(EAST_2, EAST);
+        hear(ownership, EAST_1, ms(1_200));
+        ownership.claimed(new Claim(EAST, "east-1", 11, 4));
+
+        ownership.tick(ms(1_600));
+        assertThat(recorder.written).isEmpty();
+        ownership.tick(ms(1_800));
+        assertThat(recorder.written).containsExactly(new Claim(EAST, "east-2", 12, 5));
+    }
+
+    @Test
+    void a_refused_connection_ends_the_wait_for_a_silent_master() {
+        PoolOwnership ownership = ownership(EAST_2, EAST);
+        hear(ownership, EAST_1, ms(1_290));
+        ownership.claimed(new Claim(EAST, "east-1", 11, 4));
+        ownership.refused("east-1");
+
+        ownership.tick(ms(1_300));
+
+        assertThat(recorder.written).hasSize(1);
+    }
+
+    @Test
+    void a_stopping_master_is_replaced_at_its_next_heartbeat() {
+        PoolOwnership ownership = ownership(EAST_2, EAST);
+        hear(ownership, EAST_1, ms(1_290));
+        ownership.claimed(new Claim(EAST, "east-1", 11, 4));
+        ownership.heard("east-1", 11, true, ms(1_295));
+
+        ownership.tick(ms(1_300));
+
+        assertThat(recorder.written).hasSize(1);
+    }
+
+    /** Guards against a domain that is cut off losing its pool to hosts that can't reach its targets. */
+    @Test
+    void another_domains_pool_is_claimed_only_after_its_targets_have_answered_for_a_while() {
+        PoolOwnership ownership = ownership(WEST_1, EAST);
+        ownership.tick(ms(1_300));
+        assertThat(recorder.probed).containsExactly(EAST);
+        assertThat(recorder.written).isEmpty();
+
+        for (long at = 1_310; at <= 2_000; at += 50) {
+            ownership.reached(EAST, ms(at));
+            ownership.tick(ms(at));
+        }
+
+        assertThat(recorder.written).isNotEmpty();
+    }
+
+    @Test
+    void a_host_of_the_own_domain_takes_the_pool_back_from_another_domain() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        hear(ownership, WEST_1, ms(2_100));
+        ownership.claimed(new Claim(EAST, "west-1", 13, 3));
+
+        ownership.tick(ms(1_900));
+        assertThat(recorder.written).isEmpty();
+        ownership.tick(ms(2_200));
+        assertThat(recorder.written).containsExactly(new Claim(EAST, "east-1", 11, 4));
+    }
+
+    /** Guards against a host that is cut off from everything but the targets: it must not fence a live master out. */
+    @Test
+    void a_host_that_hears_nobody_does_not_claim_without_the_store_at_once() {
+        PoolOwnership ownership = ownership(EAST_2, EAST);
+        hear(ownership, EAST_1, ms(1_000));
+        ownership.claimed(new Claim(EAST, "east-1", 11, 4));
+        ownership.tick(ms(1_400));
+        ownership.tick(ms(1_600));
+        Claim claim = recorder.written.get(0);
+
+        ownership.claimAnswered(claim, PoolOwnership.ClaimOutcome.NO_ANSWER, ms(1_700));
+
+        assertThat(recorder.acquired).isEmpty();
+    }
+
+    @Test
+    void a_host_in_company_claims_without_the_store() {
+        PoolOwnership ownership = ownership(EAST_2, EAST);
+        hear(ownership, WEST_1, ms(1_290));
+        ownership.tick(ms(1_300));
+
+        ownership.claimAnswered(recorder.written.get(0), PoolOwnership.ClaimOutcome.NO_ANSWER, ms(1_500));
+
+        assertThat(ownership.owns(EAST)).isTrue();
+    }
+
+    /** Guards against seconds without a master after a restart of every host. */
+    @Test
+    void after_a_restart_of_all_the_first_host_claims_without_waiting_for_the_others() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.introduced(new HostInfo("east-2", "east", 99, "127.0.0.1:2", 500), false, ms(10));
+        ownership.claimed(new Claim(EAST, "east-2", 12, 4));
+
+        ownership.tick(ms(200));
+
+        assertThat(recorder.written).containsExactly(new Claim(EAST, "east-1", 11, 5));
+    }
+
+    @Test
+    void a_fenced_master_claims_anew_when_no_other_claim_turns_up() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.tick(ms(1_300));
+        ownership.claimAnswered(recorder.written.get(0), PoolOwnership.ClaimOutcome.WRITTEN, ms(1_310));
+
+        ownership.fenced(EAST, ms(1_400));
+        ownership.tick(ms(1_500));
+        assertThat(recorder.written).hasSize(1);
+        ownership.tick(ms(1_800));
+
+        assertThat(recorder.written.get(1)).isEqualTo(new Claim(EAST, "east-1", 11, 2));
+    }
+
+    @Test
+    void a_host_that_starts_again_with_an_earlier_clock_is_accepted_once_its_earlier_life_is_silent() {
+        PoolOwnership ownership = ownership(EAST_1, EAST, WEST);
+        hear(ownership, EAST_2, ms(1_000));
+        HostInfo earlierClock = new HostInfo("east-2", "east", 5, "127.0.0.1:2", 500);
+
+        assertThat(ownership.introduced(earlierClock, true, ms(1_100))).isFalse();
+        assertThat(ownership.introduced(earlierClock, true, ms(1_600))).isTrue();
+    }
+}
