--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -25,6 +25,7 @@
             new DemoCommand(),
             new EntryCommand(),
             new HostCommand(),
+            new ExerciseCommand(),
             new SubmitCommand(),
             new JobCommand(),
             new CancelCommand(),
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -61,7 +61,7 @@
  * <p>Thread-safe. It keeps nothing beyond the process: configuration, hosts, targets and claims are read from the store,
  * and what runs is learned from the targets.
  */
-public final class DispatchHost implements CallerRequests {
+public final class DispatchHost implements CallerRequests, AutoCloseable {
     /** Interval of timers while requests are open. */
     private static final long BUSY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Interval of timers while none is. */
@@ -104,6 +104,7 @@
     private volatile Optional<RoutingTable> routes = Optional.empty();
     private volatile boolean anyMaster;
     private volatile boolean stopping;
+    private volatile boolean ownsAny;
     private volatile int openRequests;
 
     /** What is kept of a request beside the front. */
@@ -225,11 +226,25 @@
             Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
         }
         log.line(LogEvent.HOST_STOPPED).with(LogField.OPEN_JOBS, openRequests).write();
+        close();
+    }
+
+    /** Ends at once, as a crash does: open requests lose their connections and nothing is handed over. */
+    @Override
+    public void close() {
         endpoint.close();
         metricsServer.shutdownNow();
         following.close();
         loop.close();
         links.close();
+        timer.shutdownNow();
+        targetRequester.close();
+        storeRequester.close();
+    }
+
+    /** Returns whether this host is the master of any pool. */
+    public boolean ownsAnyPool() {
+        return ownsAny;
     }
 
     /** Reads changed settings: only logs may change while the process runs. */
@@ -269,6 +284,7 @@
             return over;
         });
         openRequests = front.openRequests();
+        ownsAny = !ownership.ownClaims().isEmpty();
         anyMaster = ownership.pools().stream()
                 .anyMatch(pool -> ownership.master(pool, now).isPresent());
     }
--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -54,6 +54,7 @@
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("mustardlink.exchange");
     private static final Attribute<Long> UNUSED_SINCE =
             Grizzly.DEFAULT_ATTRIBUTE_BUILDER.createAttribute("mustardlink.unused-since");
+    private static final String HOST_HEADER = "Host";
     private static final int MAX_ANSWER_BYTES = 32 << 20;
     /** Connections from the pool that may turn out to be closed or stale before a call counts as not sent. */
     private static final int MAX_TAKES = 64;
@@ -244,13 +245,18 @@
 
     private static HttpContent toContent(InetSocketAddress address, HttpCall call) {
         byte[] body = call.body().getBytes(call.charset());
+        String ownHost = address.getAddress().getHostAddress() + ':' + address.getPort();
         HttpRequestPacket.Builder request = HttpRequestPacket.builder()
                 .method(call.method())
                 .uri(call.path())
                 .protocol(Protocol.HTTP_1_1)
-                .host(address.getAddress().getHostAddress() + ':' + address.getPort())
+                .host(call.headers().getOrDefault(HOST_HEADER, ownHost))
                 .contentLength(body.length);
-        call.headers().forEach(request::header);
+        call.headers().forEach((name, value) -> {
+            if (!name.equals(HOST_HEADER)) {
+                request.header(name, value);
+            }
+        });
         return request.build()
                 .httpContentBuilder()
                 .content(Buffers.wrap(null, body))
--- /dev/null
+++ b/src/main/java/org/mustardlink/platform/standin/StandInDeployment.java
@@ -0,0 +1,179 @@
+package org.mustardlink.platform.standin;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.mustardlink.config.settings.HostSettings;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.host.DispatchHost;
+import org.mustardlink.http.HttpCall;
+import org.mustardlink.http.HttpReply;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.http.Json;
+
+/** A whole deployment in one process on loopback: a store, targets, and dispatch hosts. */
+public final class StandInDeployment implements AutoCloseable {
+    /** The one service. */
+    public static final String SERVICE = "yard";
+
+    private static final String VIRTUAL_HOST = "jobs.example";
+    private static final Duration LEASE = Duration.ofSeconds(1);
+    private static final Duration GRACE = Duration.ofSeconds(2);
+    private static final String TARGETS_TOPIC = "keyed.servers";
+
+    private final StandInStore store;
+    private final List<StandInRunner> runners = new ArrayList<>();
+    private final Map<String, DispatchHost> hosts = new LinkedHashMap<>();
+    private final Map<String, InetSocketAddress> callerAddresses = new LinkedHashMap<>();
+    private final HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small());
+    private final AtomicLong incarnations = new AtomicLong(1);
+    private long configVersion;
+
+    private StandInDeployment() {
+        store = StandInStore.start(loopback());
+    }
+
+    /** Starts a deployment without targets and hosts, with a configuration of one queue. */
+    public static StandInDeployment start() {
+        StandInDeployment deployment = new StandInDeployment();
+        deployment.configure("/jobs/");
+        return deployment;
+    }
+
+    private static InetSocketAddress loopback() {
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+    }
+
+    private static InetSocketAddress freeAddress() {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "no free port", e);
+        }
+    }
+
+    /** Publishes a configuration in which the one queue has a path prefix. */
+    public void configure(String pathPrefix) {
+        configVersion++;
+        ImmutableMap<String, Object> route = ImmutableMap.<String, Object>builder()
+                .put("name", "queue")
+                .put("host", VIRTUAL_HOST)
+                .put("pathPrefix", pathPrefix)
+                .put("timeoutMs", 3_000)
+                .put("latencySloMs", 60)
+                .put("priority", 0)
+                .put("service", SERVICE)
+                .put("maxAttempts", 3)
+                .put("stretch", 1.6)
+                .buildOrThrow();
+        store.put(
+                "keyed.op",
+                "config",
+                Json.write(ImmutableMap.of(
+                        "version",
+                        configVersion,
+                        "routes",
+                        ImmutableList.of(route),
+                        "services",
+                        ImmutableList.of(ImmutableMap.of("name", SERVICE)),
+                        "limits",
+                        ImmutableMap.of("bodyBytes", 262_144))));
+    }
+
+    /** Starts a target and lists it. */
+    public StandInRunner addTarget(String id, String domain, int slots) {
+        StandInRunner runner = StandInRunner.start(id, slots, loopback());
+        runners.add(runner);
+        store.put(TARGETS_TOPIC, id, runner.entry(SERVICE, domain, "ready"));
+        return runner;
+    }
+
+    /** Lists a target as draining. */
+    public void drain(StandInRunner runner, String domain) {
+        store.put(TARGETS_TOPIC, runner.id(), runner.entry(SERVICE, domain, "draining"));
+    }
+
+    /** Starts a dispatch host. */
+    public DispatchHost addHost(String id, String domain) {
+        HostSettings settings = new HostSettings(
+                id,
+                domain,
+                1_000,
+                freeAddress(),
+                freeAddress(),
+                freeAddress(),
+                freeAddress(),
+                store.address(),
+                LEASE,
+                GRACE,
+                new HostSettings.Logs("INFO", "WARN", 200));
+        DispatchHost host = DispatchHost.start(settings, incarnations.incrementAndGet());
+        hosts.put(id, host);
+        callerAddresses.put(id, settings.callers());
+        return host;
+    }
+
+    /** Returns the store. */
+    public StandInStore store() {
+        return store;
+    }
+
+    /** Returns the targets. */
+    public ImmutableList<StandInRunner> targets() {
+        return ImmutableList.copyOf(runners);
+    }
+
+    /** Returns a host. */
+    public DispatchHost host(String id) {
+        return hosts.get(id);
+    }
+
+    /**
+     * Submits a job of equal tasks.
+     *
+     * @param host the host to send it to
+     * @param job 16 hexadecimal digits
+     * @param tasks number of tasks
+     * @param taskMs running time of a task
+     */
+    public CompletableFuture<HttpReply> submit(String host, String job, int tasks, int taskMs) {
+        String body = Json.write(ImmutableMap.of(
+                "spec",
+                Integer.toString(taskMs),
+                "bestEffort",
+                true,
+                "steps",
+                ImmutableList.of(ImmutableMap.of("count", tasks, "cpu", 1_000, "memMb", 1, "estMs", taskMs))));
+        return call(host, "POST", "/jobs/" + job, body);
+    }
+
+    /** Sends a request as a caller. */
+    public CompletableFuture<HttpReply> call(String host, String method, String path, String body) {
+        HttpCall call = new HttpCall(
+                method,
+                path,
+                ImmutableMap.of("Host", VIRTUAL_HOST, "Content-Type", "application/json"),
+                body,
+                Duration.ofSeconds(5));
+        return requester.send(callerAddresses.get(host), call);
+    }
+
+    @Override
+    public void close() {
+        hosts.values().forEach(DispatchHost::close);
+        runners.forEach(StandInRunner::close);
+        store.close();
+        requester.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/platform/standin/StandInStore.java
@@ -0,0 +1,249 @@
+package org.mustardlink.platform.standin;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.primitives.Ints;
+import com.google.common.primitives.Longs;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import org.glassfish.grizzly.http.server.HttpHandler;
+import org.glassfish.grizzly.http.server.HttpServer;
+import org.glassfish.grizzly.http.server.Request;
+import org.glassfish.grizzly.http.server.Response;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.HttpServers;
+import org.mustardlink.http.Json;
+
+/**
+ * A stand-in for the platform's store: keyed topics of one partition, in memory. Thread-safe.
+ *
+ * <p>{@link #setMode} makes it refuse every call, or store appends without answering them.
+ */
+public final class StandInStore implements AutoCloseable {
+    private static final int THREADS = 16;
+    private static final int OK = 200;
+    private static final int MAX_WAIT_MS = 30_000;
+
+    private final Map<String, Topic> topics = new HashMap<>();
+    private final HttpServer server;
+    private Mode mode = Mode.NORMAL;
+
+    /** Failure modes. */
+    public enum Mode {
+        /** Answers everything. */
+        NORMAL,
+        /** Answers every call with 503 and does nothing. */
+        DOWN,
+        /** Stores appends and answers them with 500, as if the answer had been lost. */
+        LOSES_ANSWERS
+    }
+
+    private static final class Stored {
+        private final String key;
+        private final byte[] value;
+
+        private Stored(String key, byte[] value) {
+            this.key = key;
+            this.value = value;
+        }
+    }
+
+    private static final class Topic {
+        private final List<Stored> records = new ArrayList<>();
+        private long first;
+
+        private long end() {
+            return first + records.size();
+        }
+    }
+
+    private StandInStore(InetSocketAddress address) {
+        server = HttpServers.start(address, THREADS, new HttpHandler() {
+            @Override
+            public void service(Request request, Response response) throws IOException {
+                handle(request, response);
+            }
+        });
+    }
+
+    /** Starts a store; port 0 takes a free one. */
+    public static StandInStore start(InetSocketAddress address) {
+        return new StandInStore(address);
+    }
+
+    /** Returns the address that it listens on. */
+    public InetSocketAddress address() {
+        return HttpServers.address(server);
+    }
+
+    /** Changes how calls are answered. */
+    public synchronized void setMode(Mode changed) {
+        mode = changed;
+    }
+
+    /** Writes a record as the operator or a target does; an empty value drops the key. */
+    public synchronized void put(String topic, String key, String value) {
+        append(topic(topic), key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** Drops the history of a topic; the newest record of each key stays readable. */
+    public synchronized void forgetHistory(String topic) {
+        Topic known = topic(topic);
+        Map<String, Stored> newest = newest(known);
+        long end = known.end();
+        known.records.clear();
+        known.first = end;
+        newest.values().forEach(record -> append(known, record.key, record.value));
+    }
+
+    private Topic topic(String name) {
+        return topics.computeIfAbsent(name, _name -> new Topic());
+    }
+
+    private void append(Topic topic, String key, byte[] value) {
+        topic.records.add(new Stored(key, value));
+        notifyAll();
+    }
+
+    private static Map<String, Stored> newest(Topic topic) {
+        Map<String, Stored> newest = new LinkedHashMap<>();
+        for (Stored record : topic.records) {
+            newest.remove(record.key);
+            if (record.value.length > 0) {
+                newest.put(record.key, record);
+            }
+        }
+        return newest;
+    }
+
+    private void handle(Request request, Response response) throws IOException {
+        Mode now;
+        synchronized (this) {
+            now = mode;
+        }
+        if (now == Mode.DOWN) {
+            write(response, 503, new byte[0]);
+            return;
+        }
+        switch (request.getRequestURI()) {
+            case "/api/log-append" -> append(request, response, now);
+            case "/api/log-read" -> read(request, response);
+            case "/api/log-newest" -> newest(request, response);
+            default -> write(response, 404, new byte[0]);
+        }
+    }
+
+    private void append(Request request, Response response, Mode now) throws IOException {
+        byte[] body;
+        try (InputStream in = request.getInputStream()) {
+            body = in.readAllBytes();
+        }
+        String expected = request.getParameter("asOf");
+        long offset;
+        long end;
+        boolean stored;
+        synchronized (this) {
+            Topic topic = topic(request.getParameter("topic"));
+            offset = topic.end();
+            stored = expected == null || Long.parseLong(expected) == offset;
+            for (int at = 0; stored && at < body.length; ) {
+                int length = Ints.fromBytes(body[at], body[at + 1], body[at + 2], body[at + 3]);
+                int keyLength = body[at + Integer.BYTES] & 0xff;
+                int keyStart = at + Integer.BYTES + 1;
+                String key = new String(body, keyStart, keyLength, StandardCharsets.UTF_8);
+                byte[] value = new byte[length - 1 - keyLength];
+                System.arraycopy(body, keyStart + keyLength, value, 0, value.length);
+                append(topic, key, value);
+                at += Integer.BYTES + length;
+            }
+            end = topic.end();
+        }
+        if (now == Mode.LOSES_ANSWERS) {
+            write(response, 500, new byte[0]);
+        } else {
+            json(response, stored ? OK : 412, ImmutableMap.of("offset", offset, "end", end));
+        }
+    }
+
+    private void read(Request request, Response response) throws IOException {
+        long from = Long.parseLong(request.getParameter("from"));
+        long waitMs = Math.min(MAX_WAIT_MS, Long.parseLong(request.getParameter("waitMs")));
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        synchronized (this) {
+            Topic topic = topic(request.getParameter("topic"));
+            while (topic.end() <= from && System.nanoTime() < until) {
+                try {
+                    TimeUnit.NANOSECONDS.timedWait(this, until - System.nanoTime());
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                    return;
+                }
+            }
+            if (from < topic.first) {
+                json(response, 410, ImmutableMap.of("first", topic.first));
+                return;
+            }
+            out.writeBytes(Longs.toByteArray(topic.end()));
+            out.writeBytes(Longs.toByteArray(topic.first));
+            for (long offset = from; offset < topic.end(); offset++) {
+                Stored record = topic.records.get((int) (offset - topic.first));
+                byte[] key = record.key.getBytes(StandardCharsets.UTF_8);
+                out.writeBytes(Ints.toByteArray(1 + key.length + record.value.length));
+                out.write(key.length);
+                out.writeBytes(key);
+                out.writeBytes(record.value);
+            }
+        }
+        write(response, OK, out.toByteArray());
+    }
+
+    private void newest(Request request, Response response) throws IOException {
+        ImmutableList.Builder<Object> items = ImmutableList.builder();
+        long end;
+        synchronized (this) {
+            Topic topic = topic(request.getParameter("topic"));
+            end = topic.end();
+            newest(topic)
+                    .values()
+                    .forEach(record -> items.add(ImmutableMap.of(
+                            "key",
+                            record.key,
+                            "value",
+                            Base64.getEncoder().encodeToString(record.value),
+                            "offset",
+                            0)));
+        }
+        json(response, OK, ImmutableMap.of("items", items.build(), "more", false, "end", end));
+    }
+
+    private static void json(Response response, int status, Object document) throws IOException {
+        write(response, status, Json.write(document).getBytes(StandardCharsets.UTF_8));
+    }
+
+    private static void write(Response response, int status, byte[] body) throws IOException {
+        response.setStatus(status);
+        response.setContentLength(body.length);
+        response.getOutputStream().write(body);
+    }
+
+    @Override
+    public void close() {
+        try {
+            server.shutdownNow();
+        } catch (RuntimeException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "cannot stop the store", e);
+        }
+    }
+}
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -91,11 +91,20 @@
     private double throughput(long now) {
         return PACKING
                 * tables.targets().stream()
-                        .filter(target -> PlacementSystem.usable(target, now))
+                        .filter(target -> PlacementSystem.usable(target, now) || isBeingTaken(target))
                         .mapToDouble(target -> target.entry().capacity().cpuMillis())
                         .sum();
     }
 
+    /** Returns whether a target's first report under our token is on its way. */
+    private static boolean isBeingTaken(PoolTarget target) {
+        return !target.taken()
+                && !target.fencedOut()
+                && target.misses() == 0
+                && target.listed()
+                && !target.entry().draining();
+    }
+
     /** Returns the work of queued jobs that come before a job, in thousandths of a core times nanoseconds. */
     private double workAhead(PoolJob job) {
         return tables.queue().headSet(job).stream().mapToDouble(PoolJob::work).sum();
