Keep fast targets for tasks that need them, and correct declared times by the queue's usual ones

Cause: tasks of 900 ms on the plain targets (0.7 of the usual speed) end after their deadline of 1.5 s in a quarter of the cases, while short tasks, which would be in time anywhere, filled the fast targets.

--- a/src/main/java/org/mustardlink/pool/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/PlacementSystem.java
@@ -22,6 +22,8 @@
     private static final double FAULTY_SLOWNESS = 2.2;
     /** Reservations a tick; more would idle a pool whose large tasks are many. */
     private static final int MAX_RESERVATIONS = 3;
+    /** Factor on the expected running time of a task when it is compared with the time left. */
+    private static final double CAUTION = 1.25;
     /** Expected running times this much alike count as equal, so that the tighter fit decides. */
     private static final double ALIKE = 1.1;
 
@@ -108,8 +110,14 @@
         return true;
     }
 
-    private static long expected(PoolTask task, PoolTarget target) {
-        return (long) (task.spec().estimate().toNanos() * target.slowness());
+    private long expected(PoolTask task, PoolTarget target) {
+        return (long) (tables.expectedNanos(task) * target.slowness());
+    }
+
+    /** Returns whether a task that starts on a target now is likely to end within its job's objective. */
+    private boolean inTime(PoolTask task, PoolTarget target, long now) {
+        long limit = Math.min(task.job().objectiveNanos(), task.job().deadlineNanos());
+        return now + (long) (CAUTION * expected(task, target)) < limit;
     }
 
     private Optional<PoolTarget> best(
@@ -123,21 +131,29 @@
                     || (pickyAboutHealth && (task.avoids(target.entry().id()) || !healthy(target)))) {
                 continue;
             }
-            if (best == null || better(target, best)) {
+            if (best == null || better(task, target, best, now)) {
                 best = target;
             }
         }
         return Optional.ofNullable(best);
     }
 
-    private static boolean better(PoolTarget candidate, PoolTarget best) {
-        if (candidate.slowness() * ALIKE < best.slowness()) {
-            return true;
+    /**
+     * Returns whether a target suits a task better than another one. Among targets that are fast enough the slower one
+     * does, which keeps the fast ones for tasks that need them; otherwise the faster one does.
+     */
+    private boolean better(PoolTask task, PoolTarget candidate, PoolTarget best, long now) {
+        boolean alike =
+                candidate.slowness() < ALIKE * best.slowness() && best.slowness() < ALIKE * candidate.slowness();
+        if (alike) {
+            return candidate.free().cpuMillis() < best.free().cpuMillis();
         }
-        if (best.slowness() * ALIKE < candidate.slowness()) {
-            return false;
+        boolean candidateInTime = inTime(task, candidate, now);
+        boolean bestInTime = inTime(task, best, now);
+        if (candidateInTime != bestInTime) {
+            return candidateInTime;
         }
-        return candidate.free().cpuMillis() < best.free().cpuMillis();
+        return candidateInTime == candidate.slowness() > best.slowness();
     }
 
     private static boolean suits(PoolTask task, PoolTarget target) {
--- a/src/main/java/org/mustardlink/pool/PoolTables.java
+++ b/src/main/java/org/mustardlink/pool/PoolTables.java
@@ -21,6 +21,7 @@
 
     private final Map<TaskName, Set<Present>> present = new HashMap<>();
     private final Slowness slowness = new Slowness();
+    private final RunningTimes runningTimes = new RunningTimes();
     private long jobSequence;
 
     /** A run and the target on which it may be. */
@@ -72,6 +73,16 @@
         return slowness;
     }
 
+    RunningTimes runningTimes() {
+        return runningTimes;
+    }
+
+    /** Returns the expected running time of a task on a target of usual speed. */
+    long expectedNanos(PoolTask task) {
+        return runningTimes.expectedNanos(
+                task.job().order().route(), task.spec().estimate());
+    }
+
     /** Returns a run of a task that may be present somewhere. */
     Optional<Present> presentRun(TaskName task) {
         return present.getOrDefault(task, Set.of()).stream().findFirst();
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -130,7 +130,7 @@
                     .filter(present ->
                             present.run().task().isEmpty() && present.run().state() == Run.State.RUNNING)
                     .ifPresent(present -> {
-                        long expected = (long) (task.spec().estimate().toNanos()
+                        long expected = (long) (tables.expectedNanos(task)
                                 * tables.slowness().of(present.target().kind()));
                         tables.remove(present.target(), present.run());
                         tables.add(present.target(), present.run().adoptedBy(task, now, expected));
@@ -189,8 +189,10 @@
     }
 
     private void done(PoolTarget target, PoolTask task, Run run, long now) {
-        double ratio = (now - run.orderedNanos())
-                / (double) Math.max(1, task.spec().estimate().toNanos());
+        long took = now - run.orderedNanos();
+        double ratio = took / (double) Math.max(1, tables.expectedNanos(task));
+        tables.runningTimes()
+                .sample(task.job().order().route(), took / tables.slowness().of(target.kind()));
         tables.slowness().sample(target.kind(), ratio);
         target.succeeded(ratio, tables.slowness().of(target.kind()));
         task.become(PoolTask.State.DONE);
