--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -26,6 +26,8 @@
     private static final Duration NO_MASTER_RETRY = Duration.ofSeconds(1);
     /** A request whose pool has lost its master is given up this long before its deadline, so that the answer arrives. */
     private static final long LAST_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** Pause before a host that has denied to be the master is asked again; a write of a claim is answered within it. */
+    private static final long DENIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
     /** A new request waits this long for some master before it is refused; a planned handover takes less. */
     private static final long MASTER_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -42,6 +44,7 @@
         private Optional<PoolId> pool = Optional.empty();
         private Optional<Claim> master = Optional.empty();
         private Optional<Claim> deniedBy = Optional.empty();
+        private long deniedNanos;
         private boolean bound;
 
         private OpenRequest(JobOrder order, String service, long now) {
@@ -90,13 +93,18 @@
     private void dispatch(OpenRequest request, long now) {
         Optional<PoolId> pool = request.bound ? request.pool : choose(request.service, now);
         Optional<Claim> master = pool.flatMap(known -> directory.master(known, now));
-        if (master.isEmpty() || master.equals(request.deniedBy)) {
+        if (master.isEmpty() || denied(request, master.get(), now)) {
             request.master = Optional.empty();
             return;
         }
         send(request, pool.get(), master.get(), now);
     }
 
+    /** Returns whether a host has just denied to be the master; its claim may be known here before it knows itself. */
+    private static boolean denied(OpenRequest request, Claim master, long now) {
+        return request.deniedBy.filter(master::equals).isPresent() && now - request.deniedNanos < DENIAL_NANOS;
+    }
+
     private void send(OpenRequest request, PoolId pool, Claim master, long now) {
         boolean resumed = request.bound;
         request.pool = Optional.of(pool);
@@ -131,7 +139,7 @@
         } else if (result instanceof JobResult.Abandoned abandoned) {
             end(request, Answer.of(Answer.Kind.TIMED_OUT, abandoned.why()));
         } else if (result instanceof JobResult.Moved) {
-            // The next claim, or the next life of this one's host, goes on with the job.
+            request.deniedNanos = now;
             request.deniedBy = request.master.or(() -> request.deniedBy);
             request.master = Optional.empty();
             dispatch(request, now);
@@ -214,7 +222,7 @@
         Optional<Claim> current = directory.master(request.pool.orElseThrow(), now);
         if (current.isEmpty()) {
             request.master = Optional.empty();
-        } else if (!current.equals(request.master) && !current.equals(request.deniedBy)) {
+        } else if (!current.equals(request.master) && !denied(request, current.get(), now)) {
             send(request, request.pool.get(), current.get(), now);
         }
     }
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -5,9 +5,11 @@
 import com.google.common.collect.ImmutableSet;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -74,6 +76,8 @@
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
     /** A canceling caller waits this long for the hosts that may have its job. */
     private static final long CANCEL_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    /** A request waits this long for the first configuration; a reachable store answers within 100 ms. */
+    private static final long UNROUTED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Latency histograms kept apart, by queue. */
     private static final int MAX_SERIES = 64;
 
@@ -100,11 +104,16 @@
     private final AtomicLong requestNumbers = new AtomicLong();
     private final Map<Long, Pending> pending = new HashMap<>();
     private final Map<String, Cancel> cancels = new HashMap<>();
+    private final List<Unrouted> unrouted = new ArrayList<>();
     private final long startedNanos;
     private volatile Optional<RoutingTable> routes = Optional.empty();
     private volatile boolean anyMaster;
     private volatile boolean stopping;
     private volatile boolean ownsAny;
+
+    /** A request that arrived before the first configuration. */
+    private record Unrouted(Runnable action, long untilNanos) {}
+
     private volatile int openRequests;
 
     /** What is kept of a request beside the front. */
@@ -283,6 +292,7 @@
             }
             return over;
         });
+        routeWaiting(now);
         openRequests = front.openRequests();
         ownsAny = !ownership.ownClaims().isEmpty();
         anyMaster = ownership.pools().stream()
@@ -310,6 +320,21 @@
         return routes;
     }
 
+    @Override
+    public void whenConfigured(Runnable action) {
+        loop.post(now -> unrouted.add(new Unrouted(action, now + UNROUTED_NANOS)));
+    }
+
+    private void routeWaiting(long now) {
+        unrouted.removeIf(waiting -> {
+            boolean over = routes.isPresent() || now > waiting.untilNanos();
+            if (over) {
+                waiting.action().run();
+            }
+            return over;
+        });
+    }
+
     @Override
     public boolean ready() {
         return !stopping && routes.isPresent() && anyMaster;
@@ -591,8 +616,8 @@
         }
 
         @Override
-        public void claimed(Claim claim) {
-            ownership.claimed(claim);
+        public void claimed(Claim claim, long now) {
+            ownership.claimed(claim, now);
         }
 
         @Override
--- a/src/main/java/org/mustardlink/host/PeerDesk.java
+++ b/src/main/java/org/mustardlink/host/PeerDesk.java
@@ -21,7 +21,7 @@
     /** Heartbeats that the receiver may lag behind before the link to it is taken for dead. */
     private static final int MAX_UNSEEN = 5;
     /** A link is given this long to carry heartbeats before it is judged. */
-    private static final long LINK_AGE_NANOS = TimeUnit.SECONDS.toNanos(1);
+    private static final long LINK_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
     private final HostInfo self;
     private final PoolOwnership ownership;
@@ -101,7 +101,7 @@
         peer.seen = heartbeat.number();
         peer.heardNanos = now;
         ownership.heard(sender.id(), sender.incarnation(), heartbeat.stopping(), now);
-        heartbeat.claims().forEach(ownership::claimed);
+        heartbeat.claims().forEach(claim -> ownership.claimed(claim, now));
         loads.putAll(heartbeat.loads());
         if (!peer.alive) {
             peer.alive = true;
@@ -126,6 +126,11 @@
                 changed(peer.info, "GONE", "silent");
                 listener.lost(peer.info, now);
             }
+            // After a cut an old connection carries nothing until its retransmission is due, which takes seconds.
+            if (!peer.alive && now - peer.connectedNanos > LINK_AGE_NANOS) {
+                peer.connectedNanos = now;
+                links.replace(peer.info.id());
+            }
         }
     }
 
--- a/src/main/java/org/mustardlink/host/StoreFollowing.java
+++ b/src/main/java/org/mustardlink/host/StoreFollowing.java
@@ -54,7 +54,7 @@
 
         void targets(ImmutableList<KeyedRecord> records, boolean whole, long now);
 
-        void claimed(Claim claim);
+        void claimed(Claim claim, long now);
 
         void listed(HostInfo host, long now);
     }
@@ -85,7 +85,7 @@
             claimsEnd = OptionalLong.of(page.next());
             page.records()
                     .forEach(record -> parse(record, StoredClaim::parse)
-                            .ifPresent(claim -> loop.post(_now -> listener.claimed(claim.toClaim()))));
+                            .ifPresent(claim -> loop.post(now -> listener.claimed(claim.toClaim(), now))));
             loop.post(_now -> claimsRead = true);
         });
         follow(
--- a/src/main/java/org/mustardlink/host/TargetDirectory.java
+++ b/src/main/java/org/mustardlink/host/TargetDirectory.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.mustardlink.observe.EventLog;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
 import org.mustardlink.platform.Documents;
@@ -22,13 +23,18 @@
      * seconds of its return, and a target that is gone shows by its silence before that.
      */
     private static final long VANISHED_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /**
+     * A target that was draining when its entry vanished is kept this long: it goes on for seconds with what it runs, and
+     * a new master has to learn that from it before it starts those tasks elsewhere.
+     */
+    private static final long DRAINED_NANOS = TimeUnit.SECONDS.toNanos(12);
 
-    private final org.mustardlink.observe.EventLog log;
+    private final EventLog log;
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private final Map<String, Long> vanished = new HashMap<>();
     private boolean known;
 
-    TargetDirectory(org.mustardlink.observe.EventLog log) {
+    TargetDirectory(EventLog log) {
         this.log = log;
     }
 
@@ -73,17 +79,17 @@
             vanished.replaceAll((_id, _since) -> now);
             return false;
         }
-        boolean changed = vanished.entrySet().stream().anyMatch(entry -> now - entry.getValue() > VANISHED_NANOS);
-        if (changed) {
-            vanished.entrySet().removeIf(entry -> {
-                boolean over = now - entry.getValue() > VANISHED_NANOS;
-                if (over) {
-                    entries.remove(entry.getKey());
-                }
-                return over;
-            });
-        }
-        return changed;
+        return vanished.entrySet().removeIf(entry -> {
+            boolean over = now - entry.getValue() > keptNanos(entry.getKey());
+            if (over) {
+                entries.remove(entry.getKey());
+            }
+            return over;
+        });
+    }
+
+    private long keptNanos(String id) {
+        return entries.get(id).draining() ? DRAINED_NANOS : VANISHED_NANOS;
     }
 
     /** Returns the targets of a pool. */
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -40,7 +40,9 @@
     /** Pause between probes of a pool in another domain, and how long an answer counts. */
     private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Another domain's pool answers for this long before it is claimed: after a cut its own hosts are heard within it. */
-    private static final long REACHABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    private static final long REACHABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    /** A claim that was read this recently shows that its host lives, even if the host isn't heard of yet. */
+    private static final long FRESH_CLAIM_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     /** Time for a superseding claim to be heard of after a target has refused our token. */
     private static final long FENCED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -51,6 +53,7 @@
     private final Map<PoolId, Claim> claims = new HashMap<>();
     private final Map<PoolId, Claim> pending = new HashMap<>();
     private final Map<PoolId, Long> pendingSince = new HashMap<>();
+    private final Map<PoolId, Long> changedNanos = new HashMap<>();
     private final Set<PoolId> owned = new HashSet<>();
     private final Map<PoolId, Long> probedNanos = new HashMap<>();
     private final Map<PoolId, Long> reachedNanos = new HashMap<>();
@@ -65,6 +68,7 @@
         private long heardNanos;
         private boolean heard;
         private boolean stopping;
+        private boolean refused;
 
         private Peer(HostInfo info) {
             this.info = info;
@@ -117,6 +121,7 @@
             return;
         }
         peer.heard = true;
+        peer.refused = false;
         peer.heardNanos = now;
         peer.stopping = hostIsStopping;
     }
@@ -126,6 +131,7 @@
         Peer peer = peers.get(host);
         if (peer != null) {
             peer.heard = false;
+            peer.refused = true;
         }
     }
 
@@ -135,11 +141,14 @@
     }
 
     /** Takes a claim that was read from the log or told by another host. */
-    public void claimed(Claim claim) {
+    public void claimed(Claim claim, long now) {
         Claim known = claims.get(claim.pool());
         if (known != null && !claim.supersedes(known)) {
             return;
         }
+        if (known != null) {
+            changedNanos.put(claim.pool(), now);
+        }
         claims.put(claim.pool(), claim);
         if (!claim.isOf(self) && owned.remove(claim.pool())) {
             fencedSince.remove(claim.pool());
@@ -334,6 +343,10 @@
 
     private boolean shouldClaim(PoolId pool, long now) {
         Optional<Claim> master = master(pool, now);
+        Long changed = changedNanos.get(pool);
+        if (master.isEmpty() && changed != null && now - changed < FRESH_CLAIM_NANOS && !knownGone(pool, now)) {
+            return false;
+        }
         if (master.isPresent()) {
             HostInfo holder = peers.get(master.get().host()).info;
             boolean mayReturn = !holder.domain().equals(pool.domain())
@@ -344,6 +357,21 @@
         return isFirst(pool, now);
     }
 
+    /** Returns whether the claiming host has said that it stops, or has been heard of since its claim and is silent. */
+    private boolean knownGone(PoolId pool, long now) {
+        Claim claim = claims.get(pool);
+        if (claim.host().equals(self.id())) {
+            return true;
+        }
+        Peer holder = peers.get(claim.host());
+        if (holder == null) {
+            return false;
+        }
+        boolean otherLife = holder.info.incarnation() != claim.incarnation();
+        boolean heardSince = holder.heardNanos > changedNanos.getOrDefault(pool, now);
+        return otherLife || holder.stopping || holder.refused || (heardSince && !holder.alive(now));
+    }
+
     private boolean isFirst(PoolId pool, long now) {
         Comparator<HostInfo> order = order(pool);
         return peers.values().stream()
--- a/src/main/java/org/mustardlink/platform/CallerEndpoint.java
+++ b/src/main/java/org/mustardlink/platform/CallerEndpoint.java
@@ -97,6 +97,18 @@
 
     private void route(Request request, Exchange exchange) {
         Optional<RoutingTable> table = requests.routes();
+        if (table.isEmpty() && !exchange.waited) {
+            // Right after the start of the process the configuration is on its way.
+            exchange.waited = true;
+            requests.whenConfigured(() -> {
+                try {
+                    route(request, exchange);
+                } catch (RuntimeException e) {
+                    exchange.fail(e);
+                }
+            });
+            return;
+        }
         if (table.isEmpty()) {
             exchange.refuse(503, "NO_CONFIG", "no configuration yet", Optional.of(NO_CONFIG_RETRY));
             return;
@@ -204,6 +216,7 @@
         private final AtomicLong number = new AtomicLong(-1);
         private volatile OptionalLong configVersion = OptionalLong.empty();
         private volatile boolean closeAfter;
+        private volatile boolean waited;
         private final GenericCloseListener onClose = (_closed, _type) -> callerGone();
 
         private Exchange(Request request, Response response) {
--- a/src/main/java/org/mustardlink/platform/CallerRequests.java
+++ b/src/main/java/org/mustardlink/platform/CallerRequests.java
@@ -13,6 +13,9 @@
     /** Returns the configuration in force, if there is any yet. */
     Optional<RoutingTable> routes();
 
+    /** Runs an action when there is a configuration, or after a short while without one. */
+    void whenConfigured(Runnable action);
+
     /** Returns whether the balancer may send new connections. */
     boolean ready();
 
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -11,6 +11,9 @@
 final class JobSystem {
     /** Share of a pool's processors that is in use while tasks wait; tasks of 14 cores leave gaps on 32. */
     private static final double PACKING = 0.85;
+
+    /** Time that the queued work takes from which jobs are refused by rate; half the slack of the shortest jobs. */
+    private static final double BACKLOG_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
     /** Bound on the learned speed of a target, so that a few odd samples don't promise more than hardware can. */
     private static final double MIN_SLOWNESS = 0.25;
     /** Shortest time to come back that a caller is told. */
@@ -80,11 +83,16 @@
                 return Optional.of(new JobResult.Failed("no target of the pool can hold a task of the job"));
             }
         }
+        if (hopeless(job, now)) {
+            return Optional.of(new JobResult.Refused(
+                    "the job takes longer on every target than its caller waits", MIN_RETRY_AFTER));
+        }
         double throughput = throughput(now);
         if (throughput == 0) {
             return Optional.of(new JobResult.Refused("no target of the pool takes tasks", MIN_RETRY_AFTER));
         }
-        if (shedding.shed(order.route(), throughput, now)) {
+        double backlog = tables.queue().stream().mapToDouble(PoolJob::work).sum();
+        if (backlog > throughput * BACKLOG_NANOS && shedding.shed(order.route(), throughput, now)) {
             return Optional.of(new JobResult.Refused("more work arrives than the pool can do", MIN_RETRY_AFTER));
         }
         long wait = (long) (workAhead(job) / throughput);
@@ -109,6 +117,16 @@
                         .sum();
     }
 
+    /** Returns whether no target of the pool is fast enough for a job's deadline, free or not. */
+    private boolean hopeless(PoolJob job, long now) {
+        long chain = tables.runningTimes()
+                .expectedNanos(job.order().route(), job.order().longestChain());
+        return !tables.targets().isEmpty()
+                && tables.targets().stream()
+                        .allMatch(target ->
+                                PlacementSystem.hopeless((long) (chain * target.slowness()), job.deadlineNanos(), now));
+    }
+
     /** Returns whether a target's first report under our token is on its way. */
     private static boolean isBeingTaken(PoolTarget target) {
         return !target.taken()
--- a/src/main/java/org/mustardlink/pool/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/PlacementSystem.java
@@ -144,7 +144,12 @@
 
     /** Returns whether a task that starts on a target now is likely to end after its caller's deadline. */
     private boolean hopeless(PoolTask task, PoolTarget target, long now) {
-        return now + (long) (HOPE * expected(task, target)) > task.job().deadlineNanos();
+        return hopeless(expected(task, target), task.job().deadlineNanos(), now);
+    }
+
+    /** Returns whether work that starts now is likely to end after a deadline. */
+    static boolean hopeless(long expectedNanos, long deadlineNanos, long now) {
+        return now + (long) (HOPE * expectedNanos) > deadlineNanos;
     }
 
     /**
--- /dev/null
+++ b/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
@@ -0,0 +1,77 @@
+package org.mustardlink.host;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.mustardlink.observe.EventLog;
+import org.mustardlink.platform.KeyedRecord;
+import org.mustardlink.pool.PoolId;
+
+/** Tests which targets a host believes in when entries vanish or can't be read. */
+final class TargetDirectoryTest {
+    private static final PoolId EAST = new PoolId("yard", "east");
+
+    private final TargetDirectory directory = new TargetDirectory(EventLog.create("east-1", "east", 100));
+
+    private static KeyedRecord entry(String id, String state) {
+        String text = "{\"service\":\"yard\",\"addr\":\"127.0.0.1:80\",\"zone\":\"east\",\"state\":\"" + state
+                + "\",\"capacity\":{\"cpu\":1000}}";
+        return new KeyedRecord(0, id, Optional.of(text));
+    }
+
+    private static long seconds(long value) {
+        return TimeUnit.SECONDS.toNanos(value);
+    }
+
+    private void take(KeyedRecord record, long now) {
+        directory.take(ImmutableList.of(record), false, now);
+    }
+
+    @Test
+    void a_target_whose_entry_vanished_is_kept_for_three_seconds() {
+        take(entry("t", "ready"), 0);
+        take(new KeyedRecord(1, "t", Optional.empty()), seconds(1));
+
+        directory.expire(true, seconds(3));
+        assertThat(directory.targets(EAST)).hasSize(1);
+        directory.expire(true, seconds(5));
+        assertThat(directory.targets(EAST)).isEmpty();
+    }
+
+    /** Guards against a second run: a leaving target runs on for seconds after its entry is gone. */
+    @Test
+    void a_target_that_was_draining_is_kept_until_it_has_surely_left() {
+        take(entry("t", "draining"), 0);
+        take(new KeyedRecord(1, "t", Optional.empty()), seconds(1));
+
+        directory.expire(true, seconds(10));
+        assertThat(directory.targets(EAST)).hasSize(1);
+        directory.expire(true, seconds(14));
+        assertThat(directory.targets(EAST)).isEmpty();
+    }
+
+    @Test
+    void entries_that_vanish_while_the_store_is_away_are_kept_until_it_is_back() {
+        take(entry("t", "ready"), 0);
+        take(new KeyedRecord(1, "t", Optional.empty()), seconds(1));
+
+        directory.expire(false, seconds(20));
+        directory.expire(true, seconds(21));
+
+        assertThat(directory.targets(EAST)).hasSize(1);
+    }
+
+    @Test
+    void entries_that_another_writer_left_name_no_target() {
+        take(entry("good", "ready"), 0);
+        take(new KeyedRecord(1, "other-state", Optional.of("{\"state\":\"odd\"}")), 0);
+        take(new KeyedRecord(2, "no-json", Optional.of("\u0000\u0001")), 0);
+        take(new KeyedRecord(3, "other-type", Optional.of("{\"service\":7,\"addr\":[]}")), 0);
+        take(entry("odd-address", "ready"), 0);
+
+        assertThat(directory.targets(EAST)).hasSize(2);
+    }
+}
