Give a host that can't reach the store what its peers have read

A host without a configuration now asks its peers for what they have read: configuration, targets and claims.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -105,7 +105,9 @@
     private final Map<Long, Pending> pending = new HashMap<>();
     private final Map<String, Cancel> cancels = new HashMap<>();
     private final List<Unrouted> unrouted = new ArrayList<>();
+    private final StoreSnapshot snapshot = new StoreSnapshot();
     private final long startedNanos;
+    private boolean snapshotTaken;
     private volatile Optional<RoutingTable> routes = Optional.empty();
     private volatile boolean anyMaster;
     private volatile boolean stopping;
@@ -281,7 +283,7 @@
         pools.tick(now);
         front.tick(now);
         peers.tick(stopping, pools.loads(now), this::hostLost, now);
-        boolean claimsRead = following.claimsRead() || now - startedNanos > CLAIMS_UNREAD_NANOS;
+        boolean claimsRead = following.claimsRead() || snapshotTaken || now - startedNanos > CLAIMS_UNREAD_NANOS;
         if (claimsRead && targets.known()) {
             ownership.tick(now);
         }
@@ -546,6 +548,9 @@
         public void connected(String host) {
             loop.post(now -> {
                 peers.connected(host, now);
+                if (routes.isEmpty()) {
+                    links.send(host, new PeerMessage.SnapshotRequest());
+                }
                 front.linkReplaced(host, now);
             });
         }
@@ -570,6 +575,10 @@
             if (result.request().incarnation() == self.incarnation()) {
                 front.answered(result.request().number(), result.result(), now);
             }
+        } else if (message instanceof PeerMessage.SnapshotRequest) {
+            snapshot.toMessage(ownership.claims()).ifPresent(answer -> links.send(sender.id(), answer));
+        } else if (message instanceof PeerMessage.Snapshot other) {
+            takeSnapshot(other, now);
         } else if (message instanceof PeerMessage.Cancel cancel) {
             boolean found = cancelHere(cancel.job(), now);
             links.send(sender.id(), new PeerMessage.Canceled(cancel.job(), found));
@@ -578,6 +587,19 @@
         }
     }
 
+    /** Starts with what another host has read, until the store answers; newer records replace it. */
+    private void takeSnapshot(PeerMessage.Snapshot other, long now) {
+        if (routes.isPresent() && targets.known()) {
+            return;
+        }
+        other.claims().forEach(claim -> ownership.claimed(claim, now));
+        if (!targets.known()) {
+            targets.take(StoreSnapshot.targetRecords(other), false, now);
+        }
+        following.configuredByPeer(other.configuration());
+        snapshotTaken = true;
+    }
+
     private boolean cancelHere(String job, long now) {
         boolean waited = front.cancel(job, now);
         boolean ran = pools.cancel(job, now);
@@ -600,7 +622,8 @@
 
     private final class FromStore implements StoreFollowing.Listener {
         @Override
-        public void configured(RoutingTable table, long now) {
+        public void configured(RoutingTable table, String record, long now) {
+            snapshot.configured(record);
             routes = Optional.of(table);
             log.line(LogEvent.CONFIG_APPLIED)
                     .with(LogField.CONFIG_VERSION, table.version())
@@ -611,6 +634,7 @@
 
         @Override
         public void targets(ImmutableList<KeyedRecord> records, boolean whole, long now) {
+            snapshot.targets(records, whole);
             targets.take(records, whole, now);
             targetsChanged(now);
         }
--- a/src/main/java/org/mustardlink/host/StoreFollowing.java
+++ b/src/main/java/org/mustardlink/host/StoreFollowing.java
@@ -50,7 +50,7 @@
 
     /** Hears what was read; called on the loop thread. */
     interface Listener {
-        void configured(RoutingTable table, long now);
+        void configured(RoutingTable table, String record, long now);
 
         void targets(ImmutableList<KeyedRecord> records, boolean whole, long now);
 
@@ -135,6 +135,11 @@
         line.write();
     }
 
+    /** Takes a configuration that another host has read. */
+    void configuredByPeer(String record) {
+        configured(new KeyedRecord(0, PlatformTopics.CONFIG_KEY, Optional.of(record)));
+    }
+
     private void configured(KeyedRecord record) {
         if (record.value().isEmpty()) {
             return;
@@ -145,7 +150,7 @@
                 // A reading after lost history may bring an older version than one that was seen.
                 if (table.version() > configVersion) {
                     configVersion = table.version();
-                    listener.configured(table, now);
+                    listener.configured(table, record.value().orElseThrow(), now);
                 }
             });
         } catch (CodedException e) {
--- /dev/null
+++ b/src/main/java/org/mustardlink/host/StoreSnapshot.java
@@ -0,0 +1,47 @@
+package org.mustardlink.host;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.mustardlink.link.PeerMessage;
+import org.mustardlink.ownership.Claim;
+import org.mustardlink.platform.KeyedRecord;
+
+/** The newest records that this host has read from the store, kept for hosts that start without reaching it. */
+final class StoreSnapshot {
+    private Optional<String> configuration = Optional.empty();
+    private final Map<String, String> targets = new HashMap<>();
+
+    void configured(String record) {
+        configuration = Optional.of(record);
+    }
+
+    /** Takes records of targets; {@code whole} tells that they are all there are. */
+    void targets(ImmutableList<KeyedRecord> records, boolean whole) {
+        Set<String> seen = new HashSet<>();
+        for (KeyedRecord record : records) {
+            seen.add(record.key());
+            record.value()
+                    .ifPresentOrElse(value -> targets.put(record.key(), value), () -> targets.remove(record.key()));
+        }
+        if (whole) {
+            targets.keySet().retainAll(seen);
+        }
+    }
+
+    /** Returns the snapshot for another host; empty while there is no configuration. */
+    Optional<PeerMessage.Snapshot> toMessage(ImmutableList<Claim> claims) {
+        return configuration.map(record -> new PeerMessage.Snapshot(record, ImmutableMap.copyOf(targets), claims));
+    }
+
+    /** Returns the targets of a snapshot as records of the store. */
+    static ImmutableList<KeyedRecord> targetRecords(PeerMessage.Snapshot snapshot) {
+        return snapshot.targets().entrySet().stream()
+                .map(entry -> new KeyedRecord(0, entry.getKey(), Optional.of(entry.getValue())))
+                .collect(ImmutableList.toImmutableList());
+    }
+}
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -35,6 +35,8 @@
     private static final byte RESULT = 5;
     private static final byte CANCEL = 6;
     private static final byte CANCELED = 7;
+    private static final byte SNAPSHOT_REQUEST = 8;
+    private static final byte SNAPSHOT = 9;
 
     private static final byte COMPLETE = 1;
     private static final byte FAILED = 2;
@@ -88,6 +90,11 @@
             out.writeByte(RESULT);
             write(out, result.request());
             write(out, result.result());
+        } else if (message instanceof PeerMessage.SnapshotRequest) {
+            out.writeByte(SNAPSHOT_REQUEST);
+        } else if (message instanceof PeerMessage.Snapshot snapshot) {
+            out.writeByte(SNAPSHOT);
+            write(out, snapshot);
         } else if (message instanceof PeerMessage.Cancel cancel) {
             out.writeByte(CANCEL);
             out.writeString(cancel.job());
@@ -106,12 +113,51 @@
             case SUBMIT -> new PeerMessage.Submit(readPool(in), readOrder(in));
             case WITHDRAW -> new PeerMessage.Withdraw(readPool(in), readRequest(in), in.readString());
             case RESULT -> new PeerMessage.Result(readRequest(in), readResult(in));
+            case SNAPSHOT_REQUEST -> new PeerMessage.SnapshotRequest();
+            case SNAPSHOT -> readSnapshot(in);
             case CANCEL -> new PeerMessage.Cancel(in.readString());
             case CANCELED -> new PeerMessage.Canceled(in.readString(), in.readBool());
             default -> throw new TException("unknown type of message: " + type);
         };
     }
 
+    private static void write(TCompactProtocol out, PeerMessage.Snapshot snapshot) throws TException {
+        out.writeString(snapshot.configuration());
+        out.writeI32(snapshot.targets().size());
+        for (Map.Entry<String, String> target : snapshot.targets().entrySet()) {
+            out.writeString(target.getKey());
+            out.writeString(target.getValue());
+        }
+        writeClaims(out, snapshot.claims());
+    }
+
+    private static PeerMessage.Snapshot readSnapshot(TCompactProtocol in) throws TException {
+        String configuration = in.readString();
+        ImmutableMap.Builder<String, String> targets = ImmutableMap.builder();
+        for (int i = readCount(in); i > 0; i--) {
+            targets.put(in.readString(), in.readString());
+        }
+        return new PeerMessage.Snapshot(configuration, targets.buildKeepingLast(), readClaims(in));
+    }
+
+    private static void writeClaims(TCompactProtocol out, ImmutableList<Claim> claims) throws TException {
+        out.writeI32(claims.size());
+        for (Claim claim : claims) {
+            write(out, claim.pool());
+            out.writeString(claim.host());
+            out.writeI64(claim.incarnation());
+            out.writeI32(claim.round());
+        }
+    }
+
+    private static ImmutableList<Claim> readClaims(TCompactProtocol in) throws TException {
+        ImmutableList.Builder<Claim> claims = ImmutableList.builder();
+        for (int i = readCount(in); i > 0; i--) {
+            claims.add(new Claim(readPool(in), in.readString(), in.readI64(), in.readI32()));
+        }
+        return claims.build();
+    }
+
     private static void write(TCompactProtocol out, HostInfo host) throws TException {
         out.writeString(host.id());
         out.writeString(host.domain());
@@ -128,13 +174,7 @@
         out.writeI64(heartbeat.number());
         out.writeI64(heartbeat.seen());
         out.writeBool(heartbeat.stopping());
-        out.writeI32(heartbeat.claims().size());
-        for (Claim claim : heartbeat.claims()) {
-            write(out, claim.pool());
-            out.writeString(claim.host());
-            out.writeI64(claim.incarnation());
-            out.writeI32(claim.round());
-        }
+        writeClaims(out, heartbeat.claims());
         out.writeI32(heartbeat.loads().size());
         for (Map.Entry<PoolId, PoolLoad> entry : heartbeat.loads().entrySet()) {
             write(out, entry.getKey());
@@ -148,15 +188,12 @@
         long number = in.readI64();
         long seen = in.readI64();
         boolean stopping = in.readBool();
-        ImmutableList.Builder<Claim> claims = ImmutableList.builder();
-        for (int i = readCount(in); i > 0; i--) {
-            claims.add(new Claim(readPool(in), in.readString(), in.readI64(), in.readI32()));
-        }
+        ImmutableList<Claim> claims = readClaims(in);
         ImmutableMap.Builder<PoolId, PoolLoad> loads = ImmutableMap.builder();
         for (int i = readCount(in); i > 0; i--) {
             loads.put(readPool(in), new PoolLoad(in.readI32(), in.readI32(), in.readI32()));
         }
-        return new PeerMessage.Heartbeat(number, seen, stopping, claims.build(), loads.buildKeepingLast());
+        return new PeerMessage.Heartbeat(number, seen, stopping, claims, loads.buildKeepingLast());
     }
 
     private static void write(TCompactProtocol out, PoolId pool) throws TException {
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -73,6 +73,25 @@
      */
     record Result(RequestId request, JobResult result) implements PeerMessage {}
 
+    /** Asks for a {@link Snapshot}; sent by a host that has no configuration yet. */
+    record SnapshotRequest() implements PeerMessage {}
+
+    /**
+     * What the sender has read from the store, for a host that can't reach it.
+     *
+     * @param configuration the configuration's record as it stands in the store
+     * @param targets the records of targets by key
+     * @param claims the newest claim of each pool
+     */
+    record Snapshot(String configuration, ImmutableMap<String, String> targets, ImmutableList<Claim> claims)
+            implements PeerMessage {
+        public Snapshot {
+            checkNotNull(configuration, "configuration");
+            checkNotNull(targets, "targets");
+            checkNotNull(claims, "claims");
+        }
+    }
+
     /**
      * Asks for a job to be canceled.
      *
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -232,6 +232,11 @@
         return owned.stream().map(claims::get).collect(ImmutableList.toImmutableList());
     }
 
+    /** Returns the newest claim of each pool. */
+    public ImmutableList<Claim> claims() {
+        return ImmutableList.copyOf(claims.values());
+    }
+
     /** Returns the live master of a pool as far as this host knows. */
     public Optional<Claim> master(PoolId pool, long now) {
         Claim claim = claims.get(pool);
--- a/src/main/java/org/mustardlink/platform/standin/StandInDeployment.java
+++ b/src/main/java/org/mustardlink/platform/standin/StandInDeployment.java
@@ -35,6 +35,7 @@
     private final StandInStore store;
     private final List<StandInRunner> runners = new ArrayList<>();
     private final Map<String, DispatchHost> hosts = new LinkedHashMap<>();
+    private final Map<String, HostSettings> settingsOf = new LinkedHashMap<>();
     private final Map<String, InetSocketAddress> callerAddresses = new LinkedHashMap<>();
     private final HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small());
     private final AtomicLong incarnations = new AtomicLong(1);
@@ -104,9 +105,23 @@
         store.put(TARGETS_TOPIC, runner.id(), runner.entry(SERVICE, domain, "draining"));
     }
 
+    /** Ends a dispatch host at once and starts it again at the same addresses. */
+    public DispatchHost restartHost(String id, String domain) {
+        hosts.get(id).close();
+        return addHost(id, domain);
+    }
+
     /** Starts a dispatch host. */
     public DispatchHost addHost(String id, String domain) {
-        HostSettings settings = new HostSettings(
+        HostSettings settings = settingsOf.computeIfAbsent(id, _id -> newSettings(id, domain));
+        DispatchHost host = DispatchHost.start(settings, incarnations.incrementAndGet());
+        hosts.put(id, host);
+        callerAddresses.put(id, settings.callers());
+        return host;
+    }
+
+    private HostSettings newSettings(String id, String domain) {
+        return new HostSettings(
                 id,
                 domain,
                 1_000,
@@ -118,10 +133,6 @@
                 LEASE,
                 GRACE,
                 new HostSettings.Logs("INFO", "WARN", 200));
-        DispatchHost host = DispatchHost.start(settings, incarnations.incrementAndGet());
-        hosts.put(id, host);
-        callerAddresses.put(id, settings.callers());
-        return host;
     }
 
     /** Returns the store. */
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -64,6 +64,9 @@
             new PeerMessage.Result(REQUEST, new JobResult.Redirected(POOL)),
             new PeerMessage.Result(REQUEST, new JobResult.Abandoned("why")),
             new PeerMessage.Result(REQUEST, new JobResult.Moved()),
+            new PeerMessage.SnapshotRequest(),
+            new PeerMessage.Snapshot(
+                    "{}", ImmutableMap.of("i-1", "\u00e4"), ImmutableList.of(new Claim(POOL, "east-1", 9, 2))),
             new PeerMessage.Cancel("0123456789abcdef"),
             new PeerMessage.Canceled("0123456789abcdef", true));
 
