--- a/src/main/java/org/mustardlink/observe/EntryMetrics.java
+++ b/src/main/java/org/mustardlink/observe/EntryMetrics.java
@@ -23,7 +23,7 @@
 /**
  * The metrics of one entry host. Thread-safe.
  *
- * <p>Histograms cover the time since the process started. {@code docs/operations.md} lists every name.
+ * <p>Histograms cover the time since the process started. {@code docs/OPERATIONS.md} lists every name.
  */
 public final class EntryMetrics {
     /** Team and class of the histogram that takes what goes beyond the bound on series. */
