--- a/src/main/java/org/mustardlink/cli/HostCommand.java
+++ b/src/main/java/org/mustardlink/cli/HostCommand.java
@@ -5,11 +5,13 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.mustardlink.config.settings.HostSettings;
 import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.host.DispatchHost;
 import org.mustardlink.observe.EventLog;
 
@@ -29,7 +31,7 @@
                 .epilog("example: mustardlink host --settings host.ini");
         parser.addArgument("--settings").required(true).metavar("FILE").help("INI file with the settings");
         parser.addArgument("--check")
-                .action(net.sourceforge.argparse4j.impl.Arguments.storeTrue())
+                .action(Arguments.storeTrue())
                 .help("only check the settings and list every mistake");
         parser.setDefault(Main.COMMAND, this);
     }
@@ -104,7 +106,7 @@
             signal.getMethod("handle", signal, handler)
                     .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
         } catch (ReflectiveOperationException e) {
-            throw new CodedException(org.mustardlink.errors.ErrorCode.INTERNAL, "cannot handle the signal HUP", e);
+            throw new CodedException(ErrorCode.INTERNAL, "cannot handle the signal HUP", e);
         }
     }
 }
--- a/src/main/java/org/mustardlink/config/settings/HostSettings.java
+++ b/src/main/java/org/mustardlink/config/settings/HostSettings.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.net.InetAddresses;
 import com.google.common.primitives.Doubles;
 import java.io.File;
 import java.io.IOException;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.ini4j.Config;
 import org.ini4j.Ini;
@@ -70,7 +72,7 @@
     public static HostSettings load(File file) {
         Reader reader = new Reader(file);
         String ip = reader.text("host", "address", Optional.empty(), HostSettings::checkIp);
-        HostSettings settings = reader.check(() -> new HostSettings(
+        return reader.check(() -> new HostSettings(
                 reader.text("host", "id", Optional.empty(), text -> text),
                 reader.text("host", "domain", Optional.empty(), text -> text),
                 (int) Math.round(MILLIS * reader.number("host", "cpu-share", 1) * reader.number("host", "cores", 1)),
@@ -83,11 +85,10 @@
                 reader.seconds("stop", "grace-s"),
                 new Logs(reader.level("logs", "level", "INFO"), reader.level("logs", "library-level", "WARN"), (int)
                         reader.number("logs", "lines-per-second", 200))));
-        return settings;
     }
 
     private static String checkIp(String text) {
-        checkArgument(com.google.common.net.InetAddresses.isInetAddress(text), "not an address");
+        checkArgument(InetAddresses.isInetAddress(text), "not an address");
         return text;
     }
 
@@ -198,7 +199,7 @@
                     Duration.ofSeconds(1));
         }
 
-        private HostSettings check(java.util.function.Supplier<HostSettings> build) {
+        private HostSettings check(Supplier<HostSettings> build) {
             HostSettings settings = build.get();
             ini.forEach((name, section) -> section.keySet().stream()
                     .filter(key -> !known.contains(name + '.' + key))
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -83,6 +83,15 @@
 
     private static final int DIGITS = 2;
 
+    /** Connections to one target: one waits for its report, the others carry orders. */
+    private static final int TARGET_CONNECTIONS = 12;
+    /** Connections in total, within the smallest host's descriptors. */
+    private static final int MAX_CONNECTIONS = 1_500;
+
+    private static final int STORE_CONNECTIONS = 12;
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
+    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
+
     private final HostSettings settings;
     private final HostInfo self;
     private final EventLog log;
@@ -183,15 +192,6 @@
                         MetricsText.of(metrics).prometheus()));
     }
 
-    /** Connections to one target: one waits for its report, the others carry orders. */
-    private static final int TARGET_CONNECTIONS = 12;
-    /** Connections in total, within the smallest host's descriptors. */
-    private static final int MAX_CONNECTIONS = 1_500;
-
-    private static final int STORE_CONNECTIONS = 12;
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(300);
-    private static final Duration IDLE_TIMEOUT = Duration.ofSeconds(30);
-
     // Cancelled timers must leave the queue at once; only the class itself offers that.
     private static ScheduledExecutorService newTimer() {
         ScheduledThreadPoolExecutor executor =
--- a/src/main/java/org/mustardlink/host/StoreFollowing.java
+++ b/src/main/java/org/mustardlink/host/StoreFollowing.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.http.Json;
 import org.mustardlink.observe.EventLog;
@@ -158,7 +159,7 @@
         }
     }
 
-    private <T> Optional<T> parse(KeyedRecord record, java.util.function.Function<String, Optional<T>> parser) {
+    private <T> Optional<T> parse(KeyedRecord record, Function<String, Optional<T>> parser) {
         Optional<T> parsed = record.text().flatMap(parser);
         if (parsed.isEmpty() && record.value().isPresent()) {
             reject(record, "malformed");
