Never take a job that was redirected, and pass over answers of the pool that redirected it

Cause, read from the code and the two hosts of different pools: a front repeats its orders when a link is replaced; the master that had redirected the job no longer remembered it, took the repeated order, and ran it beside the other pool. Results carry their pool now, redirections are kept by pool, and a front ignores answers of an earlier pool. Test: FrontTest, answers_of_a_pool_that_has_redirected_the_job_are_passed_over.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -124,10 +124,13 @@
                         .thenComparing(pool -> -directory.load(pool).freeCpuMillis()));
     }
 
-    /** Takes a master's answer. */
-    public void answered(long number, JobResult result, long now) {
+    /**
+     * Takes a master's answer. What the master of an earlier pool says again, because an order was repeated over a new
+     * link, is passed over: the job may be running in the pool that has it now.
+     */
+    public void answered(long number, PoolId pool, JobResult result, long now) {
         OpenRequest request = requests.get(number);
-        if (request == null) {
+        if (request == null || !request.pool.equals(Optional.of(pool))) {
             return;
         }
         if (result instanceof JobResult.Complete) {
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -437,13 +437,13 @@
 
     // ---- jobs between fronts and masters ----
 
-    private void resultOf(RequestId request, JobResult result) {
+    private void resultOf(PoolId pool, RequestId request, JobResult result) {
         if (request.host().equals(self.id())) {
             if (request.incarnation() == self.incarnation()) {
-                loop.post(now -> front.answered(request.number(), result, now));
+                loop.post(now -> front.answered(request.number(), pool, result, now));
             }
         } else {
-            links.send(request.host(), new PeerMessage.Result(request, result));
+            links.send(request.host(), new PeerMessage.Result(pool, request, result));
         }
     }
 
@@ -573,7 +573,7 @@
             pools.withdraw(withdraw.pool(), withdraw.request(), withdraw.job(), now);
         } else if (message instanceof PeerMessage.Result result) {
             if (result.request().incarnation() == self.incarnation()) {
-                front.answered(result.request().number(), result.result(), now);
+                front.answered(result.request().number(), result.pool(), result.result(), now);
             }
         } else if (message instanceof PeerMessage.SnapshotRequest) {
             snapshot.toMessage(ownership.claims()).ifPresent(answer -> links.send(sender.id(), answer));
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -43,19 +43,22 @@
     private final Elsewhere elsewhere;
     private final Map<PoolId, PoolMaster> masters = new LinkedHashMap<>();
     private final Map<RequestId, Long> arrivals = new HashMap<>();
-    private final Map<RequestId, JobResult> recent = new LinkedHashMap<>() {
+    private final Map<Answered, JobResult> recent = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<RequestId, JobResult> _eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Answered, JobResult> _eldest) {
             return size() > MAX_RESULTS;
         }
     };
 
+    /** A request that a pool has answered. */
+    private record Answered(PoolId pool, RequestId request) {}
+
     /** Takes the result of a job. */
     @FunctionalInterface
     interface Results {
-        void finished(RequestId request, JobResult result);
+        void finished(PoolId pool, RequestId request, JobResult result);
     }
 
     /** Finds another pool that has room for a whole job. */
@@ -113,12 +116,12 @@
 
     /** Takes a job; one that was answered already gets the same answer again. */
     void submit(PoolId pool, JobOrder order, long now) {
-        JobResult earlier = recent.get(order.request());
+        JobResult earlier = recent.get(new Answered(pool, order.request()));
         PoolMaster master = masters.get(pool);
         if (earlier != null) {
-            results.finished(order.request(), earlier);
+            results.finished(pool, order.request(), earlier);
         } else if (master == null) {
-            results.finished(order.request(), new JobResult.Moved());
+            results.finished(pool, order.request(), new JobResult.Moved());
         } else {
             arrivals.putIfAbsent(order.request(), now);
             master.submit(order, now);
@@ -253,12 +256,11 @@
                     .with(LogField.REASON, result)
                     .with(LogField.ELAPSED_MS, arrived == null ? -1 : (System.nanoTime() - arrived) / 1_000_000)
                     .write();
-            // After a redirection another pool of this host may get the same request.
-            boolean isFinal = !(result instanceof JobResult.Moved) && !(result instanceof JobResult.Redirected);
-            if (isFinal) {
-                recent.put(request, result);
+            // A job that was redirected must not be taken when its order is repeated: it may run in the other pool.
+            if (!(result instanceof JobResult.Moved)) {
+                recent.put(new Answered(pool, request), result);
             }
-            results.finished(request, result);
+            results.finished(pool, request, result);
         }
 
         @Override
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -88,6 +88,7 @@
             out.writeString(withdraw.job());
         } else if (message instanceof PeerMessage.Result result) {
             out.writeByte(RESULT);
+            write(out, result.pool());
             write(out, result.request());
             write(out, result.result());
         } else if (message instanceof PeerMessage.SnapshotRequest) {
@@ -112,7 +113,7 @@
             case HEARTBEAT -> readHeartbeat(in);
             case SUBMIT -> new PeerMessage.Submit(readPool(in), readOrder(in));
             case WITHDRAW -> new PeerMessage.Withdraw(readPool(in), readRequest(in), in.readString());
-            case RESULT -> new PeerMessage.Result(readRequest(in), readResult(in));
+            case RESULT -> new PeerMessage.Result(readPool(in), readRequest(in), readResult(in));
             case SNAPSHOT_REQUEST -> new PeerMessage.SnapshotRequest();
             case SNAPSHOT -> readSnapshot(in);
             case CANCEL -> new PeerMessage.Cancel(in.readString());
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -68,10 +68,11 @@
     /**
      * Answers a {@link Submit}.
      *
+     * @param pool the pool whose master answers
      * @param request the request
      * @param result the result
      */
-    record Result(RequestId request, JobResult result) implements PeerMessage {}
+    record Result(PoolId pool, RequestId request, JobResult result) implements PeerMessage {}
 
     /** Asks for a {@link Snapshot}; sent by a host that has no configuration yet. */
     record SnapshotRequest() implements PeerMessage {}
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -142,13 +142,13 @@
         submit(1, 0);
 
         for (int i = 0; i < 10; i++) {
-            front.answered(1, new JobResult.Moved(), ms(i));
+            front.answered(1, EAST, new JobResult.Moved(), ms(i));
             front.tick(ms(i));
         }
         assertThat(sent).hasSize(1);
         front.tick(ms(60));
         assertThat(sent).hasSize(2);
-        front.answered(1, new JobResult.Moved(), ms(61));
+        front.answered(1, EAST, new JobResult.Moved(), ms(61));
         masters.put(EAST, EAST_NEXT);
         front.tick(ms(62));
 
@@ -161,13 +161,29 @@
         masters.put(WEST, WEST_MASTER);
         submit(1, 0);
 
-        front.answered(1, new JobResult.Redirected(WEST), ms(1));
+        front.answered(1, EAST, new JobResult.Redirected(WEST), ms(1));
 
         assertThat(sent.get(1).master()).isEqualTo(WEST_MASTER);
         assertThat(sent.get(1).order().mayMove()).isFalse();
         assertThat(sent.get(1).order().resumed()).isFalse();
     }
 
+    /** Guards against a second run in another pool: a repeated order makes the first pool's master answer again. */
+    @Test
+    void answers_of_a_pool_that_has_redirected_the_job_are_passed_over() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        submit(1, 0);
+        front.answered(1, EAST, new JobResult.Redirected(WEST), ms(1));
+        masters.remove(WEST);
+
+        front.answered(1, EAST, new JobResult.Redirected(WEST), ms(2));
+        front.tick(ms(3));
+
+        assertThat(sent).hasSize(2);
+        assertThat(answers).isEmpty();
+    }
+
     @Test
     void a_request_without_any_master_is_refused_soon_as_not_run() {
         submit(1, 0);
