Stop an unanswered start at the first report, and doubt a target that refuses a start as fenced

Causes, found on the last read of the change and shown by PoolMasterTest, which failed first on both: (1) the report that is ordered when a start has no answer carries the same time as the run's change of state, and the stop was ordered only for a later one, so the task waited for the next report, up to 0.35 s; (2) a start refused as fenced was ordered again at once until the target's report came. Change: the first report counts; a target that refuses a start as fenced gets no tasks before it has reported under our token, and such a report also ends its state of being fenced out.

--- a/src/main/java/org/mustardlink/pool/PoolTarget.java
+++ b/src/main/java/org/mustardlink/pool/PoolTarget.java
@@ -179,6 +179,12 @@
 
     void confirmFence() {
         taken = true;
+        fencedOut = false;
+    }
+
+    /** Keeps new tasks away until the target reports under our token again. */
+    void doubtFence() {
+        taken = false;
     }
 
     /** Forgets a life of the target that is over. */
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -66,6 +66,10 @@
             }
             return true;
         }
+        if (verdict == OrderVerdict.FENCED) {
+            // Another master may hold the target; its next report under our token, or its refusal, tells.
+            target.doubtFence();
+        }
         tables.remove(target, run);
         run.task().ifPresent(task -> {
             switch (verdict) {
@@ -148,7 +152,7 @@
 
     /** Handles a run that a report doesn't list. */
     private void missing(PoolTarget target, Run run, long clockMs, long sentNanos, long now) {
-        boolean reportIsLater = clockMs > run.confirmedClockMs() && sentNanos > run.stateSince();
+        boolean reportIsLater = clockMs > run.confirmedClockMs() && sentNanos >= run.stateSince();
         boolean over =
                 switch (run.state()) {
                     case STARTING -> false;
--- /dev/null
+++ b/src/test/java/org/mustardlink/pool/PoolMasterTest.java
@@ -0,0 +1,187 @@
+package org.mustardlink.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests what a master orders after single answers of a target. */
+final class PoolMasterTest {
+    private static final PoolId POOL = new PoolId("yard", "east");
+    private static final TargetEntry TARGET = new TargetEntry(
+            "t",
+            0,
+            InetSocketAddress.createUnresolved("t", 1),
+            POOL,
+            false,
+            new Capacity(2_000, 100, 0),
+            ImmutableSet.of("a"));
+
+    private final Recorder recorder = new Recorder();
+    private final PoolMaster master = new PoolMaster(
+            POOL,
+            FencingToken.of(1, 1),
+            new PoolBounds(Duration.ofSeconds(1)),
+            recorder,
+            _order -> Optional.empty(),
+            0);
+
+    private static final class Recorder implements PoolActions {
+        private final List<RunId> starts = new ArrayList<>();
+        private final List<RunId> stops = new ArrayList<>();
+        private final List<HoldOrder> holds = new ArrayList<>();
+        private final List<JobResult> results = new ArrayList<>();
+
+        @Override
+        public void start(TargetEntry _target, RunId run, String _payload, long _deadlineMs, long _fence) {
+            starts.add(run);
+        }
+
+        @Override
+        public void stop(TargetEntry _target, RunId run, long _fence) {
+            stops.add(run);
+        }
+
+        @Override
+        public void hold(TargetEntry _target, HoldOrder order) {
+            holds.add(order);
+        }
+
+        @Override
+        public void finished(RequestId _request, String _job, JobResult result) {
+            results.add(result);
+        }
+
+        @Override
+        public void fenced(TargetEntry _target) {}
+
+        @Override
+        public void jobChanged(String _job, String _change, String _why) {}
+
+        @Override
+        public void targetChanged(TargetEntry _target, String _change, String _why) {}
+
+        /** Takes the newest request for a report that is open. */
+        private long takeHold() {
+            return holds.remove(holds.size() - 1).number();
+        }
+    }
+
+    private static long ms(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    @BeforeEach
+    void takeTheTargetOver() {
+        master.targetsListed(ImmutableList.of(TARGET), 0);
+        master.tick(0);
+        report(1_000, ms(1), ImmutableList.of(), ImmutableList.of());
+    }
+
+    private void report(long clockMs, long now, ImmutableList<RunId> running, ImmutableList<HoldReport.RunEnd> ended) {
+        master.reported("t", recorder.takeHold(), new HoldReport(clockMs, 0, running, ended), now);
+        master.tick(now);
+    }
+
+    private RunId submitOneTask(long now) {
+        StepSpec step = new StepSpec(
+                1,
+                new Capacity(1_000, 1, 0),
+                Duration.ofMillis(50),
+                ImmutableList.of(),
+                Optional.empty(),
+                Integer.MAX_VALUE);
+        master.submit(
+                new JobOrder(
+                        new RequestId("east-1", 1, 1),
+                        "job",
+                        "queue",
+                        "",
+                        ImmutableList.of(step),
+                        3,
+                        Duration.ofMillis(60),
+                        1.6,
+                        Duration.ofMillis(1_500),
+                        false,
+                        false),
+                now);
+        master.tick(now);
+        return recorder.starts.get(recorder.starts.size() - 1);
+    }
+
+    /** Guards against a deposed master that orders starts as fast as the target refuses them. */
+    @Test
+    void a_target_that_refuses_a_start_as_fenced_gets_no_other_before_it_has_reported() {
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.FENCED, 1_003, ms(3));
+        master.tick(ms(3));
+
+        assertThat(recorder.starts).hasSize(1);
+        report(1_004, ms(4), ImmutableList.of(), ImmutableList.of());
+        assertThat(recorder.starts).hasSize(2);
+    }
+
+    /** Guards against a second run: an unanswered start may be on its way until a stop or the lease rules it out. */
+    @Test
+    void a_start_without_an_answer_is_stopped_before_its_task_starts_again() {
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.UNKNOWN, 0, ms(100));
+        master.tick(ms(100));
+        report(1_101, ms(101), ImmutableList.of(), ImmutableList.of());
+        assertThat(recorder.stops).containsExactly(first);
+        assertThat(recorder.starts).hasSize(1);
+
+        master.stopAnswered("t", first, OrderVerdict.DONE, 1_102, ms(102));
+        report(1_104, ms(104), ImmutableList.of(), ImmutableList.of());
+
+        assertThat(recorder.starts).hasSize(2);
+        assertThat(recorder.starts.get(1).run()).isGreaterThan(first.run());
+    }
+
+    @Test
+    void a_start_whose_answer_was_lost_goes_on_if_the_target_lists_it() {
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.UNKNOWN, 0, ms(100));
+        report(1_101, ms(101), ImmutableList.of(first), ImmutableList.of());
+        report(
+                1_150,
+                ms(150),
+                ImmutableList.of(),
+                ImmutableList.of(new HoldReport.RunEnd(1, first, HoldReport.How.DONE)));
+
+        assertThat(recorder.starts).hasSize(1);
+        assertThat(recorder.stops).isEmpty();
+        assertThat(recorder.results).containsExactly(new JobResult.Complete());
+    }
+
+    /** Guards against a second run on a silent target: what runs there may run until its lease is over. */
+    @Test
+    void a_task_on_a_silent_target_waits_for_the_end_of_the_lease() {
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.DONE, 1_003, ms(3));
+        TargetEntry other = new TargetEntry(
+                "other",
+                0,
+                InetSocketAddress.createUnresolved("other", 1),
+                POOL,
+                false,
+                new Capacity(2_000, 100, 0),
+                ImmutableSet.of("a"));
+        master.reportFailed("t", recorder.takeHold(), OrderVerdict.UNKNOWN, ms(300));
+        master.targetsListed(ImmutableList.of(TARGET, other), ms(300));
+        master.tick(ms(300));
+        long otherHold = recorder.takeHold();
+        master.reported("other", otherHold, new HoldReport(500, 0, ImmutableList.of(), ImmutableList.of()), ms(301));
+
+        master.tick(ms(900));
+        assertThat(recorder.starts).hasSize(1);
+    }
+}
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -16,6 +16,7 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Plays a load pattern on the masters of several pools and on targets with leases, in simulated time and without a
@@ -35,6 +36,9 @@
             new PriorityQueue<>(Comparator.comparingLong(Timed::at).thenComparingLong(Timed::sequence));
     private final Map<PoolId, PoolMaster> masters = new LinkedHashMap<>();
     private final Map<PoolId, PoolLoad> loads = new HashMap<>();
+    private final Map<PoolId, ImmutableList<TargetEntry>> entriesOf = new HashMap<>();
+    private final Map<RequestId, PoolId> placed = new HashMap<>();
+    private double lateOrders;
     private final Map<String, SimulatedTarget> targets = new LinkedHashMap<>();
     private final Map<RequestId, Request> requests = new HashMap<>();
     private final Map<String, Outcome> outcomes = new TreeMap<>();
@@ -125,21 +129,43 @@
             entries.add(entry);
             targets.put(id, new SimulatedTarget(entry, isFast ? fastSpeed : plainSpeed));
         }
-        PoolMaster master = new PoolMaster(
-                pool,
-                FencingToken.of(1, pool.hashCode()),
-                new PoolBounds(Duration.ofSeconds(1)),
-                new Actions(pool),
-                order -> elsewhere(pool, order),
-                now);
-        master.targetsListed(entries, now);
-        masters.put(pool, master);
+        entriesOf.put(pool, ImmutableList.copyOf(entries));
+        newMaster(pool, 1);
         loads.put(pool, PoolLoad.NONE);
         at(now, () -> tick(pool));
         at(now, () -> refreshLoad(pool));
         return pool;
     }
 
+    private void newMaster(PoolId pool, int round) {
+        Actions actions = new Actions();
+        actions.master = new PoolMaster(
+                pool,
+                FencingToken.of(round, round * 31L + pool.hashCode()),
+                new PoolBounds(Duration.ofSeconds(1)),
+                actions,
+                order -> elsewhere(pool, order),
+                now);
+        actions.master.targetsListed(entriesOf.get(pool), now);
+        masters.put(pool, actions.master);
+    }
+
+    /**
+     * Makes another host the master of a pool and hands it the pool's open jobs; the earlier master goes on as one that
+     * has not heard of it.
+     */
+    void takeOver(PoolId pool, int round) {
+        newMaster(pool, round);
+        tick(pool);
+        for (Request request : ImmutableList.copyOf(requests.values())) {
+            if (pool.equals(placed.get(request.order().request()))) {
+                Duration left = Duration.ofNanos(request.arrived() + DEADLINE_NANOS - now);
+                masters.get(pool).submit(request.order().with(left, true, false), now);
+            }
+        }
+        tick(pool);
+    }
+
     private void refreshLoad(PoolId pool) {
         loads.put(pool, masters.get(pool).load(now));
         at(now + LOAD_AGE_NANOS, () -> refreshLoad(pool));
@@ -229,7 +255,13 @@
         });
     }
 
+    /** Makes a share of the starts get no answer and be carried out 2 to 12 s later. */
+    void setLateOrders(double share) {
+        lateOrders = share;
+    }
+
     private void submit(PoolId pool, JobOrder order) {
+        placed.put(order.request(), pool);
         masters.get(pool).submit(order, now);
         tick(pool);
     }
@@ -276,32 +308,38 @@
     }
 
     private final class Actions implements PoolActions {
-        private final PoolId pool;
+        private PoolMaster master;
 
-        private Actions(PoolId pool) {
-            this.pool = pool;
-        }
-
-        private void onMaster(java.util.function.Consumer<PoolMaster> event) {
-            event.accept(masters.get(pool));
-            tick(pool);
+        private void onMaster(Consumer<PoolMaster> event) {
+            event.accept(master);
+            master.tick(now);
+            PoolMaster ticked = master;
+            at(ticked.nextDue(now), () -> ticked.tick(now));
         }
 
         @Override
         public void start(TargetEntry entry, RunId run, String _payload, long deadlineMs, long fence) {
             SimulatedTarget target = targets.get(entry.id());
+            if (random.nextDouble() < lateOrders) {
+                long late = TimeUnit.SECONDS.toNanos(2) + (long) (random.nextDouble() * 10e9);
+                at(now + late, () -> target.start(run, deadlineMs, fence));
+                at(
+                        now + TimeUnit.MILLISECONDS.toNanos(120),
+                        () -> onMaster(owner -> owner.startAnswered(entry.id(), run, OrderVerdict.UNKNOWN, 0, now)));
+                return;
+            }
             at(now + WAY_NANOS, () -> {
                 OrderVerdict verdict = target.start(run, deadlineMs, fence);
                 if (!target.losesAnswers) {
                     at(
                             now + WAY_NANOS,
                             () -> onMaster(
-                                    master -> master.startAnswered(entry.id(), run, verdict, target.clockMs(), now)));
+                                    owner -> owner.startAnswered(entry.id(), run, verdict, target.clockMs(), now)));
                 } else {
                     at(
                             now + TimeUnit.MILLISECONDS.toNanos(120),
                             () -> onMaster(
-                                    master -> master.startAnswered(entry.id(), run, OrderVerdict.UNKNOWN, 0, now)));
+                                    owner -> owner.startAnswered(entry.id(), run, OrderVerdict.UNKNOWN, 0, now)));
                 }
             });
         }
@@ -327,12 +365,11 @@
                             order,
                             report -> at(
                                     now + WAY_NANOS,
-                                    () -> onMaster(
-                                            master -> master.reported(entry.id(), order.number(), report, now)))));
+                                    () -> onMaster(owner -> owner.reported(entry.id(), order.number(), report, now)))));
             long timeout = TimeUnit.MILLISECONDS.toNanos(order.waitMs() + 200);
             at(now + timeout, () -> {
                 if (target.silent) {
-                    onMaster(master -> master.reportFailed(entry.id(), order.number(), OrderVerdict.UNKNOWN, now));
+                    onMaster(owner -> owner.reportFailed(entry.id(), order.number(), OrderVerdict.UNKNOWN, now));
                 }
             });
         }
@@ -369,7 +406,7 @@
         private long leaseMs;
         private int started;
 
-        private record Waiting(long until, java.util.function.Consumer<HoldReport> answer) {}
+        private record Waiting(long until, Consumer<HoldReport> answer) {}
 
         private SimulatedTarget(TargetEntry entry, double speed) {
             this.entry = entry;
@@ -483,7 +520,7 @@
             at(now + TimeUnit.MILLISECONDS.toNanos(20), () -> end(run, HoldReport.How.STOPPED));
         }
 
-        private void hold(HoldOrder order, java.util.function.Consumer<HoldReport> answer) {
+        private void hold(HoldOrder order, Consumer<HoldReport> answer) {
             if (silent || order.fence() < fence) {
                 return;
             }
