Keep the store's topic names and the route's field name of the platform in the adapter

Cause: the topics of hosts and claims spelled the platform's prefix of keyed topics in host, and the route kept the platform's name of its path field; the boundary test did not look for either. Change: StoreTopics in platform names all topics, the route's field is pathStart, and the boundary test looks for the prefix, the field and more names of the job and target documents. It failed on both before.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -48,6 +48,7 @@
 import org.mustardlink.platform.Documents;
 import org.mustardlink.platform.KeyedRecord;
 import org.mustardlink.platform.StoreClient;
+import org.mustardlink.platform.StoreTopics;
 import org.mustardlink.platform.TargetOrders;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
@@ -655,7 +656,7 @@
         public void writeClaim(Claim claim) {
             StoredClaim stored = StoredClaim.of(claim);
             CompletableFuture<StoreClient.AppendOutcome> _sent = store.append(
-                            StoredClaim.TOPIC, stored.key(), Json.write(stored), following.claimsEnd())
+                            StoreTopics.CLAIMS, stored.key(), Json.write(stored), following.claimsEnd())
                     .whenComplete((outcome, failure) -> loop.post(now -> ownership.claimAnswered(
                             claim,
                             failure != null || outcome == StoreClient.AppendOutcome.REFUSED
--- a/src/main/java/org/mustardlink/host/StoreFollowing.java
+++ b/src/main/java/org/mustardlink/host/StoreFollowing.java
@@ -21,8 +21,8 @@
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.platform.Documents;
 import org.mustardlink.platform.KeyedRecord;
-import org.mustardlink.platform.PlatformTopics;
 import org.mustardlink.platform.StoreClient;
+import org.mustardlink.platform.StoreTopics;
 import org.mustardlink.platform.TopicFollower;
 import org.mustardlink.routing.RoutingTable;
 
@@ -71,18 +71,18 @@
     /** Starts to follow, and writes the host's own entry. */
     void start(StoredHost self) {
         follow(
-                PlatformTopics.OPERATOR,
+                StoreTopics.OPERATOR,
                 WAIT,
                 Duration.ZERO,
                 (page, _whole) -> page.records().stream()
-                        .filter(record -> record.key().equals(PlatformTopics.CONFIG_KEY))
+                        .filter(record -> record.key().equals(StoreTopics.CONFIG_KEY))
                         .forEach(this::configured));
         follow(
-                PlatformTopics.TARGETS,
+                StoreTopics.TARGETS,
                 WAIT,
                 TARGETS_PAUSE,
                 (page, whole) -> loop.post(now -> listener.targets(page.records(), whole, now)));
-        follow(StoredClaim.TOPIC, WAIT, Duration.ZERO, (page, _whole) -> {
+        follow(StoreTopics.CLAIMS, WAIT, Duration.ZERO, (page, _whole) -> {
             claimsEnd = OptionalLong.of(page.next());
             page.records()
                     .forEach(record -> parse(record, StoredClaim::parse)
@@ -90,7 +90,7 @@
             loop.post(_now -> claimsRead = true);
         });
         follow(
-                StoredHost.TOPIC,
+                StoreTopics.HOSTS,
                 WAIT,
                 HOSTS_PAUSE,
                 (page, _whole) -> page.records()
@@ -125,7 +125,7 @@
     }
 
     private void dependency(String topic, boolean isReachable, String why) {
-        if (topic.equals(PlatformTopics.TARGETS)) {
+        if (topic.equals(StoreTopics.TARGETS)) {
             targetsReachable = isReachable;
         }
         EventLog.Line line = log.line(isReachable ? LogEvent.DEPENDENCY_BACK : LogEvent.DEPENDENCY_LOST)
@@ -138,7 +138,7 @@
 
     /** Takes a configuration that another host has read. */
     void configuredByPeer(String record) {
-        configured(new KeyedRecord(0, PlatformTopics.CONFIG_KEY, Optional.of(record)));
+        configured(new KeyedRecord(0, StoreTopics.CONFIG_KEY, Optional.of(record)));
     }
 
     private void configured(KeyedRecord record) {
@@ -183,7 +183,7 @@
                     timer.schedule(() -> introduce(self), after.toMillis(), TimeUnit.MILLISECONDS);
         };
         CompletableFuture<StoreClient.AppendOutcome> _sent = store.append(
-                        StoredHost.TOPIC, self.id(), Json.write(self), OptionalLong.empty())
+                        StoreTopics.HOSTS, self.id(), Json.write(self), OptionalLong.empty())
                 .whenComplete((outcome, failure) -> {
                     if (failure != null || outcome != StoreClient.AppendOutcome.APPENDED) {
                         again.accept(INTRODUCE_RETRY);
--- a/src/main/java/org/mustardlink/host/StoredClaim.java
+++ b/src/main/java/org/mustardlink/host/StoredClaim.java
@@ -16,9 +16,6 @@
  * @param round round of the claim
  */
 record StoredClaim(String service, String domain, String host, long incarnation, int round) {
-    /** Topic of the claims; their order in it decides between hosts that claim at once. */
-    static final String TOPIC = "keyed.mustardlink-claims";
-
     static StoredClaim of(Claim claim) {
         return new StoredClaim(
                 claim.pool().service(), claim.pool().domain(), claim.host(), claim.incarnation(), claim.round());
--- a/src/main/java/org/mustardlink/host/StoredHost.java
+++ b/src/main/java/org/mustardlink/host/StoredHost.java
@@ -15,9 +15,6 @@
  * @param cpuMillis its processors in thousandths of a core
  */
 record StoredHost(String id, String domain, long incarnation, String address, int cpuMillis) {
-    /** Topic of the hosts. */
-    static final String TOPIC = "keyed.mustardlink-hosts";
-
     static StoredHost of(HostInfo info) {
         return new StoredHost(info.id(), info.domain(), info.incarnation(), info.address(), info.cpuMillis());
     }
--- a/src/main/java/org/mustardlink/platform/CallerEndpoint.java
+++ b/src/main/java/org/mustardlink/platform/CallerEndpoint.java
@@ -121,7 +121,7 @@
             exchange.refuse(404, "NO_ROUTE", "no queue has this host and path", Optional.empty());
             return;
         }
-        String id = path.substring(route.get().pathPrefix().length());
+        String id = path.substring(route.get().pathStart().length());
         String method = request.getMethod().getMethodString();
         if (id.isEmpty() && method.equals("GET")) {
             // Every accepted job is answered when it ends, so none waits after its acceptance.
--- a/src/main/java/org/mustardlink/platform/Wire.java
+++ b/src/main/java/org/mustardlink/platform/Wire.java
@@ -15,8 +15,11 @@
     static final String READ_PATH = "/api/log-read";
     static final String NEWEST_PATH = "/api/log-newest";
 
-    static final String OPERATOR_TOPIC = "keyed.op";
-    static final String TARGETS_TOPIC = "keyed.servers";
+    /** Start of the names of topics that keep the newest record of each key. */
+    static final String KEYED_PREFIX = "keyed.";
+
+    static final String OPERATOR_TOPIC = KEYED_PREFIX + "op";
+    static final String TARGETS_TOPIC = KEYED_PREFIX + "servers";
     static final String CONFIG_KEY = "config";
 
     static final String REASON = "reason";
--- a/src/main/java/org/mustardlink/routing/Route.java
+++ b/src/main/java/org/mustardlink/routing/Route.java
@@ -10,7 +10,7 @@
  *
  * @param name the queue
  * @param virtualHost value of the {@code Host} header
- * @param pathPrefix what the path begins with
+ * @param pathStart what the path begins with
  * @param service the service whose targets run the tasks
  * @param timeout longest time that a request may take, zero for no bound
  * @param objective fixed part of the time within which an answer counts in full
@@ -21,7 +21,7 @@
 public record Route(
         String name,
         String virtualHost,
-        String pathPrefix,
+        String pathStart,
         String service,
         Duration timeout,
         Duration objective,
@@ -31,7 +31,7 @@
     public Route {
         checkNotNull(name, "name");
         checkNotNull(virtualHost, "virtualHost");
-        checkNotNull(pathPrefix, "pathPrefix");
+        checkNotNull(pathStart, "pathStart");
         checkNotNull(service, "service");
         checkNotNull(timeout, "timeout");
         checkNotNull(objective, "objective");
--- a/src/main/java/org/mustardlink/routing/RoutingTable.java
+++ b/src/main/java/org/mustardlink/routing/RoutingTable.java
@@ -40,7 +40,7 @@
             long version, ImmutableList<Route> routes, ImmutableSet<String> services, int maxBodyBytes) {
         checkNotNull(services, "services");
         ImmutableList<Route> longestFirst = ImmutableList.sortedCopyOf(
-                Comparator.comparing((Route route) -> -route.pathPrefix().length())
+                Comparator.comparing((Route route) -> -route.pathStart().length())
                         .thenComparing(Route::name),
                 routes);
         return new RoutingTable(
@@ -83,7 +83,7 @@
             name = name.substring(0, colon);
         }
         for (Route route : byHost.get(name)) {
-            if (path.startsWith(route.pathPrefix())) {
+            if (path.startsWith(route.pathStart())) {
                 return Optional.of(route);
             }
         }
--- a/src/test/java/org/mustardlink/platform/PlatformBoundaryTest.java
+++ b/src/test/java/org/mustardlink/platform/PlatformBoundaryTest.java
@@ -17,8 +17,14 @@
     private static final ImmutableList<String> NAMES = ImmutableList.of(
             "\"addr\"",
             "\"zone\"",
+            "pathPrefix",
             "latencySloMs",
             "bestEffort",
+            "\"stretch\"",
+            "\"spec\":",
+            "\"capacity\":",
+            "\"coldLeftMs\"",
+            "\"waitMs\":",
             "antiAffinity",
             "\"estMs\"",
             "\"memMb\"",
@@ -28,8 +34,9 @@
             "X-Deadline-Ms",
             "X-Expect-Instance",
             "/api/",
-            "keyed.op",
-            "keyed.servers",
+            "\"keyed.",
+            "mustardlink-hosts",
+            "mustardlink-claims",
             "asOf=",
             "MUSTARDLINK_SETTINGS");
 
