--- a/src/main/java/org/mustardlink/cli/EntryCommand.java
+++ b/src/main/java/org/mustardlink/cli/EntryCommand.java
@@ -28,18 +28,13 @@
         return true;
     }
 
-    // The runtime ends the process on SIGTERM through shutdown hooks only, so the graceful stop has to run in one.
     @Override
-    @SuppressWarnings("ShutdownHook")
     public int run(Namespace arguments) {
         EntrySettings settings = EntrySettings.of(SettingsArguments.load(arguments));
         EventLog.configure(settings.logs());
         EntryHost host = EntryHost.start(settings, Incarnations.next(Clock.systemUTC()));
-        CountDownLatch ended = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            host.stop(settings.timeouts().stopGrace());
-            ended.countDown();
-        }));
+        CountDownLatch ended =
+                StopSignal.onStop(() -> host.stop(settings.timeouts().stopGrace()));
         try {
             ended.await();
         } catch (InterruptedException e) {
--- a/src/main/java/org/mustardlink/cli/ExerciseCommand.java
+++ b/src/main/java/org/mustardlink/cli/ExerciseCommand.java
@@ -5,8 +5,8 @@
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.exercise.StandInDeployment;
 import org.mustardlink.http.HttpReply;
-import org.mustardlink.platform.standin.StandInDeployment;
 
 /** {@code exercise}: serves jobs on stand-ins of the platform and checks every answer. */
 final class ExerciseCommand implements Subcommand {
--- a/src/main/java/org/mustardlink/cli/HostCommand.java
+++ b/src/main/java/org/mustardlink/cli/HostCommand.java
@@ -41,9 +41,7 @@
         return true;
     }
 
-    // The runtime ends the process on SIGTERM through shutdown hooks only, so the graceful stop has to run in one.
     @Override
-    @SuppressWarnings("ShutdownHook")
     public int run(Namespace arguments) {
         File file = new File(arguments.getString("settings"));
         HostSettings settings = HostSettings.load(file);
@@ -53,11 +51,7 @@
         }
         EventLog.configure(settings.logs().level(), settings.logs().libraryLevel());
         DispatchHost host = DispatchHost.start(settings, newIncarnation(settings.id()));
-        CountDownLatch ended = new CountDownLatch(1);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            host.stop();
-            ended.countDown();
-        }));
+        CountDownLatch ended = StopSignal.onStop(host::stop);
         onHangUp(() -> reload(file, host));
         try {
             long seen = file.lastModified();
--- a/src/main/java/org/mustardlink/platform/standin/StandInDeployment.java
+++ b/src/main/java/org/mustardlink/exercise/StandInDeployment.java
@@ -1,4 +1,4 @@
-package org.mustardlink.platform.standin;
+package org.mustardlink.exercise;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
@@ -20,7 +20,10 @@
 import org.mustardlink.http.HttpCall;
 import org.mustardlink.http.HttpReply;
 import org.mustardlink.http.HttpRequester;
-import org.mustardlink.http.Json;
+import org.mustardlink.platform.StoreTopics;
+import org.mustardlink.platform.standin.StandInDocuments;
+import org.mustardlink.platform.standin.StandInRunner;
+import org.mustardlink.platform.standin.StandInStore;
 
 /** A whole deployment in one process on loopback: a store, targets, and dispatch hosts. */
 public final class StandInDeployment implements AutoCloseable {
@@ -30,7 +33,6 @@
     private static final String VIRTUAL_HOST = "jobs.example";
     private static final Duration LEASE = Duration.ofSeconds(1);
     private static final Duration GRACE = Duration.ofSeconds(2);
-    private static final String TARGETS_TOPIC = "keyed.servers";
 
     private final StandInStore store;
     private final List<StandInRunner> runners = new ArrayList<>();
@@ -65,44 +67,25 @@
     }
 
     /** Publishes a configuration in which the one queue has a path prefix. */
-    public void configure(String pathPrefix) {
+    public void configure(String pathStart) {
         configVersion++;
-        ImmutableMap<String, Object> route = ImmutableMap.<String, Object>builder()
-                .put("name", "queue")
-                .put("host", VIRTUAL_HOST)
-                .put("pathPrefix", pathPrefix)
-                .put("timeoutMs", 3_000)
-                .put("latencySloMs", 60)
-                .put("priority", 0)
-                .put("service", SERVICE)
-                .put("maxAttempts", 3)
-                .put("stretch", 1.6)
-                .buildOrThrow();
         store.put(
-                "keyed.op",
-                "config",
-                Json.write(ImmutableMap.of(
-                        "version",
-                        configVersion,
-                        "routes",
-                        ImmutableList.of(route),
-                        "services",
-                        ImmutableList.of(ImmutableMap.of("name", SERVICE)),
-                        "limits",
-                        ImmutableMap.of("bodyBytes", 262_144))));
+                StoreTopics.OPERATOR,
+                StoreTopics.CONFIG_KEY,
+                StandInDocuments.config(configVersion, VIRTUAL_HOST, pathStart, SERVICE));
     }
 
     /** Starts a target and lists it. */
     public StandInRunner addTarget(String id, String domain, int slots) {
         StandInRunner runner = StandInRunner.start(id, slots, loopback());
         runners.add(runner);
-        store.put(TARGETS_TOPIC, id, runner.entry(SERVICE, domain, "ready"));
+        store.put(StoreTopics.TARGETS, id, runner.entry(SERVICE, domain, "ready"));
         return runner;
     }
 
     /** Lists a target as draining. */
     public void drain(StandInRunner runner, String domain) {
-        store.put(TARGETS_TOPIC, runner.id(), runner.entry(SERVICE, domain, "draining"));
+        store.put(StoreTopics.TARGETS, runner.id(), runner.entry(SERVICE, domain, "draining"));
     }
 
     /** Ends a dispatch host at once and starts it again at the same addresses. */
@@ -159,13 +142,7 @@
      * @param taskMs running time of a task
      */
     public CompletableFuture<HttpReply> submit(String host, String job, int tasks, int taskMs) {
-        String body = Json.write(ImmutableMap.of(
-                "spec",
-                Integer.toString(taskMs),
-                "bestEffort",
-                true,
-                "steps",
-                ImmutableList.of(ImmutableMap.of("count", tasks, "cpu", 1_000, "memMb", 1, "estMs", taskMs))));
+        String body = StandInDocuments.job(tasks, taskMs);
         return call(host, "POST", "/jobs/" + job, body);
     }
 
--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -84,12 +84,6 @@
         return requests.size();
     }
 
-    /** Returns whether a request for a job is open here. */
-    public boolean knows(String job) {
-        return requests.values().stream()
-                .anyMatch(request -> request.order.job().equals(job));
-    }
-
     private void dispatch(OpenRequest request, long now) {
         Optional<PoolId> pool = request.bound ? request.pool : choose(request.service, now);
         Optional<Claim> master = pool.flatMap(known -> directory.master(known, now));
--- /dev/null
+++ b/src/main/java/org/mustardlink/host/ClaimWriter.java
@@ -0,0 +1,49 @@
+package org.mustardlink.host;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import org.mustardlink.http.Json;
+import org.mustardlink.observe.EventLog;
+import org.mustardlink.observe.LogEvent;
+import org.mustardlink.observe.LogField;
+import org.mustardlink.ownership.Claim;
+import org.mustardlink.ownership.PoolOwnership.ClaimOutcome;
+import org.mustardlink.platform.StoreClient;
+import org.mustardlink.platform.StoreTopics;
+
+/** Writes this host's claims to the store, on the condition that no other came since the last one that was read. */
+final class ClaimWriter {
+    private final StoreClient store;
+    private final StoreFollowing following;
+    private final EventLog log;
+
+    ClaimWriter(StoreClient store, StoreFollowing following, EventLog log) {
+        this.store = store;
+        this.following = following;
+        this.log = log;
+    }
+
+    /** Writes a claim; the outcome is told on an I/O thread. */
+    void write(Claim claim, BiConsumer<Claim, ClaimOutcome> onOutcome) {
+        StoredClaim stored = StoredClaim.of(claim);
+        CompletableFuture<StoreClient.AppendOutcome> _sent = store.append(
+                        StoreTopics.CLAIMS, stored.key(), Json.write(stored), following.claimsEnd())
+                .whenComplete((answer, failure) -> {
+                    ClaimOutcome outcome = failure == null ? outcome(answer) : ClaimOutcome.NO_ANSWER;
+                    log.line(LogEvent.CLAIM_ANSWERED)
+                            .with(LogField.POOL, claim.pool())
+                            .with(LogField.ROUND, claim.round())
+                            .with(LogField.REASON, outcome)
+                            .write();
+                    onOutcome.accept(claim, outcome);
+                });
+    }
+
+    private static ClaimOutcome outcome(StoreClient.AppendOutcome answer) {
+        return switch (answer) {
+            case APPENDED -> ClaimOutcome.WRITTEN;
+            case OTHER_END -> ClaimOutcome.LOST;
+            case REFUSED -> ClaimOutcome.NO_ANSWER;
+        };
+    }
+}
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -1,20 +1,11 @@
 package org.mustardlink.host;
 
-import com.google.common.base.Ascii;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
-import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -26,11 +17,9 @@
 import org.mustardlink.front.Answer;
 import org.mustardlink.front.Front;
 import org.mustardlink.front.FrontActions;
-import org.mustardlink.front.PoolDirectory;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.http.HttpServers;
-import org.mustardlink.http.Json;
 import org.mustardlink.link.PeerLinks;
 import org.mustardlink.link.PeerListener;
 import org.mustardlink.link.PeerMessage;
@@ -48,12 +37,10 @@
 import org.mustardlink.platform.Documents;
 import org.mustardlink.platform.KeyedRecord;
 import org.mustardlink.platform.StoreClient;
-import org.mustardlink.platform.StoreTopics;
 import org.mustardlink.platform.TargetOrders;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.PoolId;
-import org.mustardlink.pool.PoolLoad;
 import org.mustardlink.pool.RequestId;
 import org.mustardlink.routing.Route;
 import org.mustardlink.routing.RoutingTable;
@@ -75,10 +62,6 @@
     private static final Duration BALANCER_LAG = Duration.ofMillis(3_200);
     /** Time kept free before the end by force. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
-    /** A canceling caller waits this long for the hosts that may have its job. */
-    private static final long CANCEL_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-    /** A request waits this long for the first configuration; a reachable store answers within 100 ms. */
-    private static final long UNROUTED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Latency histograms kept apart, by queue. */
     private static final int MAX_SERIES = 64;
 
@@ -105,16 +88,18 @@
     private final TargetDirectory targets;
     private final PoolOwnership ownership;
     private final PoolRunner pools;
-    private final PeerDesk peers;
+    private final PeerMonitor peers;
+    private final KnownPools knownPools;
     private final Front front;
     private final PeerLinks links;
     private final StoreFollowing following;
+    private final ClaimWriter claimWriter;
     private final CallerEndpoint endpoint;
     private final HttpServer metricsServer;
     private final AtomicLong requestNumbers = new AtomicLong();
-    private final Map<Long, Pending> pending = new HashMap<>();
-    private final Map<String, Cancel> cancels = new HashMap<>();
-    private final List<Unrouted> unrouted = new ArrayList<>();
+    private final OpenRequests requests;
+    private final Cancellations cancellations = new Cancellations();
+    private final UnroutedRequests unrouted = new UnroutedRequests();
     private final StoreSnapshot snapshot = new StoreSnapshot();
     private final long startedNanos;
     private boolean snapshotTaken;
@@ -122,34 +107,8 @@
     private volatile boolean anyMaster;
     private volatile boolean stopping;
     private volatile boolean ownsAny;
-
-    /** A request that arrived before the first configuration. */
-    private record Unrouted(Runnable action, long untilNanos) {}
-
     private volatile int openRequests;
 
-    /** What is kept of a request beside the front. */
-    private static final class Pending {
-        private final JobOrder order;
-        private final long configVersion;
-        private final long arrivedNanos;
-        private final Consumer<Answer> onAnswer;
-        private Optional<PoolId> pool = Optional.empty();
-
-        private Pending(JobOrder order, long configVersion, long arrivedNanos, Consumer<Answer> onAnswer) {
-            this.order = order;
-            this.configVersion = configVersion;
-            this.arrivedNanos = arrivedNanos;
-            this.onAnswer = onAnswer;
-        }
-    }
-
-    private static final class Cancel {
-        private final Set<String> asked = new HashSet<>();
-        private long untilNanos;
-        private Consumer<Boolean> onFound;
-    }
-
     private DispatchHost(HostSettings settings, long incarnation) {
         this.settings = settings;
         this.startedNanos = System.nanoTime();
@@ -160,6 +119,7 @@
                 Addresses.format(settings.peers()),
                 settings.cpuMillis());
         this.log = EventLog.create(self.id(), self.domain(), settings.logs().linesPerSecond());
+        this.requests = new OpenRequests(self.domain(), metrics, log);
         this.loop = new HostLoop(this::afterBatch, this::nextDue, this::eventFailed);
         this.targetRequester = HttpRequester.start(
                 new HttpRequester.Limits(TARGET_CONNECTIONS, MAX_CONNECTIONS, CONNECT_TIMEOUT, IDLE_TIMEOUT, 1));
@@ -176,12 +136,14 @@
                 settings.lease(),
                 log,
                 this::resultOf,
-                this::elsewhere);
-        this.peers = new PeerDesk(self, ownership, log, startedNanos);
-        this.front = new Front(self.domain(), new Directory(), new ToMasters());
+                (pool, order) -> knownPools().withRoom(pool, order));
+        this.peers = new PeerMonitor(self, ownership, log, startedNanos);
+        this.knownPools = new KnownPools(ownership, pools, peers);
+        this.front = new Front(self.domain(), knownPools, new ToMasters());
         this.links = PeerLinks.start(self, new FromPeers());
         peers.use(links);
         this.following = new StoreFollowing(store, timer, log, loop, new FromStore());
+        this.claimWriter = new ClaimWriter(store, following, log);
         this.endpoint = CallerEndpoint.start(settings.callers(), settings.readiness(), this);
         this.metricsServer = HttpServers.startNonBlocking(
                 settings.metrics(),
@@ -193,6 +155,11 @@
                         MetricsText.of(metrics).prometheus()));
     }
 
+    // The pools and what is known of them need each other.
+    private KnownPools knownPools() {
+        return knownPools;
+    }
+
     // Cancelled timers must leave the queue at once; only the class itself offers that.
     private static ScheduledExecutorService newTimer() {
         ScheduledThreadPoolExecutor executor =
@@ -230,7 +197,7 @@
         log.line(LogEvent.HOST_LEAVING).with(LogField.OPEN_JOBS, openRequests).write();
         loop.post(at -> {
             ownership.stop();
-            peers.beat(true, pools.loads(at), at);
+            peers.sendHeartbeats(true, pools.loads(at), at);
         });
         long latest = now + settings.stopGrace().minus(STOP_MARGIN).toNanos();
         long earliest = Math.min(latest, now + BALANCER_LAG.toNanos());
@@ -288,14 +255,8 @@
         if (claimsRead && targets.known()) {
             ownership.tick(now);
         }
-        cancels.values().removeIf(cancel -> {
-            boolean over = now > cancel.untilNanos;
-            if (over) {
-                cancel.onFound.accept(false);
-            }
-            return over;
-        });
-        routeWaiting(now);
+        cancellations.expire(now);
+        unrouted.tick(routes.isPresent(), now);
         openRequests = front.openRequests();
         ownsAny = !ownership.ownClaims().isEmpty();
         anyMaster = ownership.pools().stream()
@@ -304,7 +265,7 @@
 
     private long nextDue(long now) {
         long busy = now + (front.openRequests() > 0 ? BUSY_NANOS : IDLE_NANOS);
-        return Math.min(pools.nextDue(now, busy), peers.nextBeat());
+        return Math.min(pools.nextDue(now, busy), peers.nextHeartbeat());
     }
 
     private void hostLost(HostInfo host, long now) {
@@ -325,17 +286,7 @@
 
     @Override
     public void whenConfigured(Runnable action) {
-        loop.post(now -> unrouted.add(new Unrouted(action, now + UNROUTED_NANOS)));
-    }
-
-    private void routeWaiting(long now) {
-        unrouted.removeIf(waiting -> {
-            boolean over = routes.isPresent() || now > waiting.untilNanos();
-            if (over) {
-                waiting.action().run();
-            }
-            return over;
-        });
+        loop.post(now -> unrouted.add(action, now));
     }
 
     @Override
@@ -370,7 +321,7 @@
                 false,
                 true);
         loop.post(now -> {
-            pending.put(number, new Pending(order, configVersion, now, onAnswer));
+            requests.add(order, configVersion, onAnswer, now);
             front.submit(order, route.service(), now);
         });
         return number;
@@ -380,10 +331,7 @@
     public void callerGone(long request) {
         loop.post(now -> {
             front.callerGone(request, now);
-            Pending gone = pending.remove(request);
-            if (gone != null) {
-                answered(gone, "CALLER_GONE", "the caller closed its connection", now);
-            }
+            requests.callerGone(request, now);
         });
     }
 
@@ -394,20 +342,12 @@
                 onFound.accept(true);
                 return;
             }
-            Cancel cancel = new Cancel();
-            cancel.untilNanos = now + CANCEL_WAIT_NANOS;
-            cancel.onFound = onFound;
-            for (HostInfo host : ownership.hosts()) {
-                if (ownership.alive(host.id(), host.incarnation(), now)) {
-                    cancel.asked.add(host.id());
-                    links.send(host.id(), new PeerMessage.Cancel(job));
-                }
-            }
-            if (cancel.asked.isEmpty()) {
-                onFound.accept(false);
-            } else {
-                cancels.put(job, cancel);
-            }
+            ImmutableSet<String> others = ownership.hosts().stream()
+                    .filter(host -> ownership.alive(host.id(), host.incarnation(), now))
+                    .map(HostInfo::id)
+                    .collect(ImmutableSet.toImmutableSet());
+            others.forEach(host -> links.send(host, new PeerMessage.Cancel(job)));
+            cancellations.add(job, others, onFound, now);
         });
     }
 
@@ -422,20 +362,6 @@
                 .write();
     }
 
-    private void answered(Pending request, String answer, String why, long now) {
-        metrics.countAnswer(Ascii.toLowerCase(answer));
-        metrics.recordResponse(self.domain(), request.order.route(), now - request.arrivedNanos);
-        log.line(LogEvent.REQUEST_ANSWERED)
-                .with(LogField.JOB, request.order.job())
-                .with(LogField.ROUTE, request.order.route())
-                .with(LogField.ANSWER, answer)
-                .with(LogField.REASON, why)
-                .with(LogField.POOL, request.pool.map(PoolId::toString).orElse(""))
-                .with(LogField.CONFIG_VERSION, request.configVersion)
-                .with(LogField.ELAPSED_MS, TimeUnit.NANOSECONDS.toMillis(now - request.arrivedNanos))
-                .write();
-    }
-
     // ---- jobs between fronts and masters ----
 
     private void resultOf(PoolId pool, RequestId request, JobResult result) {
@@ -448,63 +374,11 @@
         }
     }
 
-    private Optional<PoolId> elsewhere(PoolId pool, JobOrder order) {
-        long now = System.nanoTime();
-        int wanted = order.steps().get(0).count() * order.steps().get(0).need().cpuMillis();
-        Optional<PoolId> other = ownership.pools().stream()
-                .filter(candidate -> candidate.service().equals(pool.service()) && !candidate.equals(pool))
-                .filter(candidate -> ownership.master(candidate, now).isPresent())
-                .filter(candidate -> {
-                    PoolLoad load = loadOf(candidate, now);
-                    return load.freeCpuMillis() >= wanted
-                            && load.widestCpuMillis()
-                                    >= order.steps().get(0).need().cpuMillis();
-                })
-                .max(Comparator.comparingInt(candidate -> loadOf(candidate, now).freeCpuMillis()));
-        other.ifPresent(chosen -> peers.reserve(chosen, wanted));
-        return other;
-    }
-
-    private PoolLoad loadOf(PoolId pool, long now) {
-        return pools.load(pool, now).orElseGet(() -> peers.load(pool));
-    }
-
-    private final class Directory implements PoolDirectory {
-        @Override
-        public ImmutableList<PoolId> pools(String service) {
-            return ownership.pools().stream()
-                    .filter(pool -> pool.service().equals(service))
-                    .collect(ImmutableList.toImmutableList());
-        }
-
-        @Override
-        public Optional<Claim> master(PoolId pool, long now) {
-            return ownership.master(pool, now);
-        }
-
-        @Override
-        public PoolLoad load(PoolId pool) {
-            return loadOf(pool, System.nanoTime());
-        }
-    }
-
     private final class ToMasters implements FrontActions {
         @Override
         public void submit(Claim master, JobOrder order) {
             long now = System.nanoTime();
-            Pending request = pending.get(order.request().number());
-            if (request != null) {
-                request.pool = Optional.of(master.pool());
-            }
-            log.line(LogEvent.REQUEST_SENT)
-                    .with(LogField.JOB, order.job())
-                    .with(LogField.POOL, master.pool())
-                    .with(LogField.MASTER, master.host())
-                    .with(LogField.ROUND, master.round())
-                    .with(LogField.RESUMED, order.resumed())
-                    .with(LogField.CONFIG_VERSION, request == null ? -1 : request.configVersion)
-                    .with(LogField.AGE_MS, peers.ageMs(master.host(), now))
-                    .write();
+            requests.sent(master, order, peers.ageMs(master.host(), now));
             if (master.isOf(self)) {
                 loop.post(at -> pools.submit(master.pool(), order, at));
             } else {
@@ -523,11 +397,7 @@
 
         @Override
         public void answer(long request, Answer answer) {
-            Pending waiting = pending.remove(request);
-            if (waiting != null) {
-                answered(waiting, answer.kind().name(), answer.why(), System.nanoTime());
-                waiting.onAnswer.accept(answer);
-            }
+            requests.answer(request, answer, System.nanoTime());
         }
     }
 
@@ -545,6 +415,11 @@
             loop.post(links::tick);
         }
 
+        @Override
+        public void malformed(String why) {
+            log.line(LogEvent.FRAME_REJECTED).with(LogField.REASON, why).write();
+        }
+
         @Override
         public void connected(String host) {
             loop.post(now -> {
@@ -584,7 +459,7 @@
             boolean found = cancelHere(cancel.job(), now);
             links.send(sender.id(), new PeerMessage.Canceled(cancel.job(), found));
         } else if (message instanceof PeerMessage.Canceled canceled) {
-            canceled(sender, canceled);
+            cancellations.answered(sender.id(), canceled.job(), canceled.found());
         }
     }
 
@@ -607,18 +482,6 @@
         return waited || ran;
     }
 
-    private void canceled(HostInfo sender, PeerMessage.Canceled canceled) {
-        Cancel cancel = cancels.get(canceled.job());
-        if (cancel == null) {
-            return;
-        }
-        cancel.asked.remove(sender.id());
-        if (canceled.found() || cancel.asked.isEmpty()) {
-            cancels.remove(canceled.job());
-            cancel.onFound.accept(canceled.found());
-        }
-    }
-
     // ---- store ----
 
     private final class FromStore implements StoreFollowing.Listener {
@@ -654,17 +517,8 @@
     private final class Claims implements OwnershipActions {
         @Override
         public void writeClaim(Claim claim) {
-            StoredClaim stored = StoredClaim.of(claim);
-            CompletableFuture<StoreClient.AppendOutcome> _sent = store.append(
-                            StoreTopics.CLAIMS, stored.key(), Json.write(stored), following.claimsEnd())
-                    .whenComplete((outcome, failure) -> loop.post(now -> ownership.claimAnswered(
-                            claim,
-                            failure != null || outcome == StoreClient.AppendOutcome.REFUSED
-                                    ? PoolOwnership.ClaimOutcome.NO_ANSWER
-                                    : outcome == StoreClient.AppendOutcome.APPENDED
-                                            ? PoolOwnership.ClaimOutcome.WRITTEN
-                                            : PoolOwnership.ClaimOutcome.LOST,
-                            now)));
+            claimWriter.write(
+                    claim, (written, outcome) -> loop.post(now -> ownership.claimAnswered(written, outcome, now)));
         }
 
         @Override
@@ -676,7 +530,7 @@
         public void acquired(Claim claim) {
             long now = System.nanoTime();
             pools.acquire(claim, ownership, now);
-            peers.beat(stopping, pools.loads(now), now);
+            peers.sendHeartbeats(stopping, pools.loads(now), now);
         }
 
         @Override
--- /dev/null
+++ b/src/main/java/org/mustardlink/host/KnownPools.java
@@ -0,0 +1,56 @@
+package org.mustardlink.host;
+
+import com.google.common.collect.ImmutableList;
+import java.util.Comparator;
+import java.util.Optional;
+import org.mustardlink.front.PoolDirectory;
+import org.mustardlink.ownership.Claim;
+import org.mustardlink.ownership.PoolOwnership;
+import org.mustardlink.pool.JobOrder;
+import org.mustardlink.pool.PoolId;
+import org.mustardlink.pool.PoolLoad;
+
+/** What a host knows of pools: their masters, and the loads of its own and, from heartbeats, of others. */
+final class KnownPools implements PoolDirectory {
+    private final PoolOwnership ownership;
+    private final PoolRunner own;
+    private final PeerMonitor peers;
+
+    KnownPools(PoolOwnership ownership, PoolRunner own, PeerMonitor peers) {
+        this.ownership = ownership;
+        this.own = own;
+        this.peers = peers;
+    }
+
+    @Override
+    public ImmutableList<PoolId> pools(String service) {
+        return ownership.pools().stream()
+                .filter(pool -> pool.service().equals(service))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    @Override
+    public Optional<Claim> master(PoolId pool, long now) {
+        return ownership.master(pool, now);
+    }
+
+    @Override
+    public PoolLoad load(PoolId pool) {
+        return own.load(pool, System.nanoTime()).orElseGet(() -> peers.load(pool));
+    }
+
+    /** Returns another pool of the service that has room for a whole job, and counts the job against that room. */
+    Optional<PoolId> withRoom(PoolId pool, JobOrder order) {
+        long now = System.nanoTime();
+        int taskCpu = order.steps().get(0).need().cpuMillis();
+        int wanted = order.steps().get(0).count() * taskCpu;
+        Optional<PoolId> other = pools(pool.service()).stream()
+                .filter(candidate ->
+                        !candidate.equals(pool) && master(candidate, now).isPresent())
+                .filter(candidate -> load(candidate).freeCpuMillis() >= wanted
+                        && load(candidate).widestCpuMillis() >= taskCpu)
+                .max(Comparator.comparingInt(candidate -> load(candidate).freeCpuMillis()));
+        other.ifPresent(chosen -> peers.reserve(chosen, wanted));
+        return other;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/mustardlink/host/OpenRequests.java
@@ -0,0 +1,98 @@
+package org.mustardlink.host;
+
+import com.google.common.base.Ascii;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.mustardlink.front.Answer;
+import org.mustardlink.observe.EntryMetrics;
+import org.mustardlink.observe.EventLog;
+import org.mustardlink.observe.LogEvent;
+import org.mustardlink.observe.LogField;
+import org.mustardlink.ownership.Claim;
+import org.mustardlink.pool.JobOrder;
+import org.mustardlink.pool.PoolId;
+
+/** Who waits for the answers of open requests, and what logs and metrics need of them. Runs on the loop thread. */
+final class OpenRequests {
+    private final String domain;
+    private final EntryMetrics metrics;
+    private final EventLog log;
+    private final Map<Long, Waiting> waiting = new HashMap<>();
+
+    private static final class Waiting {
+        private final JobOrder order;
+        private final long configVersion;
+        private final long arrivedNanos;
+        private final Consumer<Answer> onAnswer;
+        private Optional<PoolId> pool = Optional.empty();
+
+        private Waiting(JobOrder order, long configVersion, long arrivedNanos, Consumer<Answer> onAnswer) {
+            this.order = order;
+            this.configVersion = configVersion;
+            this.arrivedNanos = arrivedNanos;
+            this.onAnswer = onAnswer;
+        }
+    }
+
+    OpenRequests(String domain, EntryMetrics metrics, EventLog log) {
+        this.domain = domain;
+        this.metrics = metrics;
+        this.log = log;
+    }
+
+    void add(JobOrder order, long configVersion, Consumer<Answer> onAnswer, long now) {
+        waiting.put(order.request().number(), new Waiting(order, configVersion, now, onAnswer));
+    }
+
+    /** Notes that a request was handed to a master, last heard of some milliseconds ago. */
+    void sent(Claim master, JobOrder order, long masterAgeMs) {
+        Waiting request = waiting.get(order.request().number());
+        if (request == null) {
+            return;
+        }
+        request.pool = Optional.of(master.pool());
+        log.line(LogEvent.REQUEST_SENT)
+                .with(LogField.JOB, order.job())
+                .with(LogField.POOL, master.pool())
+                .with(LogField.MASTER, master.host())
+                .with(LogField.ROUND, master.round())
+                .with(LogField.RESUMED, order.resumed())
+                .with(LogField.CONFIG_VERSION, request.configVersion)
+                .with(LogField.AGE_MS, masterAgeMs)
+                .write();
+    }
+
+    /** Gives a caller its final answer. */
+    void answer(long number, Answer answer, long now) {
+        Waiting request = waiting.remove(number);
+        if (request != null) {
+            record(request, answer.kind().name(), answer.why(), now);
+            request.onAnswer.accept(answer);
+        }
+    }
+
+    /** Notes that a caller has closed its connection. */
+    void callerGone(long number, long now) {
+        Waiting request = waiting.remove(number);
+        if (request != null) {
+            record(request, "CALLER_GONE", "the caller closed its connection", now);
+        }
+    }
+
+    private void record(Waiting request, String answer, String why, long now) {
+        metrics.countAnswer(Ascii.toLowerCase(answer));
+        metrics.recordResponse(domain, request.order.route(), now - request.arrivedNanos);
+        log.line(LogEvent.REQUEST_ANSWERED)
+                .with(LogField.JOB, request.order.job())
+                .with(LogField.ROUTE, request.order.route())
+                .with(LogField.ANSWER, answer)
+                .with(LogField.REASON, why)
+                .with(LogField.POOL, request.pool.map(PoolId::toString).orElse(""))
+                .with(LogField.CONFIG_VERSION, request.configVersion)
+                .with(LogField.ELAPSED_MS, TimeUnit.NANOSECONDS.toMillis(now - request.arrivedNanos))
+                .write();
+    }
+}
--- a/src/main/java/org/mustardlink/host/PeerDesk.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -15,7 +15,7 @@
 import org.mustardlink.pool.PoolLoad;
 
 /** Heartbeats to and from the other hosts, and what they tell about loads. Runs on the loop thread. */
-final class PeerDesk {
+final class PeerMonitor {
     /** Interval of heartbeats; five may be lost before a host is taken for dead. */
     private static final long HEARTBEAT_NANOS = PoolOwnership.SILENCE_NANOS / 5;
     /** Heartbeats that the receiver may lag behind before the link to it is taken for dead. */
@@ -46,7 +46,7 @@
         void lost(HostInfo host, long now);
     }
 
-    PeerDesk(HostInfo self, PoolOwnership ownership, EventLog log, long now) {
+    PeerMonitor(HostInfo self, PoolOwnership ownership, EventLog log, long now) {
         this.self = self;
         this.ownership = ownership;
         this.log = log;
@@ -118,7 +118,7 @@
     /** Sends heartbeats when they are due, and notices hosts that are gone. */
     void tick(boolean stopping, ImmutableMap<PoolId, PoolLoad> ownLoads, LossListener listener, long now) {
         if (now - sentNanos >= HEARTBEAT_NANOS) {
-            beat(stopping, ownLoads, now);
+            sendHeartbeats(stopping, ownLoads, now);
         }
         for (Peer peer : peers.values()) {
             if (peer.alive && !ownership.alive(peer.info.id(), peer.info.incarnation(), now)) {
@@ -135,7 +135,7 @@
     }
 
     /** Sends a heartbeat to every host now. */
-    void beat(boolean stopping, ImmutableMap<PoolId, PoolLoad> ownLoads, long now) {
+    void sendHeartbeats(boolean stopping, ImmutableMap<PoolId, PoolLoad> ownLoads, long now) {
         sentNanos = now;
         number++;
         links.tick(now);
@@ -146,7 +146,7 @@
         }
     }
 
-    long nextBeat() {
+    long nextHeartbeat() {
         return sentNanos + HEARTBEAT_NANOS;
     }
 
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -40,7 +40,7 @@
     private final PoolBounds bounds;
     private final EventLog log;
     private final Results results;
-    private final Elsewhere elsewhere;
+    private final OtherPool otherPool;
     private final Map<PoolId, PoolMaster> masters = new LinkedHashMap<>();
     private final Map<RequestId, Long> arrivals = new HashMap<>();
     private final Map<Answered, JobResult> recent = new LinkedHashMap<>() {
@@ -63,7 +63,7 @@
 
     /** Finds another pool that has room for a whole job. */
     @FunctionalInterface
-    interface Elsewhere {
+    interface OtherPool {
         Optional<PoolId> find(PoolId pool, JobOrder order);
     }
 
@@ -74,14 +74,14 @@
             Duration lease,
             EventLog log,
             Results results,
-            Elsewhere elsewhere) {
+            OtherPool otherPool) {
         this.loop = loop;
         this.orders = orders;
         this.targets = targets;
         this.bounds = new PoolBounds(lease);
         this.log = log;
         this.results = results;
-        this.elsewhere = elsewhere;
+        this.otherPool = otherPool;
     }
 
     /** Becomes the master of a pool. */
@@ -96,7 +96,7 @@
                 FencingToken.of(claim.round(), claim.incarnation()),
                 bounds,
                 new Orders(pool, claim.round(), ownership),
-                order -> elsewhere.find(pool, order),
+                order -> otherPool.find(pool, order),
                 now);
         masters.put(pool, master);
         master.targetsListed(targets.targets(pool), now);
--- a/src/main/java/org/mustardlink/link/PeerLinks.java
+++ b/src/main/java/org/mustardlink/link/PeerLinks.java
@@ -221,6 +221,7 @@
             while (buffer.remaining() >= LENGTH_BYTES) {
                 int length = buffer.getInt(buffer.position());
                 if (length <= 0 || length > MAX_FRAME_BYTES) {
+                    listener.malformed("a frame of " + length + " bytes");
                     connection.terminateSilently();
                     return context.getStopAction();
                 }
@@ -243,7 +244,8 @@
             try {
                 message = PeerCodec.decode(body);
             } catch (CodedException e) {
-                // A sender of another protocol; the caller closes its connection.
+                // A sender of another protocol or version; the caller closes its connection.
+                listener.malformed(e.getMessage());
                 return false;
             }
             if (message instanceof PeerMessage.Hello hello) {
@@ -251,6 +253,7 @@
             }
             HostInfo sender = SENDER.get(connection);
             if (sender == null) {
+                listener.malformed("a message before the sender has introduced itself");
                 return false;
             }
             listener.received(sender, message);
--- a/src/main/java/org/mustardlink/link/PeerListener.java
+++ b/src/main/java/org/mustardlink/link/PeerListener.java
@@ -10,6 +10,9 @@
     /** A connection that another host had opened was closed by it or by the network. */
     void closed(HostInfo sender);
 
+    /** Bytes on a connection can't be read as a message; the connection is closed. */
+    void malformed(String why);
+
     /** Our connection to a host is open. */
     void connected(String host);
 
--- a/src/main/java/org/mustardlink/observe/LogEvent.java
+++ b/src/main/java/org/mustardlink/observe/LogEvent.java
@@ -59,6 +59,10 @@
     POOL_ACQUIRED("pool.acquired", StandardLevel.INFO),
     /** This host is no longer the master of a pool. */
     POOL_RELEASED("pool.released", StandardLevel.INFO),
+    /** The store answered a claim of this host, or didn't. */
+    CLAIM_ANSWERED("claim.answered", StandardLevel.INFO),
+    /** Bytes on a connection of another host can't be read; the connection is closed. */
+    FRAME_REJECTED("frame.rejected", StandardLevel.WARN),
     /** A configuration is in force. */
     CONFIG_APPLIED("config.applied", StandardLevel.INFO),
     /** A record of the store can't be used. */
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -36,7 +36,7 @@
     private static final long RETURN_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     /** Without a live peer and without the store a host waits this long before it claims: it may be the one cut off. */
-    private static final long ALONE_NANOS = TimeUnit.SECONDS.toNanos(2);
+    private static final long ISOLATION_NANOS = TimeUnit.SECONDS.toNanos(2);
     /** Pause between probes of a pool in another domain, and how long an answer counts. */
     private static final long PROBE_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
     /** Another domain's pool answers for this long before it is claimed: after a cut its own hosts are heard within it. */
@@ -59,7 +59,7 @@
     private final Map<PoolId, Long> reachedNanos = new HashMap<>();
     private final Map<PoolId, Long> fencedSince = new HashMap<>();
     private final Map<PoolId, Long> reachableSince = new HashMap<>();
-    private long lastCompanyNanos;
+    private long lastPeerHeardNanos;
     private ImmutableSet<PoolId> pools = ImmutableSet.of();
     private boolean stopping;
 
@@ -90,7 +90,7 @@
         this.self = checkNotNull(self, "self");
         this.actions = checkNotNull(actions, "actions");
         this.startedNanos = now;
-        this.lastCompanyNanos = now;
+        this.lastPeerHeardNanos = now;
     }
 
     /**
@@ -180,9 +180,9 @@
 
     /** Returns whether a claim may go without the store; a host that is cut off must not take a pool from a live master. */
     private boolean mayClaimWithoutStore(PoolId pool, long now) {
-        boolean inCompany = peers.values().stream().anyMatch(peer -> peer.alive(now));
-        boolean aloneForLong = now - lastCompanyNanos > ALONE_NANOS;
-        return inCompany || (aloneForLong && !owned.contains(pool));
+        boolean hearsAnyPeer = peers.values().stream().anyMatch(peer -> peer.alive(now));
+        boolean isolatedForLong = now - lastPeerHeardNanos > ISOLATION_NANOS;
+        return hearsAnyPeer || (isolatedForLong && !owned.contains(pool));
     }
 
     /** Takes any answer of a target of a pool. */
@@ -273,7 +273,7 @@
             return;
         }
         if (peers.values().stream().anyMatch(peer -> peer.alive(now))) {
-            lastCompanyNanos = now;
+            lastPeerHeardNanos = now;
         }
         for (PoolId pool : pools) {
             Claim waiting = pending.get(pool);
--- /dev/null
+++ b/src/main/java/org/mustardlink/platform/standin/StandInDocuments.java
@@ -0,0 +1,53 @@
+package org.mustardlink.platform.standin;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import org.mustardlink.http.Json;
+
+/** Documents as the operator and callers of the platform write them. */
+public final class StandInDocuments {
+    private static final int TIMEOUT_MS = 3_000;
+    private static final int OBJECTIVE_MS = 60;
+    private static final double STRETCH = 1.6;
+    private static final int MAX_ATTEMPTS = 3;
+    private static final int MAX_BODY_BYTES = 262_144;
+    private static final int TASK_CPU_MILLIS = 1_000;
+
+    private StandInDocuments() {}
+
+    /** Returns a configuration of one queue. */
+    public static String config(long version, String virtualHost, String pathStart, String service) {
+        ImmutableMap<String, Object> route = ImmutableMap.<String, Object>builder()
+                .put("name", "queue")
+                .put("host", virtualHost)
+                .put("pathPrefix", pathStart)
+                .put("timeoutMs", TIMEOUT_MS)
+                .put("latencySloMs", OBJECTIVE_MS)
+                .put("priority", 0)
+                .put("service", service)
+                .put("maxAttempts", MAX_ATTEMPTS)
+                .put("stretch", STRETCH)
+                .buildOrThrow();
+        return Json.write(ImmutableMap.of(
+                "version",
+                version,
+                "routes",
+                ImmutableList.of(route),
+                "services",
+                ImmutableList.of(ImmutableMap.of("name", service)),
+                "limits",
+                ImmutableMap.of("bodyBytes", MAX_BODY_BYTES)));
+    }
+
+    /** Returns a job of equal tasks that need not be stored. */
+    public static String job(int tasks, int taskMs) {
+        return Json.write(ImmutableMap.of(
+                "spec",
+                Integer.toString(taskMs),
+                "bestEffort",
+                true,
+                "steps",
+                ImmutableList.of(
+                        ImmutableMap.of("count", tasks, "cpu", TASK_CPU_MILLIS, "memMb", 1, "estMs", taskMs))));
+    }
+}
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -21,18 +21,18 @@
 
     private final PoolTables tables;
     private final PoolActions actions;
-    private final Function<JobOrder, Optional<PoolId>> elsewhere;
+    private final Function<JobOrder, Optional<PoolId>> otherPool;
     private final LoadShedding shedding = new LoadShedding();
 
     /**
      * Creates the system.
      *
-     * @param elsewhere returns another pool that can start a whole job now
+     * @param otherPool returns another pool that can start a whole job now
      */
-    JobSystem(PoolTables tables, PoolActions actions, Function<JobOrder, Optional<PoolId>> elsewhere) {
+    JobSystem(PoolTables tables, PoolActions actions, Function<JobOrder, Optional<PoolId>> otherPool) {
         this.tables = tables;
         this.actions = actions;
-        this.elsewhere = elsewhere;
+        this.otherPool = otherPool;
     }
 
     /** Takes a job in; returns its row unless it is refused, redirected or known already. */
@@ -68,7 +68,7 @@
         shedding.offered(order.route(), job.work(), now);
         boolean roomNow = tables.queue().isEmpty() && hasRoomNow(order, now);
         if (!roomNow && order.mayMove()) {
-            Optional<PoolId> other = elsewhere.apply(order);
+            Optional<PoolId> other = otherPool.apply(order);
             if (other.isPresent()) {
                 return Optional.of(new JobResult.Redirected(other.get()));
             }
@@ -83,7 +83,7 @@
                 return Optional.of(new JobResult.Failed("no target of the pool can hold a task of the job"));
             }
         }
-        if (hopeless(job, now)) {
+        if (missesDeadline(job, now)) {
             return Optional.of(new JobResult.Refused(
                     "the job takes longer on every target than its caller waits", MIN_RETRY_AFTER));
         }
@@ -111,24 +111,24 @@
     private double throughput(long now) {
         return PACKING
                 * tables.targets().stream()
-                        .filter(target -> PlacementSystem.usable(target, now) || isBeingTaken(target))
+                        .filter(target -> PlacementSystem.usable(target, now) || awaitsFirstReport(target))
                         .mapToDouble(target ->
                                 target.entry().capacity().cpuMillis() / Math.max(MIN_SLOWNESS, target.slowness()))
                         .sum();
     }
 
     /** Returns whether no target of the pool is fast enough for a job's deadline, free or not. */
-    private boolean hopeless(PoolJob job, long now) {
+    private boolean missesDeadline(PoolJob job, long now) {
         long chain = tables.runningTimes()
                 .expectedNanos(job.order().route(), job.order().longestChain());
         return !tables.targets().isEmpty()
                 && tables.targets().stream()
-                        .allMatch(target ->
-                                PlacementSystem.hopeless((long) (chain * target.slowness()), job.deadlineNanos(), now));
+                        .allMatch(target -> PlacementSystem.missesDeadline(
+                                (long) (chain * target.slowness()), job.deadlineNanos(), now));
     }
 
     /** Returns whether a target's first report under our token is on its way. */
-    private static boolean isBeingTaken(PoolTarget target) {
+    private static boolean awaitsFirstReport(PoolTarget target) {
         return !target.taken()
                 && !target.fencedOut()
                 && target.misses() == 0
--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -18,18 +18,12 @@
     private final PoolTables tables;
     private final PoolActions actions;
     private final RunSystem runs;
-    private final PoolBounds bounds;
     private long holdNumber;
 
-    LeaseSystem(PoolTables tables, PoolActions actions, RunSystem runs, PoolBounds bounds) {
+    LeaseSystem(PoolTables tables, PoolActions actions, RunSystem runs) {
         this.tables = tables;
         this.actions = actions;
         this.runs = runs;
-        this.bounds = bounds;
-    }
-
-    PoolBounds bounds() {
-        return bounds;
     }
 
     /** Sends a report request to each target that has none open. */
@@ -54,7 +48,7 @@
     }
 
     /** Asks a target for an immediate report. */
-    void look(PoolTarget target, long now) {
+    void requestReport(PoolTarget target, long now) {
         hold(target, 0, now);
     }
 
--- a/src/main/java/org/mustardlink/pool/LoadShedding.java
+++ b/src/main/java/org/mustardlink/pool/LoadShedding.java
@@ -27,7 +27,7 @@
     private static final class Rate {
         private double perNano;
         private long updatedNanos;
-        private double owed;
+        private double unrefusedShare;
 
         private double at(long now) {
             return perNano * Math.exp(-(now - updatedNanos) / TIME_CONSTANT_NANOS);
@@ -60,7 +60,7 @@
             double offered = entry.getValue().at(now);
             double share = Math.min(MAX_SHARE, excess / offered);
             if (entry.getKey().equals(queue)) {
-                return yields(entry.getValue(), share);
+                return refusesNext(entry.getValue(), share);
             }
             excess -= share * offered;
             if (excess <= 0) {
@@ -71,12 +71,12 @@
     }
 
     /** Spreads the refusals evenly over the jobs of a queue. */
-    private static boolean yields(Rate rate, double share) {
-        rate.owed += share;
-        if (rate.owed < 1) {
+    private static boolean refusesNext(Rate rate, double share) {
+        rate.unrefusedShare += share;
+        if (rate.unrefusedShare < 1) {
             return false;
         }
-        rate.owed -= 1;
+        rate.unrefusedShare -= 1;
         return true;
     }
 }
--- a/src/main/java/org/mustardlink/pool/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/PlacementSystem.java
@@ -23,15 +23,15 @@
     /** Reservations a tick; more would idle a pool whose large tasks are many. */
     private static final int MAX_RESERVATIONS = 3;
     /** Factor on the expected running time of a task when it is compared with the time left to its objective. */
-    private static final double CAUTION = 1.6;
+    private static final double OBJECTIVE_MARGIN = 1.6;
     /** The same where a task is given up on a target: below 1, because declared times are often too long. */
-    private static final double HOPE = 0.85;
+    private static final double DEADLINE_MARGIN = 0.85;
     /** Expected running times this much alike count as equal, so that the tighter fit decides. */
-    private static final double ALIKE = 1.1;
+    private static final double SAME_SPEED_RATIO = 1.1;
     /** Running time relative to the fastest target from which a target counts as slow. */
-    private static final double SLOW = 1.3;
-    /** {@link #HOPE} on a slow target while a fast one may become free; half of the tasks take longer than expected. */
-    private static final double HOPE_ON_SLOW = 1.2;
+    private static final double SLOW_RATIO = 1.3;
+    /** {@link #DEADLINE_MARGIN} on a slow target while a fast one may become free; half of the tasks take longer than expected. */
+    private static final double SLOW_DEADLINE_MARGIN = 1.2;
 
     private final PoolTables tables;
     private final RunSystem runs;
@@ -111,7 +111,7 @@
             if (reserved.size() >= MAX_RESERVATIONS) {
                 return false;
             }
-            soonest(task, usable, reserved).ifPresent(reserved::add);
+            firstFree(task, usable, reserved).ifPresent(reserved::add);
             // The other tasks of a step are alike and fit nowhere either.
             return true;
         }
@@ -125,19 +125,19 @@
     /** Returns whether a task that starts on a target now is likely to end within its job's objective. */
     private boolean inTime(PoolTask task, PoolTarget target, long now) {
         long limit = Math.min(task.job().objectiveNanos(), task.job().deadlineNanos());
-        return now + (long) (CAUTION * expected(task, target)) < limit;
+        return now + (long) (OBJECTIVE_MARGIN * expected(task, target)) < limit;
     }
 
     private Optional<PoolTarget> best(
-            PoolTask task, List<PoolTarget> usable, Set<PoolTarget> reserved, long now, boolean pickyAboutHealth) {
+            PoolTask task, List<PoolTarget> usable, Set<PoolTarget> reserved, long now, boolean onlyHealthy) {
         PoolTarget best = null;
         for (PoolTarget target : usable) {
             if (reserved.contains(target)
                     || !usable(target, now)
                     || !target.free().holds(task.spec().need())
                     || !suits(task, target)
-                    || hopeless(task, target, now)
-                    || (pickyAboutHealth && (task.avoids(target.entry().id()) || !healthy(target)))) {
+                    || missesDeadline(task, target, now)
+                    || (onlyHealthy && (task.avoids(target.entry().id()) || !healthy(target)))) {
                 continue;
             }
             if (best == null || better(task, target, best, now)) {
@@ -148,14 +148,14 @@
     }
 
     /** Returns whether a task that starts on a target now is likely to end after its caller's deadline. */
-    private boolean hopeless(PoolTask task, PoolTarget target, long now) {
-        double hope = target.slowness() > SLOW * fastest ? HOPE_ON_SLOW : HOPE;
-        return now + (long) (hope * expected(task, target)) > task.job().deadlineNanos();
+    private boolean missesDeadline(PoolTask task, PoolTarget target, long now) {
+        double margin = target.slowness() > SLOW_RATIO * fastest ? SLOW_DEADLINE_MARGIN : DEADLINE_MARGIN;
+        return now + (long) (margin * expected(task, target)) > task.job().deadlineNanos();
     }
 
     /** Returns whether work that starts now is likely to end after a deadline. */
-    static boolean hopeless(long expectedNanos, long deadlineNanos, long now) {
-        return now + (long) (HOPE * expectedNanos) > deadlineNanos;
+    static boolean missesDeadline(long expectedNanos, long deadlineNanos, long now) {
+        return now + (long) (DEADLINE_MARGIN * expectedNanos) > deadlineNanos;
     }
 
     /**
@@ -163,8 +163,8 @@
      * does, which keeps the fast ones for tasks that need them; otherwise the faster one does.
      */
     private boolean better(PoolTask task, PoolTarget candidate, PoolTarget best, long now) {
-        boolean alike =
-                candidate.slowness() < ALIKE * best.slowness() && best.slowness() < ALIKE * candidate.slowness();
+        boolean alike = candidate.slowness() < SAME_SPEED_RATIO * best.slowness()
+                && best.slowness() < SAME_SPEED_RATIO * candidate.slowness();
         if (alike) {
             return candidate.free().cpuMillis() < best.free().cpuMillis();
         }
@@ -192,7 +192,7 @@
     }
 
     /** Returns the target that is expected to have room for a task first. */
-    private static Optional<PoolTarget> soonest(PoolTask task, List<PoolTarget> usable, Set<PoolTarget> reserved) {
+    private static Optional<PoolTarget> firstFree(PoolTask task, List<PoolTarget> usable, Set<PoolTarget> reserved) {
         PoolTarget soonest = null;
         long soonestNanos = Long.MAX_VALUE;
         for (PoolTarget target : usable) {
--- a/src/main/java/org/mustardlink/pool/PoolJob.java
+++ b/src/main/java/org/mustardlink/pool/PoolJob.java
@@ -7,7 +7,7 @@
 /** Row of an open job. */
 final class PoolJob {
     /** An answer later than this many objectives is worth nothing to the caller. */
-    private static final int WORTHLESS_AFTER_OBJECTIVES = 3;
+    private static final int MAX_OBJECTIVES = 3;
 
     /**
      * Weight of the slowest kind of target against the usual one in the expected time that orders the queue; long jobs
@@ -15,7 +15,7 @@
      */
     private static final double SLOWEST_WEIGHT = 0.25;
     /** Share of the expected time that a job may still need when it is given up: declared times are off by half. */
-    private static final double OPTIMISM = 0.5;
+    private static final double EXPIRY_MARGIN = 0.5;
 
     private final JobOrder order;
     private final long sequence;
@@ -49,8 +49,7 @@
         long expected = (long) (chainNanos * slowness);
         long limit = Math.min(objectiveNanos, deadlineNanos);
         latestStartNanos = limit - (long) (chainNanos * (SLOWEST_WEIGHT * slowest + (1 - SLOWEST_WEIGHT) * slowness));
-        lastStartNanos =
-                Math.min(now + WORTHLESS_AFTER_OBJECTIVES * objective, deadlineNanos) - (long) (OPTIMISM * expected);
+        lastStartNanos = Math.min(now + MAX_OBJECTIVES * objective, deadlineNanos) - (long) (EXPIRY_MARGIN * expected);
         work = order.work() * chainNanos / Math.max(1, chain);
         ImmutableList.Builder<PoolTask> builder = ImmutableList.builder();
         for (int step = 0; step < order.steps().size(); step++) {
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -30,6 +30,7 @@
     private final JobSystem jobs;
     private final RunSystem runs;
     private final LeaseSystem leases;
+    private final PoolBounds bounds;
     private final PlacementSystem placement;
     private final long resumeNanos;
     private boolean released;
@@ -41,7 +42,7 @@
      * @param fence first token of the claim under which this host is the master
      * @param bounds times that the platform guarantees
      * @param actions carries orders out
-     * @param elsewhere returns another pool that can start a whole job now
+     * @param otherPool returns another pool that can start a whole job now
      * @param now the time
      */
     public PoolMaster(
@@ -49,15 +50,16 @@
             FencingToken fence,
             PoolBounds bounds,
             PoolActions actions,
-            Function<JobOrder, Optional<PoolId>> elsewhere,
+            Function<JobOrder, Optional<PoolId>> otherPool,
             long now) {
         this.id = checkNotNull(id, "id");
         this.fence = checkNotNull(fence, "fence");
         this.actions = checkNotNull(actions, "actions");
         this.tables = new PoolTables();
-        this.jobs = new JobSystem(tables, actions, elsewhere);
+        this.jobs = new JobSystem(tables, actions, otherPool);
         this.runs = new RunSystem(tables, actions, jobs);
-        this.leases = new LeaseSystem(tables, actions, runs, bounds);
+        this.leases = new LeaseSystem(tables, actions, runs);
+        this.bounds = checkNotNull(bounds, "bounds");
         this.placement = new PlacementSystem(tables, runs);
         // Every lease that an earlier master granted is over by then; a target's clock may be 2% slow.
         this.resumeNanos = now + bounds.lease().toNanos() * 21 / 20;
@@ -86,7 +88,7 @@
         for (TargetEntry entry : entries) {
             checkArgument(entry.pool().equals(id), "not a target of the pool: %s", entry);
             tables.target(entry.id()).ifPresentOrElse(target -> update(target, entry), () -> {
-                long lease = leases.bounds().lease().toMillis();
+                long lease = bounds.lease().toMillis();
                 String kind = entry.labels().stream().findFirst().orElse("");
                 tables.add(new PoolTarget(entry, fence, lease, tables.slowness().of(kind), now));
             });
@@ -149,7 +151,7 @@
     public void startAnswered(String targetId, RunId run, OrderVerdict verdict, long clockMs, long now) {
         tables.target(targetId).ifPresent(target -> {
             if (runs.startAnswered(target, run, verdict, clockMs, now)) {
-                leases.look(target, now);
+                leases.requestReport(target, now);
             }
         });
     }
@@ -158,7 +160,7 @@
     public void stopAnswered(String targetId, RunId run, OrderVerdict verdict, long clockMs, long now) {
         tables.target(targetId).ifPresent(target -> {
             if (runs.stopAnswered(target, run, verdict, clockMs, now)) {
-                leases.look(target, now);
+                leases.requestReport(target, now);
             }
         });
     }
@@ -173,11 +175,6 @@
         leases.failed(targetId, number, verdict, now);
     }
 
-    /** Uses a higher token for a target that knows another master's, while this host still holds the claim. */
-    public void raiseFence(String targetId) {
-        tables.target(targetId).ifPresent(PoolTarget::raiseFence);
-    }
-
     /** Runs every system once: starts what has room, then ends what is too late, then asks for reports. */
     public void tick(long now) {
         if (released) {
--- a/src/main/java/org/mustardlink/pool/PoolTarget.java
+++ b/src/main/java/org/mustardlink/pool/PoolTarget.java
@@ -98,13 +98,6 @@
         miss(now);
     }
 
-    /** Makes the next order carry a higher token, for a target that knows a higher one or has started again. */
-    void raiseFence() {
-        fence = fence.next();
-        taken = false;
-        fencedOut = false;
-    }
-
     /** Returns whether the target has confirmed our token, so that no earlier master can start anything there. */
     boolean taken() {
         return taken;
@@ -195,7 +188,10 @@
         clockMs = 0;
         maxDeadlineMs = 0;
         openHolds.clear();
-        raiseFence();
+        // Orders of before the restart must not be carried out by the new life.
+        fence = fence.next();
+        taken = false;
+        fencedOut = false;
     }
 
     int misses() {
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -82,7 +82,7 @@
                     pause(target, "the target has less room than expected", now);
                     requeue(task);
                 }
-                default -> again(target, task, "start answered " + verdict);
+                default -> requeueLogged(target, task, "start answered " + verdict);
             }
         });
         return verdict != OrderVerdict.OLD;
@@ -171,11 +171,11 @@
 
     private void remove(PoolTarget target, Run run, String why) {
         tables.remove(target, run);
-        run.task().ifPresent(task -> again(target, task, why));
+        run.task().ifPresent(task -> requeueLogged(target, task, why));
     }
 
     /** Puts a task whose run came to nothing back into the queue. */
-    private void again(PoolTarget target, PoolTask task, String why) {
+    private void requeueLogged(PoolTarget target, PoolTask task, String why) {
         if (!task.job().closed()) {
             actions.jobChanged(
                     task.job().id(),
@@ -204,7 +204,7 @@
         switch (end.how()) {
             case DONE -> done(target, task, run, now);
             case FAILED -> failed(target, task, now);
-            default -> again(target, task, "ended " + end.how());
+            default -> requeueLogged(target, task, "ended " + end.how());
         }
     }
 
@@ -230,7 +230,7 @@
             jobs.finish(task.job(), new JobResult.Failed("a task failed as often as its queue allows"));
             stopAll(task.job(), now);
         }
-        again(target, task, "failed");
+        requeueLogged(target, task, "failed");
     }
 
     private void requeue(PoolTask task) {
--- /dev/null
+++ b/src/test/java/org/mustardlink/host/CancellationsTest.java
@@ -0,0 +1,48 @@
+package org.mustardlink.host;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Tests when a caller that cancels a job of another host gets its answer. */
+final class CancellationsTest {
+    private final Cancellations cancellations = new Cancellations();
+    private final List<Boolean> answers = new ArrayList<>();
+
+    @Test
+    void the_first_host_that_had_the_job_ends_the_wait() {
+        cancellations.add("job", ImmutableSet.of("a", "b"), answers::add, 0);
+
+        cancellations.answered("a", "job", true);
+        cancellations.answered("b", "job", false);
+
+        assertThat(answers).containsExactly(true);
+    }
+
+    @Test
+    void the_job_is_not_found_when_no_host_had_it_or_none_answers_in_time() {
+        cancellations.add("job", ImmutableSet.of("a", "b"), answers::add, 0);
+        cancellations.answered("a", "job", false);
+        cancellations.answered("b", "job", false);
+        cancellations.add("other", ImmutableSet.of("a"), answers::add, 0);
+        cancellations.expire(TimeUnit.MILLISECONDS.toNanos(401));
+        cancellations.add("third", ImmutableSet.of(), answers::add, 0);
+
+        assertThat(answers).containsExactly(false, false, false);
+    }
+
+    /** Guards against a caller that never gets an answer because another one cancels the same job. */
+    @Test
+    void each_of_two_callers_that_cancel_one_job_gets_an_answer() {
+        cancellations.add("job", ImmutableSet.of("a"), answers::add, 0);
+        cancellations.add("job", ImmutableSet.of("a"), answers::add, 0);
+
+        cancellations.answered("a", "job", true);
+
+        assertThat(answers).containsExactly(true, true);
+    }
+}
--- a/src/test/java/org/mustardlink/host/DispatchHostTest.java
+++ b/src/test/java/org/mustardlink/host/DispatchHostTest.java
@@ -12,8 +12,9 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.mustardlink.exercise.StandInDeployment;
 import org.mustardlink.http.HttpReply;
-import org.mustardlink.platform.standin.StandInDeployment;
+import org.mustardlink.platform.StoreTopics;
 import org.mustardlink.platform.standin.StandInRunner;
 import org.mustardlink.platform.standin.StandInStore;
 
@@ -178,6 +179,20 @@
                 .until(() -> deployment.submit("east-1", job(1), 1, 5).join().status() == 404);
     }
 
+    /** Guards against a host that stays with an old configuration because the records after it have expired. */
+    @Test
+    void a_configuration_is_followed_after_the_store_has_forgotten_its_history() {
+        for (int i = 0; i < 3; i++) {
+            deployment.configure("/other" + i + "/");
+            deployment.store().forgetHistory(StoreTopics.OPERATOR);
+        }
+        deployment.configure("/last/");
+
+        await().atMost(LONG)
+                .until(() ->
+                        deployment.call("west-1", "GET", "/last/", "").join().status() == 200);
+    }
+
     @Test
     void a_draining_target_gets_no_new_tasks() {
         StandInRunner leaving = deployment.targets().get(0);
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -181,7 +181,7 @@
     }
 
     @Test
-    void a_host_in_company_claims_without_the_store() {
+    void a_host_that_hears_others_claims_without_the_store() {
         PoolOwnership ownership = ownership(EAST_2, EAST);
         hear(ownership, WEST_1, ms(1_290));
         ownership.tick(ms(1_300));
--- a/src/test/java/org/mustardlink/pool/LoadPatternTest.java
+++ b/src/test/java/org/mustardlink/pool/LoadPatternTest.java
@@ -6,7 +6,16 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Plays the load patterns of heavy days on three pools and checks who waits, who is refused and where work goes. */
+/**
+ * Plays the load patterns of heavy days on three pools and checks who waits, who is refused and where work goes.
+ *
+ * <p>The bounds on the mean over all kinds come from calculations, not from plays. A queueing calculation of the usual
+ * mix with exact declared times gives, for one queue a domain that hands no job over, up to 0.96 of the jobs in time at the
+ * usual traffic and 0.88 at 1.2 times it; pools that hand jobs over must not fall below. Beyond their room the pools must
+ * do at least as well as serving every kind alike: their processors do 0.74 of the work at 1.8 times the usual traffic
+ * (87 units of usual speed, 0.85 of them packed, against 99.5 offered). No target is stated for single kinds; the bounds
+ * on those only keep the rules that they name from being lost.
+ */
 final class LoadPatternTest {
     private static final PoolSimulation.Kind SHORT = new PoolSimulation.Kind("short", 8, 8, 60, 14_000);
     private static final PoolSimulation.Kind LONG = new PoolSimulation.Kind("long", 1.45, 4, 900, 14_000);
@@ -39,7 +48,14 @@
 
         assertThat(simulation.outcomes().get("short").inTimeShare()).isAtLeast(0.7);
         assertThat(simulation.outcomes().get("long").inTimeShare()).isAtLeast(0.55);
-        assertThat(simulation.meanShare()).isAtLeast(0.7);
+        assertThat(simulation.meanShare()).isAtLeast(0.74);
+    }
+
+    /** Guards against pools that do worse together than domains that share nothing. */
+    @Test
+    void pools_that_hand_jobs_over_serve_more_than_domains_that_share_nothing() {
+        assertThat(play(7, 1.0).meanShare()).isAtLeast(0.96);
+        assertThat(play(7, 1.2).meanShare()).isAtLeast(0.88);
     }
 
     /** Guards against refusals that come after a wait: a job that can't be served is refused when it arrives. */
@@ -117,6 +133,7 @@
         simulation.target("west-1").setFailing(1);
         simulation.run(LENGTH.plusSeconds(3));
 
-        assertThat(simulation.target("west-1").started()).isLessThan(60);
+        // At most three tasks at once before each of the pauses of 0.4, 0.8 and 1.6 s, then one trial in 3.2 s.
+        assertThat(simulation.target("west-1").started()).isLessThan(20);
     }
 }
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -144,7 +144,7 @@
                 FencingToken.of(round, round * 31L + pool.hashCode()),
                 new PoolBounds(Duration.ofSeconds(1)),
                 actions,
-                order -> elsewhere(pool, order),
+                order -> otherPool(pool, order),
                 now);
         actions.master.targetsListed(entriesOf.get(pool), now);
         masters.put(pool, actions.master);
@@ -171,7 +171,7 @@
         at(now + LOAD_AGE_NANOS, () -> refreshLoad(pool));
     }
 
-    private Optional<PoolId> elsewhere(PoolId pool, JobOrder order) {
+    private Optional<PoolId> otherPool(PoolId pool, JobOrder order) {
         int wanted = order.steps().get(0).count() * order.steps().get(0).need().cpuMillis();
         Optional<PoolId> best = loads.entrySet().stream()
                 .filter(entry ->
