Judge runs by the progress that targets report, and learn a job's length from its tasks

Of two tasks that were too long for a slow target nobody knew before the deadline, although every report lists the progress of each run, which the adapter didn't decode. Callers of jobs that couldn't be done waited for their whole 1.5 s. A job of which three tasks were done could wait for a fast target until its deadline, and a job whose declared time was three times too long was refused beside idle targets.

Change: reports carry each run's progress. The length of a job's remaining tasks is learned from those that have ended, which also makes the learned speed of targets less noisy. A task of a started job may start with a small chance of being in time; if none is left, the job is answered at once. A job that a full pool refuses is offered to a pool that has room before its caller is told.

Ruled out: waiting for the target with the earliest expected end.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -5,14 +5,17 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.PoolId;
+import org.mustardlink.pool.StepSpec;
 
 /**
  * The open requests of one entry host.
@@ -46,6 +49,7 @@
         private Optional<Claim> deniedBy = Optional.empty();
         private long deniedNanos;
         private boolean bound;
+        private final Set<PoolId> refusedBy = new HashSet<>();
 
         private OpenRequest(JobOrder order, String service, long now) {
             this.order = order;
@@ -132,7 +136,7 @@
         } else if (result instanceof JobResult.Failed failed) {
             end(request, Answer.of(Answer.Kind.FAILED, failed.why()));
         } else if (result instanceof JobResult.Refused refused) {
-            end(request, Answer.notRun(refused.why(), refused.retryAfter()));
+            refused(request, refused, now);
         } else if (result instanceof JobResult.Abandoned abandoned) {
             end(request, Answer.of(Answer.Kind.TIMED_OUT, abandoned.why()));
         } else if (result instanceof JobResult.Moved) {
@@ -156,6 +160,24 @@
         }
     }
 
+    /** Asks another pool that has room, or tells the caller; the pool that refuses has started nothing. */
+    private void refused(OpenRequest request, JobResult.Refused refused, long now) {
+        request.refusedBy.add(request.pool.orElseThrow());
+        StepSpec first = request.order.steps().get(0);
+        long wanted = (long) first.count() * first.need().cpuMillis();
+        Optional<PoolId> other = directory.pools(request.service).stream()
+                .filter(pool -> !request.refusedBy.contains(pool)
+                        && directory.master(pool, now).isPresent()
+                        && directory.load(pool).freeCpuMillis() >= wanted)
+                .max(Comparator.comparingInt(pool -> directory.load(pool).freeCpuMillis()));
+        if (other.isEmpty()) {
+            end(request, Answer.notRun(refused.why(), refused.retryAfter()));
+            return;
+        }
+        request.bound = false;
+        send(request, other.get(), directory.master(other.get(), now).orElseThrow(), now);
+    }
+
     private void end(OpenRequest request, Answer answer) {
         requests.remove(request.number());
         actions.answer(request.number(), answer);
--- a/src/main/java/org/mustardlink/platform/TargetOrders.java
+++ b/src/main/java/org/mustardlink/platform/TargetOrders.java
@@ -34,6 +34,7 @@
     private static final int OK = 200;
     private static final int ROW_TASK = 0;
     private static final int ROW_RUN = 1;
+    private static final int ROW_PERCENT = 3;
     private static final int END_NUMBER = 0;
     private static final int END_TASK = 1;
     private static final int END_RUN = 2;
@@ -180,10 +181,11 @@
     }
 
     private static HoldReport report(JsonNode body) {
-        ImmutableList.Builder<RunId> running = ImmutableList.builder();
+        ImmutableList.Builder<HoldReport.RunProgress> running = ImmutableList.builder();
         for (JsonNode row : body.path("running")) {
-            running.add(new RunId(
-                    parse(row.path(ROW_TASK).asText()), row.path(ROW_RUN).asInt()));
+            RunId run = new RunId(
+                    parse(row.path(ROW_TASK).asText()), row.path(ROW_RUN).asInt());
+            running.add(new HoldReport.RunProgress(run, row.path(ROW_PERCENT).asInt()));
         }
         ImmutableList.Builder<HoldReport.RunEnd> ended = ImmutableList.builder();
         for (JsonNode row : body.path("ended")) {
--- a/src/main/java/org/mustardlink/platform/standin/StandInRunner.java
+++ b/src/main/java/org/mustardlink/platform/standin/StandInRunner.java
@@ -66,7 +66,12 @@
         REFUSES
     }
 
-    private record Running(String task, int run, long token) {}
+    private record Running(String task, int run, long token, long sinceMs, long lengthMs) {
+        /** Returns the share of the work that is done. */
+        private long percent(long clockMs) {
+            return lengthMs == 0 ? 0 : Math.min(100, (clockMs - sinceMs) * 100 / lengthMs);
+        }
+    }
 
     private record Ended(long number, String task, int run, String how) {}
 
@@ -215,12 +220,12 @@
             violations.add("second run of " + task);
         }
         long token = ++starts;
-        running.put(task, new Running(task, run, token));
+        long millis =
+                Optional.ofNullable(Longs.tryParse(body.path("spec").asText())).orElse(DEFAULT_RUN_MS);
+        running.put(task, new Running(task, run, token, clockMs(), mode == Mode.HANGS ? 0 : millis));
         if (mode == Mode.FAILS) {
             end(task, token, "failed");
         } else if (mode != Mode.HANGS) {
-            long millis = Optional.ofNullable(Longs.tryParse(body.path("spec").asText()))
-                    .orElse(DEFAULT_RUN_MS);
             ScheduledFuture<?> _scheduled = timer.schedule(() -> endLater(task, token), millis, TimeUnit.MILLISECONDS);
         }
         return "";
@@ -284,7 +289,7 @@
                 clockMs(),
                 "running",
                 running.values().stream()
-                        .map(run -> ImmutableList.of(run.task(), run.run(), "", 100))
+                        .map(run -> ImmutableList.of(run.task(), run.run(), "", run.percent(clockMs())))
                         .toList(),
                 "ended",
                 ended.stream()
--- a/src/main/java/org/mustardlink/pool/HoldReport.java
+++ b/src/main/java/org/mustardlink/pool/HoldReport.java
@@ -12,12 +12,20 @@
  * @param running what runs
  * @param ended what has ended and isn't acknowledged
  */
-public record HoldReport(long clockMs, long bornMs, ImmutableList<RunId> running, ImmutableList<RunEnd> ended) {
+public record HoldReport(long clockMs, long bornMs, ImmutableList<RunProgress> running, ImmutableList<RunEnd> ended) {
     public HoldReport {
         checkNotNull(running, "running");
         checkNotNull(ended, "ended");
     }
 
+    /**
+     * A run that is present.
+     *
+     * @param run the run
+     * @param percent share of its work that is done, 0 to 100
+     */
+    public record RunProgress(RunId run, int percent) {}
+
     /**
      * The end of a run.
      *
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -50,8 +50,7 @@
                 tables.nextSequence(),
                 now,
                 tables.runningTimes().expectedNanos(order.route(), order.longestChain()),
-                tables.slowness().mean(),
-                tables.slowness().slowest());
+                tables.slowness());
         if (!order.resumed()) {
             Optional<JobResult> refusal = refusal(job, now);
             if (refusal.isPresent()) {
@@ -174,6 +173,9 @@
             } else if (now > job.deadlineNanos()) {
                 finish(job, new JobResult.Abandoned("the caller's deadline has passed"));
                 abandoned.add(job);
+            } else if (job.lost().isPresent()) {
+                finish(job, new JobResult.Abandoned(job.lost().get()));
+                abandoned.add(job);
             }
         }
         return abandoned;
--- a/src/main/java/org/mustardlink/pool/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/PlacementSystem.java
@@ -33,6 +33,12 @@
     /** {@link #DEADLINE_MARGIN} on a slow target while a fast one may become free; half of the tasks take longer than expected. */
     private static final double SLOW_DEADLINE_MARGIN = 1.2;
 
+    /**
+     * The same for a started job, whose work is lost if this task doesn't start, and for a task that waits alone, whose room
+     * nobody else wants: one task in twenty takes less than half of what is expected.
+     */
+    private static final double LAST_DEADLINE_MARGIN = 0.5;
+
     private final PoolTables tables;
     private final RunSystem runs;
     private double fastest = 1;
@@ -101,8 +107,12 @@
                     || tables.presentRun(task.name()).isPresent()) {
                 continue;
             }
-            Optional<PoolTarget> best =
-                    best(task, usable, reserved, now, true).or(() -> best(task, usable, reserved, now, false));
+            Optional<PoolTarget> best = best(task, usable, reserved, now, false);
+            Optional<PoolTarget> soon = Optional.empty();
+            if (best.isEmpty()) {
+                soon = firstFree(task, usable, reserved, now, 1);
+                best = soon.isPresent() ? best : best(task, usable, reserved, now, true);
+            }
             if (best.isPresent()) {
                 PoolTarget target = best.get();
                 runs.start(target, task, now, expected(task, target));
@@ -111,7 +121,8 @@
             if (reserved.size() >= MAX_RESERVATIONS) {
                 return false;
             }
-            firstFree(task, usable, reserved).ifPresent(reserved::add);
+            soon.or(() -> firstFree(task, usable, reserved, now, lastMargin(task)))
+                    .ifPresent(reserved::add);
             // The other tasks of a step are alike and fit nowhere either.
             return true;
         }
@@ -128,29 +139,96 @@
         return now + (long) (OBJECTIVE_MARGIN * expected(task, target)) < limit;
     }
 
+    /**
+     * Returns for how many tasks like a given one other targets have room now that would end them before its caller's
+     * deadline.
+     *
+     * @param present target on which the task runs
+     * @param startNanos when they could start there
+     * @param factor their work relative to what is expected
+     */
+    int roomsInTimeElsewhere(PoolTask task, PoolTarget present, long startNanos, double factor, long now) {
+        int rooms = 0;
+        for (PoolTarget target : tables.targets()) {
+            if (target != present
+                    && usable(target, now)
+                    && healthy(target)
+                    && !task.avoids(target.entry().id())
+                    && suits(task, target)
+                    && !missesDeadline(task, target, startNanos, factor)) {
+                rooms += target.free().rooms(task.spec().need());
+            }
+        }
+        return rooms;
+    }
+
+    /**
+     * Returns the target with room that suits a task best.
+     *
+     * @param last whether no target will be free in time, so that a small chance is better than none
+     */
     private Optional<PoolTarget> best(
-            PoolTask task, List<PoolTarget> usable, Set<PoolTarget> reserved, long now, boolean onlyHealthy) {
+            PoolTask task, List<PoolTarget> usable, Set<PoolTarget> reserved, long now, boolean last) {
         PoolTarget best = null;
+        boolean bestSound = false;
         for (PoolTarget target : usable) {
             if (reserved.contains(target)
                     || !usable(target, now)
                     || !target.free().holds(task.spec().need())
                     || !suits(task, target)
-                    || missesDeadline(task, target, now)
-                    || (onlyHealthy && (task.avoids(target.entry().id()) || !healthy(target)))) {
+                    || missesDeadline(task, target, now, last ? lastMargin(task) : margin(target))) {
                 continue;
             }
-            if (best == null || better(task, target, best, now)) {
+            boolean sound = !task.avoids(target.entry().id()) && healthy(target);
+            if (best == null || (sound == bestSound ? better(task, target, best, now) : sound)) {
                 best = target;
+                bestSound = sound;
             }
         }
         return Optional.ofNullable(best);
     }
 
-    /** Returns whether a task that starts on a target now is likely to end after its caller's deadline. */
-    private boolean missesDeadline(PoolTask task, PoolTarget target, long now) {
-        double margin = target.slowness() > SLOW_RATIO * fastest ? SLOW_DEADLINE_MARGIN : DEADLINE_MARGIN;
-        return now + (long) (margin * expected(task, target)) > task.job().deadlineNanos();
+    private double margin(PoolTarget target) {
+        return target.slowness() > SLOW_RATIO * fastest ? SLOW_DEADLINE_MARGIN : DEADLINE_MARGIN;
+    }
+
+    /** Returns the margin where no target can be expected to end a task in time; a small chance is worth free room. */
+    private double lastMargin(PoolTask task) {
+        boolean alone = tables.queue().size() == 1;
+        return task.job().started() || alone ? LAST_DEADLINE_MARGIN : DEADLINE_MARGIN;
+    }
+
+    /** Returns whether a task that starts on a target at a time is likely to end after its caller's deadline. */
+    private boolean missesDeadline(PoolTask task, PoolTarget target, long start, double margin) {
+        return start + (long) (margin * expected(task, target)) > task.job().deadlineNanos();
+    }
+
+    /** Returns whether any target that may get tasks, free or not, would end a task before its caller's deadline. */
+    boolean mayEndInTime(PoolTask task, long start, double factor) {
+        return tables.targets().stream()
+                .anyMatch(target -> healthy(target) && !missesDeadline(task, target, start, DEADLINE_MARGIN * factor));
+    }
+
+    /** Marks started jobs that wait for a task which no target can end before its caller's deadline any more. */
+    void markLost(long now) {
+        for (PoolJob job : tables.queue()) {
+            if (job.started() && !job.order().resumed() && waitsInVain(job, now)) {
+                job.markLost("a waiting task can't end before the deadline on any target");
+            }
+        }
+    }
+
+    private boolean waitsInVain(PoolJob job, long now) {
+        for (PoolTask task : job.tasks()) {
+            if (task.state() == PoolTask.State.WAITING
+                    && tables.presentRun(task.name()).isEmpty()
+                    && !tables.targets().isEmpty()
+                    && tables.targets().stream()
+                            .allMatch(target -> missesDeadline(task, target, now, LAST_DEADLINE_MARGIN))) {
+                return true;
+            }
+        }
+        return false;
     }
 
     /** Returns whether work that starts now is likely to end after a deadline. */
@@ -191,8 +269,9 @@
         return here < task.spec().perTarget();
     }
 
-    /** Returns the target that is expected to have room for a task first. */
-    private static Optional<PoolTarget> firstFree(PoolTask task, List<PoolTarget> usable, Set<PoolTarget> reserved) {
+    /** Returns the target that will have room for a task first, of those that would end it before its deadline. */
+    private Optional<PoolTarget> firstFree(
+            PoolTask task, List<PoolTarget> usable, Set<PoolTarget> reserved, long now, double margin) {
         PoolTarget soonest = null;
         long soonestNanos = Long.MAX_VALUE;
         for (PoolTarget target : usable) {
@@ -202,7 +281,7 @@
                 continue;
             }
             long free = freeAt(target, task.spec().need());
-            if (free < soonestNanos) {
+            if (free < soonestNanos && !missesDeadline(task, target, Math.max(now, free), margin)) {
                 soonestNanos = free;
                 soonest = target;
             }
@@ -224,6 +303,9 @@
     }
 
     private static long endOf(Run run) {
-        return run.expectedNanos() == Long.MAX_VALUE ? Long.MAX_VALUE : run.orderedNanos() + run.expectedNanos();
+        if (run.expectedNanos() == Long.MAX_VALUE) {
+            return Long.MAX_VALUE;
+        }
+        return run.projectedEndNanos().orElse(run.orderedNanos() + run.expectedNanos());
     }
 }
--- a/src/main/java/org/mustardlink/pool/PoolJob.java
+++ b/src/main/java/org/mustardlink/pool/PoolJob.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 
 /** Row of an open job. */
 final class PoolJob {
@@ -14,9 +15,18 @@
      * that only fast targets can do in time come forward by it.
      */
     private static final double SLOWEST_WEIGHT = 0.25;
-    /** Share of the expected time that a job may still need when it is given up: declared times are off by half. */
+    /**
+     * Share of the expected time on the fastest kind of target that a job may still need when it is given up: declared
+     * times are off by half.
+     */
     private static final double EXPIRY_MARGIN = 0.5;
 
+    /**
+     * Weight of the running time that was expected before a task has run, in tasks: tasks of a job differ by 0.15 and
+     * targets are known to 0.13, the expected time to 0.3.
+     */
+    private static final double EXPECTED_WEIGHT = 0.5;
+
     private final JobOrder order;
     private final long sequence;
     private final List<RequestId> requests = new ArrayList<>();
@@ -29,15 +39,17 @@
     private final double work;
     private boolean started;
     private boolean closed;
+    private double observedLog;
+    private int observed;
+    private Optional<String> lost = Optional.empty();
 
     /**
      * Creates a row.
      *
      * @param chainNanos expected running time of its longest chain of tasks on a target of usual speed
-     * @param slowness expected running time on a usual target relative to that
-     * @param slowest the same for the slowest kind of target
+     * @param slowness expected running times on the kinds of targets relative to that
      */
-    PoolJob(JobOrder order, long sequence, long now, long chainNanos, double slowness, double slowest) {
+    PoolJob(JobOrder order, long sequence, long now, long chainNanos, Slowness slowness) {
         this.order = order;
         this.sequence = sequence;
         requests.add(order.request());
@@ -46,9 +58,10 @@
         long chain = order.longestChain().toNanos();
         long objective = (long) (order.stretch() * chain) + order.objective().toNanos();
         objectiveNanos = now + objective;
-        long expected = (long) (chainNanos * slowness);
+        long expected = (long) (chainNanos * slowness.fastest());
         long limit = Math.min(objectiveNanos, deadlineNanos);
-        latestStartNanos = limit - (long) (chainNanos * (SLOWEST_WEIGHT * slowest + (1 - SLOWEST_WEIGHT) * slowness));
+        latestStartNanos = limit
+                - (long) (chainNanos * (SLOWEST_WEIGHT * slowness.slowest() + (1 - SLOWEST_WEIGHT) * slowness.mean()));
         lastStartNanos = Math.min(now + MAX_OBJECTIVES * objective, deadlineNanos) - (long) (EXPIRY_MARGIN * expected);
         work = order.work() * chainNanos / Math.max(1, chain);
         ImmutableList.Builder<PoolTask> builder = ImmutableList.builder();
@@ -118,6 +131,30 @@
         started = true;
     }
 
+    /**
+     * Takes the running time of one of the tasks.
+     *
+     * @param factor running time on a target of usual speed relative to the one that was expected at first
+     */
+    void observe(double factor) {
+        observedLog += Math.log(factor);
+        observed++;
+    }
+
+    /** Returns the work of its tasks relative to what was expected at first; tasks of a job are much alike. */
+    double workFactor() {
+        return Math.exp(observedLog / (observed + EXPECTED_WEIGHT));
+    }
+
+    /** Returns why the job can't end before its caller's deadline any more, if that is known. */
+    Optional<String> lost() {
+        return lost;
+    }
+
+    void markLost(String why) {
+        lost = Optional.of(why);
+    }
+
     /** Returns whether the job has its result. */
     boolean closed() {
         return closed;
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -32,6 +32,7 @@
     private final LeaseSystem leases;
     private final PoolBounds bounds;
     private final PlacementSystem placement;
+    private final ProgressSystem progress;
     private final long resumeNanos;
     private boolean released;
 
@@ -61,6 +62,7 @@
         this.leases = new LeaseSystem(tables, actions, runs);
         this.bounds = checkNotNull(bounds, "bounds");
         this.placement = new PlacementSystem(tables, runs);
+        this.progress = new ProgressSystem(tables, runs, leases, placement);
         // Every lease that an earlier master granted is over by then; a target's clock may be 2% slow.
         this.resumeNanos = now + bounds.lease().toNanos() * 21 / 20;
     }
@@ -181,6 +183,7 @@
             return;
         }
         runs.tick(now);
+        progress.tick(now);
         for (PoolJob job : new ArrayList<>(tables.jobs())) {
             if (job.order().resumed() && job.allDone()) {
                 jobs.finish(job, new JobResult.Complete());
@@ -188,8 +191,10 @@
         }
         boolean allTaken = tables.targets().stream().allMatch(PoolTarget::taken);
         placement.tick(now, allTaken || now > resumeNanos);
+        placement.markLost(now);
         for (PoolJob job : jobs.expire(now)) {
-            actions.jobChanged(job.id(), "stopped", "the caller's deadline has passed; " + job.progress());
+            String why = job.lost().orElse("the caller's deadline has passed");
+            actions.jobChanged(job.id(), "stopped", why + "; " + job.progress());
             runs.stopAll(job, now);
         }
         leases.tick(now);
--- a/src/main/java/org/mustardlink/pool/PoolTables.java
+++ b/src/main/java/org/mustardlink/pool/PoolTables.java
@@ -79,6 +79,11 @@
 
     /** Returns the expected running time of a task on a target of usual speed. */
     long expectedNanos(PoolTask task) {
+        return (long) (firstExpectedNanos(task) * task.job().workFactor());
+    }
+
+    /** Returns the running time on a target of usual speed that is expected before any task of the job has run. */
+    long firstExpectedNanos(PoolTask task) {
         return runningTimes.expectedNanos(
                 task.job().order().route(), task.spec().estimate());
     }
--- a/src/main/java/org/mustardlink/pool/Run.java
+++ b/src/main/java/org/mustardlink/pool/Run.java
@@ -1,6 +1,7 @@
 package org.mustardlink.pool;
 
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Row of a run that may be present on a target. */
 final class Run {
@@ -16,6 +17,9 @@
         STOPPING
     }
 
+    /** Progress from which the running time is projected; whole percents make it exact to a quarter there. */
+    private static final int MIN_PROJECTION_PERCENT = 4;
+
     private final RunId id;
     private final long orderedNanos;
     private final long deadlineMs;
@@ -27,6 +31,12 @@
     private long confirmedClockMs;
     private boolean stopConfirmed;
     private boolean overdue;
+    private long baseNanos;
+    private int basePercent;
+    private int percent;
+    private long progressNanos;
+    private long reportedNanos;
+    private int looks;
 
     private Run(
             RunId id,
@@ -44,6 +54,9 @@
         this.stateSince = now;
         this.deadlineMs = deadlineMs;
         this.expectedNanos = expectedNanos;
+        this.baseNanos = now;
+        this.progressNanos = now;
+        this.reportedNanos = now;
     }
 
     /** Creates the row of a start that is being ordered. */
@@ -63,6 +76,8 @@
         Run run = new Run(
                 id, Optional.of(adopter), adopter.spec().need(), State.RUNNING, now, deadlineMs, adoptedExpectedNanos);
         run.confirmedClockMs = confirmedClockMs;
+        run.basePercent = percent;
+        run.percent = percent;
         return run;
     }
 
@@ -125,6 +140,57 @@
         confirmedClockMs = Math.max(confirmedClockMs, clockMs);
     }
 
+    /** Takes the share of the work that a report says is done. */
+    void progressed(int reportedPercent, long now) {
+        reportedNanos = now;
+        if (reportedPercent != percent) {
+            percent = reportedPercent;
+            progressNanos = now;
+        }
+    }
+
+    /** Returns the share of the work that was done at the last report. */
+    int percent() {
+        return percent;
+    }
+
+    /** Returns how long the run had made no progress at the last report. */
+    long stillNanos() {
+        return reportedNanos - progressNanos;
+    }
+
+    /** Returns when a report told its progress last. */
+    long reportedNanos() {
+        return reportedNanos;
+    }
+
+    /**
+     * Returns the shortest time for the whole work that agrees with the reported progress, whose percents are whole; empty
+     * while too little is done to tell.
+     */
+    OptionalLong projectedNanos() {
+        int done = percent - basePercent;
+        if (done < MIN_PROJECTION_PERCENT) {
+            return OptionalLong.empty();
+        }
+        return OptionalLong.of((progressNanos - baseNanos) * 100 / (done + 1));
+    }
+
+    /** Returns when the run ends by that projection, at the earliest. */
+    OptionalLong projectedEndNanos() {
+        OptionalLong whole = projectedNanos();
+        return whole.isEmpty() ? whole : OptionalLong.of(progressNanos + whole.getAsLong() * (99 - percent) / 100);
+    }
+
+    /** Returns how often its progress was asked for. */
+    int looks() {
+        return looks;
+    }
+
+    void countLook() {
+        looks++;
+    }
+
     boolean overdue() {
         return overdue;
     }
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -90,7 +91,8 @@
 
     /** Takes a report of a target. */
     void report(PoolTarget target, HoldReport report, long sentNanos, boolean newest, long now) {
-        Set<RunId> listed = new HashSet<>(report.running());
+        Set<RunId> listed = new HashSet<>();
+        report.running().forEach(progress -> listed.add(progress.run()));
         for (HoldReport.RunEnd end : report.ended()) {
             listed.add(end.run());
             if (end.number() > target.acknowledged()) {
@@ -101,10 +103,14 @@
         if (!newest) {
             return;
         }
-        for (RunId id : report.running()) {
+        for (HoldReport.RunProgress progress : report.running()) {
+            RunId id = progress.run();
             target.run(id)
                     .ifPresentOrElse(
-                            run -> run.confirm(report.clockMs(), now),
+                            run -> {
+                                run.confirm(report.clockMs(), now);
+                                run.progressed(progress.percent(), now);
+                            },
                             () -> inherit(target, id, report.clockMs(), now));
         }
         for (Run run : new ArrayList<>(target.runs())) {
@@ -211,8 +217,8 @@
     private void done(PoolTarget target, PoolTask task, Run run, long now) {
         long took = now - run.orderedNanos();
         double ratio = took / (double) Math.max(1, tables.expectedNanos(task));
-        tables.runningTimes()
-                .sample(task.job().order().route(), took / tables.slowness().of(target.kind()));
+        tables.runningTimes().sample(task.job().order().route(), took / target.slowness());
+        task.job().observe(observedFactor(target, task, took));
         tables.slowness().sample(target.kind(), ratio);
         target.succeeded(ratio, tables.slowness().of(target.kind()));
         task.become(PoolTask.State.DONE);
@@ -221,6 +227,11 @@
         }
     }
 
+    /** Returns the running time of a task on a target of usual speed relative to the one that was expected at first. */
+    private double observedFactor(PoolTarget target, PoolTask task, long nanos) {
+        return Math.max(1, nanos) / (target.slowness() * Math.max(1, tables.firstExpectedNanos(task)));
+    }
+
     private void failed(PoolTarget target, PoolTask task, long now) {
         if (target.failed(task.name().job())) {
             pause(target, "runs of different jobs failed in a row", now);
@@ -321,10 +332,32 @@
         }
         long allowed = (long) (OVERDUE_FACTOR * run.expectedNanos()) + OVERDUE_NANOS;
         if (!run.overdue() && now - run.orderedNanos() > allowed) {
-            run.markOverdue();
-            run.task().get().avoid(target.entry().id());
-            pause(target, "a run stands still: " + run.id().task().job(), now);
-            stop(target, run, now);
+            standsStill(target, run, now);
         }
     }
+
+    /** Stops a run that makes no progress and keeps new tasks away from its target for a while. */
+    void standsStill(PoolTarget target, Run run, long now) {
+        run.markOverdue();
+        run.task().ifPresent(task -> task.avoid(target.entry().id()));
+        pause(target, "a run stands still: " + run.id().task().job(), now);
+        stop(target, run, now);
+    }
+
+    /**
+     * Stops a run so that its task starts on another target, as soon as the end is listed.
+     *
+     * @param workNanos running time that its progress shows, empty if the target is taken for slow
+     */
+    void move(PoolTarget target, Run run, OptionalLong workNanos, String why, long now) {
+        run.task().ifPresent(task -> {
+            workNanos.ifPresent(nanos -> task.job().observe(observedFactor(target, task, nanos)));
+            task.avoid(target.entry().id());
+            actions.jobChanged(
+                    task.job().id(),
+                    "run moved",
+                    "task " + task.name().index() + " on " + target.entry().id() + ": " + why);
+        });
+        stop(target, run, now);
+    }
 }
--- a/src/main/java/org/mustardlink/pool/Slowness.java
+++ b/src/main/java/org/mustardlink/pool/Slowness.java
@@ -34,6 +34,11 @@
         return byKind.values().stream().mapToDouble(Double::doubleValue).max().orElse(1);
     }
 
+    /** Returns the expected running time on the fastest kind relative to the declared one. */
+    double fastest() {
+        return byKind.values().stream().mapToDouble(Double::doubleValue).min().orElse(1);
+    }
+
     void sample(String kind, double ratio) {
         byKind.merge(kind, Math.min(ratio, MAX_SAMPLE), (mean, sample) -> mean + WEIGHT * (sample - mean));
     }
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -29,6 +29,7 @@
     private static final Claim WEST_MASTER = new Claim(WEST, "west-1", 3, 1);
 
     private final Map<PoolId, Claim> masters = new HashMap<>();
+    private final Map<PoolId, PoolLoad> loads = new HashMap<>();
     private final List<Sent> sent = new ArrayList<>();
     private final List<Claim> withdrawn = new ArrayList<>();
     private final Map<Long, Answer> answers = new HashMap<>();
@@ -48,8 +49,8 @@
         }
 
         @Override
-        public PoolLoad load(PoolId _pool) {
-            return PoolLoad.NONE;
+        public PoolLoad load(PoolId pool) {
+            return loads.getOrDefault(pool, PoolLoad.NONE);
         }
     }
 
@@ -97,6 +98,36 @@
         front.submit(order, "yard", now);
     }
 
+    /** Guards against callers that are refused by one full pool while another has room: bursts in one domain. */
+    @Test
+    void a_job_refused_by_a_full_pool_goes_to_one_with_room_before_its_caller_is_refused() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        loads.put(WEST, new PoolLoad(1_000, 1_000, 0));
+        submit(1, 0);
+
+        front.answered(1, EAST, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
+
+        assertThat(answers).isEmpty();
+        assertThat(sent.get(1).master()).isEqualTo(WEST_MASTER);
+        assertThat(sent.get(1).order().resumed()).isFalse();
+        front.answered(1, WEST, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
+    }
+
+    /** Guards against jobs that are passed around between full pools while their callers wait. */
+    @Test
+    void a_job_refused_by_a_full_pool_is_refused_at_once_while_no_other_pool_has_room() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        loads.put(WEST, new PoolLoad(999, 999, 5));
+        submit(1, 0);
+
+        front.answered(1, EAST, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
+
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
+    }
+
     @Test
     void a_job_goes_to_the_pool_of_its_own_domain() {
         masters.put(EAST, EAST_MASTER);
--- a/src/test/java/org/mustardlink/pool/PoolMasterTest.java
+++ b/src/test/java/org/mustardlink/pool/PoolMasterTest.java
@@ -87,7 +87,10 @@
     }
 
     private void report(long clockMs, long now, ImmutableList<RunId> running, ImmutableList<HoldReport.RunEnd> ended) {
-        master.reported("t", recorder.takeHold(), new HoldReport(clockMs, 0, running, ended), now);
+        ImmutableList<HoldReport.RunProgress> listed = running.stream()
+                .map(run -> new HoldReport.RunProgress(run, 0))
+                .collect(ImmutableList.toImmutableList());
+        master.reported("t", recorder.takeHold(), new HoldReport(clockMs, 0, listed, ended), now);
         master.tick(now);
     }
 
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -392,7 +392,7 @@
     /** A target with leases; its faults are fields that a test sets. */
     final class SimulatedTarget {
         private final TargetEntry entry;
-        private final Map<RunId, Long> running = new LinkedHashMap<>();
+        private final Map<RunId, Progress> running = new LinkedHashMap<>();
         private final List<HoldReport.RunEnd> ended = new ArrayList<>();
         private final Map<TaskName, Integer> over = new HashMap<>();
         private final List<Waiting> waiting = new ArrayList<>();
@@ -406,6 +406,13 @@
         private long leaseMs;
         private int started;
 
+        /** A run with its length, 0 if it stands still. */
+        private record Progress(long since, long length) {
+            private int percent(long now) {
+                return length == 0 ? 0 : (int) ((now - since) * 100 / length);
+            }
+        }
+
         private record Waiting(long until, Consumer<HoldReport> answer) {}
 
         private SimulatedTarget(TargetEntry entry, double speed) {
@@ -476,7 +483,7 @@
             long work = request.map(known -> known.workNanos().get(run.task().index()))
                     .orElse(0L);
             cpus.put(run, need);
-            running.put(run, now);
+            running.put(run, new Progress(now, hangs ? 0 : (long) (work / speed)));
             if (random.nextDouble() < failing) {
                 end(run, HoldReport.How.FAILED);
             } else if (!hangs) {
@@ -542,7 +549,9 @@
         }
 
         private HoldReport report() {
-            return new HoldReport(clockMs(), 0, ImmutableList.copyOf(running.keySet()), ImmutableList.copyOf(ended));
+            ImmutableList.Builder<HoldReport.RunProgress> listed = ImmutableList.builder();
+            running.forEach((run, progress) -> listed.add(new HoldReport.RunProgress(run, progress.percent(now))));
+            return new HoldReport(clockMs(), 0, listed.build(), ImmutableList.copyOf(ended));
         }
     }
 
