Don't send a job back to a pool that has declined it

A pool that redirects a job to another one, which refuses it, could get it again, because its free processors may be scattered over targets with too little room each. A master gives a repeated order its earlier answer, so both would pass the job to each other until the load figures change.

Change: a front remembers the pools that have refused or redirected a job and asks none of them again.

Test: FrontTest, a job that was redirected and then refused; failed before the change.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -49,7 +49,8 @@
         private Optional<Claim> deniedBy = Optional.empty();
         private long deniedNanos;
         private boolean bound;
-        private final Set<PoolId> refusedBy = new HashSet<>();
+        /** Pools whose masters have refused or redirected the job; they would give the same answer again. */
+        private final Set<PoolId> declinedBy = new HashSet<>();
 
         private OpenRequest(JobOrder order, String service, long now) {
             this.order = order;
@@ -152,8 +153,11 @@
     private void redirect(OpenRequest request, PoolId pool, long now) {
         // The master that redirects has started nothing, so any pool may take the job.
         request.bound = false;
+        request.declinedBy.add(request.pool.orElseThrow());
         Optional<Claim> master = directory.master(pool, now);
-        if (master.isPresent()) {
+        if (request.declinedBy.contains(pool)) {
+            end(request, Answer.notRun("every pool with room has declined the job", NO_MASTER_RETRY));
+        } else if (master.isPresent()) {
             send(request, pool, master.get(), now);
         } else {
             dispatch(request, now);
@@ -162,11 +166,11 @@
 
     /** Asks another pool that has room, or tells the caller; the pool that refuses has started nothing. */
     private void refused(OpenRequest request, JobResult.Refused refused, long now) {
-        request.refusedBy.add(request.pool.orElseThrow());
+        request.declinedBy.add(request.pool.orElseThrow());
         StepSpec first = request.order.steps().get(0);
         long wanted = (long) first.count() * first.need().cpuMillis();
         Optional<PoolId> other = directory.pools(request.service).stream()
-                .filter(pool -> !request.refusedBy.contains(pool)
+                .filter(pool -> !request.declinedBy.contains(pool)
                         && directory.master(pool, now).isPresent()
                         && directory.load(pool).freeCpuMillis() >= wanted)
                 .max(Comparator.comparingInt(pool -> directory.load(pool).freeCpuMillis()));
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -115,6 +115,21 @@
         assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
     }
 
+    /** Guards against a job that two pools pass to each other without end: each gives a repeated order the same answer. */
+    @Test
+    void a_job_that_was_redirected_and_then_refused_does_not_go_back_to_the_first_pool() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        loads.put(EAST, new PoolLoad(2_000, 500, 3));
+        submit(1, 0);
+
+        front.answered(1, EAST, new JobResult.Redirected(WEST), ms(2));
+        front.answered(1, WEST, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
+
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
+        assertThat(sent).hasSize(2);
+    }
+
     /** Guards against jobs that are passed around between full pools while their callers wait. */
     @Test
     void a_job_refused_by_a_full_pool_is_refused_at_once_while_no_other_pool_has_room() {
