--- a/src/main/java/org/mustardlink/pool/PlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/PlacementSystem.java
@@ -30,7 +30,10 @@
     private static final double SAME_SPEED_RATIO = 1.1;
     /** Running time relative to the fastest target from which a target counts as slow. */
     private static final double SLOW_RATIO = 1.3;
-    /** {@link #DEADLINE_MARGIN} on a slow target while a fast one may become free; half of the tasks take longer than expected. */
+    /**
+     * {@link #DEADLINE_MARGIN} on a slow target while a fast one may become free; half of the tasks take longer than
+     * expected.
+     */
     private static final double SLOW_DEADLINE_MARGIN = 1.2;
 
     /**
--- a/src/main/java/org/mustardlink/pool/ProgressSystem.java
+++ b/src/main/java/org/mustardlink/pool/ProgressSystem.java
@@ -17,11 +17,14 @@
     private static final long MIN_LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
     /** A report that is younger than this is as good as a new one. */
     private static final long FRESH_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
-    /** Share of the expected time without a percent of progress from which a run stands still; a target that is seven times slower makes four. */
+    /**
+     * Share of the expected time without a percent of progress from which a run stands still; a target that is seven times
+     * slower makes four percents in it.
+     */
     private static final double STILL_SHARE = 0.3;
-    /** A run isn't taken for standing still before this; a process on a busy machine can be held up for some ten milliseconds. */
+    /** A run isn't taken for standing still before this; a busy machine can hold a process up for some ten milliseconds. */
     private static final long MIN_STILL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
-    /** From a stop order until the room on another target is used: a stop takes up to 50 ms, usually far less, and two ways. */
+    /** From a stop order until its task starts elsewhere: a stop takes 50 ms at most, the logs show 18 to 42 ms. */
     private static final long MOVE_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
     /**
      * Running time relative to the expected one up to which the task is taken for longer than declared, and beyond which
--- a/src/test/java/org/mustardlink/pool/PoolMasterTest.java
+++ b/src/test/java/org/mustardlink/pool/PoolMasterTest.java
@@ -95,6 +95,10 @@
     }
 
     private RunId submitOneTask(long now) {
+        return submitOneTask("job", now);
+    }
+
+    private RunId submitOneTask(String job, long now) {
         StepSpec step = new StepSpec(
                 1,
                 new Capacity(1_000, 1, 0),
@@ -105,7 +109,7 @@
         master.submit(
                 new JobOrder(
                         new RequestId("east-1", 1, 1),
-                        "job",
+                        job,
                         "queue",
                         "",
                         ImmutableList.of(step),
@@ -201,4 +205,25 @@
 
         assertThat(recorder.stops).containsExactly(inherited);
     }
+
+    /** Guards against a job that fails wherever it runs taking targets out of use: many such jobs arrive at once. */
+    @Test
+    void a_job_that_fails_as_often_as_its_queue_allows_is_answered_and_its_target_stays_in_use() {
+        RunId run = submitOneTask(ms(2));
+        for (int attempt = 1; attempt <= 3; attempt++) {
+            long at = 10L * attempt;
+            master.startAnswered("t", run, OrderVerdict.DONE, 1_000 + at, ms(at));
+            report(
+                    1_001 + at,
+                    ms(at + 1),
+                    ImmutableList.of(),
+                    ImmutableList.of(new HoldReport.RunEnd(attempt, run, HoldReport.How.FAILED)));
+            run = recorder.starts.get(recorder.starts.size() - 1);
+        }
+
+        assertThat(recorder.starts).hasSize(3);
+        assertThat(recorder.results).hasSize(1);
+        assertThat(recorder.results.get(0)).isInstanceOf(JobResult.Failed.class);
+        assertThat(submitOneTask("next", ms(50)).task().job()).isEqualTo("next");
+    }
 }
