Answer every request of a stopping host, and refuse those that it may not answer in time

Change: from the planned stop on, a front refuses requests whose deadline, or 2 s, is later than the end of the process, with a time to come back; another host takes the next try. Before the process ends, every request that is still open is answered as one that may have run, and its job is withdrawn. The stand-ins give a host 6 s to stop, as the platform does, instead of 2 s.

Tests: two in FrontTest; the methods that they call did not exist before, so they were not seen failing.

--- a/src/main/java/org/mustardlink/exercise/StandInDeployment.java
+++ b/src/main/java/org/mustardlink/exercise/StandInDeployment.java
@@ -32,7 +32,7 @@
 
     private static final String VIRTUAL_HOST = "jobs.example";
     private static final Duration LEASE = Duration.ofSeconds(1);
-    private static final Duration GRACE = Duration.ofSeconds(2);
+    private static final Duration GRACE = Duration.ofSeconds(6);
 
     private final StandInStore store;
     private final List<StandInRunner> runners = new ArrayList<>();
--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -34,10 +34,16 @@
     /** A new request waits this long for some master before it is refused; a planned handover takes less. */
     private static final long MASTER_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
+    /** A request that comes later than this before the host's end is refused; callers' usual deadline is 1.5 s. */
+    private static final long LAST_TAKE_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /** Time that a caller is told to stay away from a host that is about to end; another host takes the next try. */
+    private static final Duration ENDING_RETRY = Duration.ofSeconds(1);
+
     private final String domain;
     private final PoolDirectory directory;
     private final FrontActions actions;
     private final Map<Long, OpenRequest> requests = new LinkedHashMap<>();
+    private long endNanos = Long.MAX_VALUE;
 
     private static final class OpenRequest {
         private final JobOrder order;
@@ -81,9 +87,31 @@
     public void submit(JobOrder order, String service, long now) {
         OpenRequest request = new OpenRequest(order, service, now);
         requests.put(request.number(), request);
+        if (endNanos - now < Math.min(order.remaining().toNanos(), LAST_TAKE_NANOS)) {
+            end(request, Answer.notRun("the host is about to end", ENDING_RETRY));
+            return;
+        }
         dispatch(request, now);
     }
 
+    /** Notes when this host ends: from then on requests that may not be answered in time are refused. */
+    public void endAt(long end) {
+        endNanos = end;
+    }
+
+    /** Answers every open request, because the host ends now, and refuses all that come later. */
+    public void endNow(long now) {
+        endNanos = now;
+        for (OpenRequest request : new ArrayList<>(requests.values())) {
+            if (request.bound) {
+                withdraw(request, now);
+                end(request, Answer.of(Answer.Kind.MAY_HAVE_RUN, "the host ends"));
+            } else {
+                end(request, Answer.notRun("the host ends", ENDING_RETRY));
+            }
+        }
+    }
+
     /** Returns the number of open requests. */
     public int openRequests() {
         return requests.size();
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -62,6 +63,10 @@
     private static final Duration BALANCER_LAG = Duration.ofMillis(3_200);
     /** Time kept free before the end by force. */
     private static final Duration STOP_MARGIN = Duration.ofMillis(500);
+    /** Time for the answers that are left at the end, within {@link #STOP_MARGIN}. */
+    private static final Duration LAST_ANSWERS = Duration.ofMillis(200);
+    /** Time for the last answers to leave the process, within {@link #STOP_MARGIN}. */
+    private static final Duration FLUSH = Duration.ofMillis(50);
     /** Latency histograms kept apart, by queue. */
     private static final int MAX_SERIES = 64;
 
@@ -195,16 +200,29 @@
         long now = System.nanoTime();
         stopping = true;
         log.line(LogEvent.HOST_LEAVING).with(LogField.OPEN_JOBS, openRequests).write();
+        long latest = now + settings.stopGrace().minus(STOP_MARGIN).toNanos();
         loop.post(at -> {
+            front.endAt(latest);
             ownership.stop();
             peers.sendHeartbeats(true, pools.loads(at), at);
         });
-        long latest = now + settings.stopGrace().minus(STOP_MARGIN).toNanos();
         long earliest = Math.min(latest, now + BALANCER_LAG.toNanos());
         while (System.nanoTime() < latest && (openRequests > 0 || System.nanoTime() < earliest)) {
             Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(20));
         }
         log.line(LogEvent.HOST_STOPPED).with(LogField.OPEN_JOBS, openRequests).write();
+        // A request may have come between the last look and the end; it gets an answer too.
+        CountDownLatch answered = new CountDownLatch(1);
+        loop.post(at -> {
+            front.endNow(at);
+            answered.countDown();
+        });
+        if (!Uninterruptibles.awaitUninterruptibly(answered, LAST_ANSWERS)) {
+            log.line(LogEvent.EVENT_FAILED)
+                    .with(LogField.ERROR, "the last answers were not given within " + LAST_ANSWERS)
+                    .write();
+        }
+        Uninterruptibles.sleepUninterruptibly(FLUSH);
         close();
     }
 
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -130,6 +130,33 @@
         assertThat(sent).hasSize(2);
     }
 
+    /** Guards against connections that end without an answer: requests that reach a host shortly before its planned end. */
+    @Test
+    void a_request_that_a_stopping_host_may_not_answer_in_time_is_refused_at_once() {
+        masters.put(EAST, EAST_MASTER);
+        front.endAt(ms(5_500));
+
+        submit(1, ms(3_900));
+        submit(2, ms(4_100));
+
+        assertThat(sent).hasSize(1);
+        assertThat(answers.keySet()).containsExactly(2L);
+        assertThat(answers.get(2L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
+    }
+
+    /** Guards against connections that end without an answer: jobs that are still open when a host ends. */
+    @Test
+    void a_host_that_ends_answers_every_open_request_and_withdraws_its_jobs() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+        front.endNow(ms(100));
+        submit(2, ms(101));
+
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.MAY_HAVE_RUN);
+        assertThat(withdrawn).containsExactly(EAST_MASTER);
+        assertThat(answers.get(2L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
+    }
+
     /** Guards against jobs that are passed around between full pools while their callers wait. */
     @Test
     void a_job_refused_by_a_full_pool_is_refused_at_once_while_no_other_pool_has_room() {
