Read the change as a newcomer: one recorder of orders in tests, no state that can be derived, a test of hosts that are gone

Cause: the whole change read again. A run's "overdue" mark could be derived: a run that stands still is stopped in the same step, and only running ones are judged. Counting the room for a step stood twice. The recorder of a master's orders stood in two tests. A refusal after a redirection used the time to come back of a lost master. No test caused the rule to fail by which a host counts as gone before the handover of a pool ends.

Change: as above; no decision changes. PoolOwnershipTest gets the missing test, which passes on the code as it was.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -27,6 +27,8 @@
 public final class Front {
     /** Time that a caller is told to stay away while no pool has a master; a takeover takes well below a second. */
     private static final Duration NO_MASTER_RETRY = Duration.ofSeconds(1);
+    /** Time that a caller is told to stay away when the pools pass its job on; their load figures are 0.1 s old. */
+    private static final Duration DECLINED_RETRY = Duration.ofSeconds(1);
     /** A request whose pool has lost its master is given up this long before its deadline, so that the answer arrives. */
     private static final long LAST_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Pause before a host that has denied to be the master is asked again; a write of a claim is answered within it. */
@@ -184,7 +186,7 @@
         request.declinedBy.add(request.pool.orElseThrow());
         Optional<Claim> master = directory.master(pool, now);
         if (request.declinedBy.contains(pool)) {
-            end(request, Answer.notRun("every pool with room has declined the job", NO_MASTER_RETRY));
+            end(request, Answer.notRun("every pool with room has declined the job", DECLINED_RETRY));
         } else if (master.isPresent()) {
             send(request, pool, master.get(), now);
         } else {
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -146,9 +146,7 @@
         int room = 0;
         for (PoolTarget target : tables.targets()) {
             if (PlacementSystem.usable(target, now)) {
-                for (Capacity free = target.free(); free.holds(need) && room < tasks; free = free.minus(need)) {
-                    room++;
-                }
+                room += target.free().rooms(need);
             }
         }
         return room >= tasks;
--- a/src/main/java/org/mustardlink/pool/ProgressSystem.java
+++ b/src/main/java/org/mustardlink/pool/ProgressSystem.java
@@ -98,8 +98,7 @@
 
     /** Stops a run if that serves its task; returns the number of runs stopped. */
     private int judge(PoolTarget target, Run run, PoolTask task, int moving, long now) {
-        if (!run.overdue()
-                && run.percent() < 100
+        if (run.percent() < 100
                 && run.stillNanos() > Math.max(MIN_STILL_NANOS, (long) (STILL_SHARE * run.expectedNanos()))) {
             runs.standsStill(target, run, now);
             return 1;
--- a/src/main/java/org/mustardlink/pool/Run.java
+++ b/src/main/java/org/mustardlink/pool/Run.java
@@ -30,7 +30,6 @@
     private long stateSince;
     private long confirmedClockMs;
     private boolean stopConfirmed;
-    private boolean overdue;
     private long baseNanos;
     private int basePercent;
     private int percent;
@@ -190,12 +189,4 @@
     void countLook() {
         looks++;
     }
-
-    boolean overdue() {
-        return overdue;
-    }
-
-    void markOverdue() {
-        overdue = true;
-    }
 }
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -343,14 +343,13 @@
             return;
         }
         long allowed = (long) (OVERDUE_FACTOR * run.expectedNanos()) + OVERDUE_NANOS;
-        if (!run.overdue() && now - run.orderedNanos() > allowed) {
+        if (now - run.orderedNanos() > allowed) {
             standsStill(target, run, now);
         }
     }
 
     /** Stops a run that makes no progress and keeps new tasks away from its target for a while. */
     void standsStill(PoolTarget target, Run run, long now) {
-        run.markOverdue();
         run.task().ifPresent(task -> task.avoid(target.entry().id()));
         pause(target, "a run stands still: " + run.id().task().job(), now);
         stop(target, run, now);
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -241,4 +241,22 @@
         assertThat(ownership.introduced(earlierClock, true, ms(1_100))).isFalse();
         assertThat(ownership.introduced(earlierClock, true, ms(1_600))).isTrue();
     }
+
+    /** Guards against the end of a handover while a host that may still hand jobs over has not been heard. */
+    @Test
+    void a_host_is_gone_when_it_refuses_is_silent_or_starts_again_but_not_before_it_was_heard() {
+        PoolOwnership ownership = ownership(EAST_1, EAST, WEST);
+        long life = EAST_2.incarnation();
+        ownership.introduced(EAST_2, true, ms(1_000));
+        assertThat(ownership.gone("east-2", life, ms(1_900))).isFalse();
+
+        ownership.heard("east-2", life, false, ms(2_000));
+        assertThat(ownership.gone("east-2", life, ms(2_400))).isFalse();
+        assertThat(ownership.gone("east-2", life - 1, ms(2_400))).isTrue();
+        assertThat(ownership.gone("east-2", life, ms(2_600))).isTrue();
+
+        ownership.heard("east-2", life, false, ms(3_000));
+        ownership.refused("east-2");
+        assertThat(ownership.gone("east-2", life, ms(3_001))).isTrue();
+    }
 }
--- a/src/test/java/org/mustardlink/pool/PoolMasterTest.java
+++ b/src/test/java/org/mustardlink/pool/PoolMasterTest.java
@@ -6,8 +6,6 @@
 import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -25,7 +23,7 @@
             new Capacity(2_000, 100, 0),
             ImmutableSet.of("a"));
 
-    private final Recorder recorder = new Recorder();
+    private final RecordedOrders recorder = new RecordedOrders();
     private final PoolMaster master = new PoolMaster(
             POOL,
             FencingToken.of(1, 1),
@@ -34,47 +32,6 @@
             _order -> Optional.empty(),
             0);
 
-    private static final class Recorder implements PoolActions {
-        private final List<RunId> starts = new ArrayList<>();
-        private final List<RunId> stops = new ArrayList<>();
-        private final List<HoldOrder> holds = new ArrayList<>();
-        private final List<JobResult> results = new ArrayList<>();
-
-        @Override
-        public void start(TargetEntry _target, RunId run, String _payload, long _deadlineMs, long _fence) {
-            starts.add(run);
-        }
-
-        @Override
-        public void stop(TargetEntry _target, RunId run, long _fence) {
-            stops.add(run);
-        }
-
-        @Override
-        public void hold(TargetEntry _target, HoldOrder order) {
-            holds.add(order);
-        }
-
-        @Override
-        public void finished(RequestId _request, String _job, JobResult result) {
-            results.add(result);
-        }
-
-        @Override
-        public void fenced(TargetEntry _target) {}
-
-        @Override
-        public void jobChanged(String _job, String _change, String _why) {}
-
-        @Override
-        public void targetChanged(TargetEntry _target, String _change, String _why) {}
-
-        /** Takes the newest request for a report that is open. */
-        private long takeHold() {
-            return holds.remove(holds.size() - 1).number();
-        }
-    }
-
     private static long ms(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
--- a/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
+++ b/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
@@ -6,10 +6,6 @@
 import com.google.common.collect.ImmutableSet;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
@@ -20,7 +16,7 @@
     private static final PoolId POOL = new PoolId("yard", "east");
     private static final Capacity WHOLE = new Capacity(14_000, 64, 0);
 
-    private final Recorder recorder = new Recorder();
+    private final RecordedOrders recorder = new RecordedOrders();
     private final PoolMaster master = new PoolMaster(
             POOL,
             FencingToken.of(1, 1),
@@ -29,44 +25,6 @@
             _order -> Optional.empty(),
             0);
 
-    private static final class Recorder implements PoolActions {
-        private final List<RunId> starts = new ArrayList<>();
-        private final List<String> startedOn = new ArrayList<>();
-        private final List<RunId> stops = new ArrayList<>();
-        private final Map<String, HoldOrder> holds = new HashMap<>();
-        private final List<JobResult> results = new ArrayList<>();
-
-        @Override
-        public void start(TargetEntry target, RunId run, String _payload, long _deadlineMs, long _fence) {
-            starts.add(run);
-            startedOn.add(target.id());
-        }
-
-        @Override
-        public void stop(TargetEntry _target, RunId run, long _fence) {
-            stops.add(run);
-        }
-
-        @Override
-        public void hold(TargetEntry target, HoldOrder order) {
-            holds.put(target.id(), order);
-        }
-
-        @Override
-        public void finished(RequestId _request, String _job, JobResult result) {
-            results.add(result);
-        }
-
-        @Override
-        public void fenced(TargetEntry _target) {}
-
-        @Override
-        public void jobChanged(String _job, String _change, String _why) {}
-
-        @Override
-        public void targetChanged(TargetEntry _target, String _change, String _why) {}
-    }
-
     private static long ms(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
@@ -90,7 +48,7 @@
             ImmutableList<HoldReport.RunProgress> running,
             ImmutableList<HoldReport.RunEnd> ended) {
         HoldReport report = new HoldReport(1_000 + atMs, 0, running, ended);
-        master.reported(target, recorder.holds.get(target).number(), report, ms(atMs));
+        master.reported(target, recorder.lastHold(target).number(), report, ms(atMs));
         master.tick(ms(atMs));
     }
 
@@ -203,11 +161,11 @@
     void the_target_of_a_long_task_is_asked_for_its_progress() {
         submit("job", 1, 2);
         String target = recorder.startedOn.get(0);
-        long before = recorder.holds.get(target).number();
+        long before = recorder.lastHold(target).number();
         master.tick(ms(200));
 
-        assertThat(recorder.holds.get(target).number()).isGreaterThan(before);
-        assertThat(recorder.holds.get(target).waitMs()).isEqualTo(0);
+        assertThat(recorder.lastHold(target).number()).isGreaterThan(before);
+        assertThat(recorder.lastHold(target).waitMs()).isEqualTo(0);
     }
 
     /** Guards against jobs that wait in vain: three tasks are done, the last one never found a target in time. */
--- /dev/null
+++ b/src/test/java/org/mustardlink/pool/RecordedOrders.java
@@ -0,0 +1,57 @@
+package org.mustardlink.pool;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Keeps what a master orders, in order. */
+final class RecordedOrders implements PoolActions {
+    final List<RunId> starts = new ArrayList<>();
+    final List<String> startedOn = new ArrayList<>();
+    final List<RunId> stops = new ArrayList<>();
+    final List<JobResult> results = new ArrayList<>();
+    private final List<HoldOrder> holds = new ArrayList<>();
+    private final Map<String, HoldOrder> lastHolds = new HashMap<>();
+
+    @Override
+    public void start(TargetEntry target, RunId run, String _payload, long _deadlineMs, long _fence) {
+        starts.add(run);
+        startedOn.add(target.id());
+    }
+
+    @Override
+    public void stop(TargetEntry _target, RunId run, long _fence) {
+        stops.add(run);
+    }
+
+    @Override
+    public void hold(TargetEntry target, HoldOrder order) {
+        holds.add(order);
+        lastHolds.put(target.id(), order);
+    }
+
+    @Override
+    public void finished(RequestId _request, String _job, JobResult result) {
+        results.add(result);
+    }
+
+    @Override
+    public void fenced(TargetEntry _target) {}
+
+    @Override
+    public void jobChanged(String _job, String _change, String _why) {}
+
+    @Override
+    public void targetChanged(TargetEntry _target, String _change, String _why) {}
+
+    /** Takes the newest request for a report that is open. */
+    long takeHold() {
+        return holds.remove(holds.size() - 1).number();
+    }
+
+    /** Returns the newest request for a report of a target. */
+    HoldOrder lastHold(String target) {
+        return lastHolds.get(target);
+    }
+}
