Send frequent heartbeats only to hosts that act on them, and run a master's systems when they are due

Cause: each host sent a heartbeat to every other one each 100 ms (47 hosts: 21,600 messages a second), and each message ran every timer and system of the host.

Change: a host sends a heartbeat each 100 ms to its Watchers only: the successors of its domain's pools, masters in use and, from a master, its domain and the other masters; each second to all others. A heartbeat says when the next one comes, and news of a claim is answered at once. Timers run each 20 or 50 ms, a master looks at all runs and targets each 10 ms and places tasks at most each 3 ms while some wait. Fewer looks at running tasks. Entries of targets in which only the number of the writing rose aren't decoded again.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -119,6 +119,13 @@
         return requests.size();
     }
 
+    /** Returns the hosts whose masters have open requests of this front. */
+    public Set<String> mastersInUse() {
+        Set<String> hosts = new HashSet<>();
+        requests.values().forEach(request -> request.master.ifPresent(claim -> hosts.add(claim.host())));
+        return hosts;
+    }
+
     private void dispatch(OpenRequest request, long now) {
         Optional<PoolId> pool = request.bound ? request.pool : choose(request.service, now);
         Optional<Claim> master = pool.flatMap(known -> directory.master(known, now));
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -53,12 +53,16 @@
  * and what runs is learned from the targets.
  */
 public final class DispatchHost implements CallerRequests, AutoCloseable {
-    /** Interval of timers while requests are open. */
+    /** Interval of timers while requests are open; half of the pause before a master that denies is asked again. */
     private static final long BUSY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Interval of timers while none is. */
     private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
     /** A host is up this long before it claims pools without having read the earlier claims. */
     private static final long CLAIMS_UNREAD_NANOS = TimeUnit.SECONDS.toNanos(3);
+    /** Pause before a snapshot is asked for again; a reachable store answers within 100 ms and makes it needless. */
+    private static final long SNAPSHOT_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
+    /** Hosts that are asked for a snapshot at a time; one may be cut off from the store as well. */
+    private static final int SNAPSHOT_HOSTS = 2;
     /** After a stop was asked for, the balancer sends new connections for two missed questions of a second each. */
     private static final Duration BALANCER_LAG = Duration.ofMillis(3_200);
     /** Time kept free before the end by force. */
@@ -108,6 +112,8 @@
     private final StoreSnapshot snapshot = new StoreSnapshot();
     private final long startedNanos;
     private boolean snapshotTaken;
+    private long timersNanos;
+    private long snapshotAskedNanos;
     private volatile Optional<RoutingTable> routes = Optional.empty();
     private volatile boolean anyMaster;
     private volatile boolean stopping;
@@ -117,6 +123,7 @@
     private DispatchHost(HostSettings settings, long incarnation) {
         this.settings = settings;
         this.startedNanos = System.nanoTime();
+        this.snapshotAskedNanos = startedNanos;
         this.self = new HostInfo(
                 settings.id(),
                 settings.domain(),
@@ -204,7 +211,7 @@
         loop.post(at -> {
             front.endAt(latest);
             ownership.stop();
-            peers.sendHeartbeats(true, pools.loads(at), at);
+            peers.announce(status(at), at);
         });
         long earliest = Math.min(latest, now + BALANCER_LAG.toNanos());
         while (System.nanoTime() < latest && (openRequests > 0 || System.nanoTime() < earliest)) {
@@ -263,29 +270,56 @@
                 .write();
     }
 
+    private PeerMonitor.Status status(long now) {
+        return new PeerMonitor.Status(stopping, pools.loads(now));
+    }
+
     private void afterBatch(long now) {
+        pools.tick(now);
+        if (now >= timersNanos || now >= peers.nextHeartbeat()) {
+            timers(now);
+            timersNanos = now + (front.openRequests() > 0 ? BUSY_NANOS : IDLE_NANOS);
+        }
+        openRequests = front.openRequests();
+    }
+
+    /**
+     * Asks some live hosts for what they have read, while this one has read no configuration. An answer is lost if the link
+     * of the host that gives it isn't open yet.
+     */
+    private void requestSnapshot(long now) {
+        if (routes.isPresent() || now - snapshotAskedNanos < SNAPSHOT_RETRY_NANOS) {
+            return;
+        }
+        snapshotAskedNanos = now;
+        ownership.hosts().stream()
+                .filter(host -> ownership.alive(host.id(), host.incarnation(), now))
+                .limit(SNAPSHOT_HOSTS)
+                .forEach(host -> links.send(host.id(), new PeerMessage.SnapshotRequest()));
+    }
+
+    private void timers(long now) {
+        requestSnapshot(now);
         if (targets.expire(following.targetsReachable(), now)) {
             targetsChanged(now);
         }
-        pools.endHandovers(heartbeat -> peers.allHaveSeen(heartbeat, now), now);
-        pools.tick(now);
+        pools.endHandovers(announcement -> peers.allHaveSeen(announcement, now), now);
+        // A host hands its jobs over before it confirms the heartbeat that brought a claim.
         front.tick(now);
-        peers.tick(stopping, pools.loads(now), this::hostLost, now);
+        peers.tick(() -> status(now), front::mastersInUse, this::hostLost, now);
         boolean claimsRead = following.claimsRead() || snapshotTaken || now - startedNanos > CLAIMS_UNREAD_NANOS;
         if (claimsRead && targets.known()) {
             ownership.tick(now);
         }
         cancellations.expire(now);
         unrouted.tick(routes.isPresent(), now);
-        openRequests = front.openRequests();
         ownsAny = !ownership.ownClaims().isEmpty();
         anyMaster = ownership.pools().stream()
                 .anyMatch(pool -> ownership.master(pool, now).isPresent());
     }
 
     private long nextDue(long now) {
-        long busy = now + (front.openRequests() > 0 ? BUSY_NANOS : IDLE_NANOS);
-        return Math.min(pools.nextDue(now, busy), peers.nextHeartbeat());
+        return Math.min(pools.nextDue(now, timersNanos), peers.nextHeartbeat());
     }
 
     private void hostLost(HostInfo host, long now) {
@@ -444,16 +478,17 @@
         public void connected(String host) {
             loop.post(now -> {
                 peers.connected(host, now);
-                if (routes.isEmpty()) {
-                    links.send(host, new PeerMessage.SnapshotRequest());
-                }
+                timersNanos = now;
                 front.linkReplaced(host, now);
             });
         }
 
         @Override
         public void refused(String host) {
-            loop.post(_now -> ownership.refused(host));
+            loop.post(now -> {
+                ownership.refused(host);
+                timersNanos = now;
+            });
         }
     }
 
@@ -462,7 +497,9 @@
         if (message instanceof PeerMessage.Hello) {
             front.linkReplaced(sender.id(), now);
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
-            peers.heard(sender, heartbeat, now);
+            if (peers.heard(sender, heartbeat, now)) {
+                timersNanos = now;
+            }
         } else if (message instanceof PeerMessage.Submit submit) {
             pools.submit(submit.pool(), submit.order(), now);
         } else if (message instanceof PeerMessage.Withdraw withdraw) {
@@ -509,6 +546,7 @@
         public void configured(RoutingTable table, String record, long now) {
             snapshot.configured(record);
             routes = Optional.of(table);
+            timersNanos = now;
             log.line(LogEvent.CONFIG_APPLIED)
                     .with(LogField.CONFIG_VERSION, table.version())
                     .with(LogField.COUNT, table.size())
@@ -519,13 +557,17 @@
         @Override
         public void targets(ImmutableList<KeyedRecord> records, boolean whole, long now) {
             snapshot.targets(records, whole);
-            targets.take(records, whole, now);
-            targetsChanged(now);
+            if (targets.take(records, whole, now)) {
+                targetsChanged(now);
+                timersNanos = now;
+            }
         }
 
         @Override
         public void claimed(Claim claim, long now) {
             ownership.claimed(claim, now);
+            peers.reviewWatchers(now);
+            timersNanos = now;
         }
 
         @Override
@@ -550,8 +592,8 @@
         public void acquired(Claim claim) {
             long now = System.nanoTime();
             pools.acquire(claim, ownership, now);
-            peers.sendHeartbeats(stopping, pools.loads(now), now);
-            pools.announced(claim.pool(), peers.lastHeartbeat(), now);
+            pools.announced(claim.pool(), peers.announce(status(now), now), now);
+            timersNanos = now;
         }
 
         @Override
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -1,25 +1,42 @@
 package org.mustardlink.host;
 
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.mustardlink.link.PeerLinks;
 import org.mustardlink.link.PeerMessage;
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
+import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.ownership.PoolOwnership;
+import org.mustardlink.ownership.Watchers;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
 
-/** Heartbeats to and from the other hosts, and what they tell about loads. Runs on the loop thread. */
+/**
+ * Heartbeats to and from the other hosts, and what they tell about loads. Runs on the loop thread.
+ *
+ * <p>Hosts that act on this one's silence at once hear it every {@link #URGENT}, all others every {@link #USUAL}; see
+ * {@link Watchers}. A heartbeat that brings news of a claim is answered at once.
+ */
 final class PeerMonitor {
-    /** Interval of heartbeats; five may be lost before a host is taken for dead. */
-    private static final long HEARTBEAT_NANOS = PoolOwnership.SILENCE_NANOS / 5;
-    /** Heartbeats that the receiver may lag behind before the link to it is taken for dead. */
-    private static final int MAX_UNSEEN = 5;
+    /** Interval of heartbeats to the hosts that have to notice this one's end at once. */
+    private static final Duration URGENT = Duration.ofMillis(100);
+    /** Interval of heartbeats to all others; with it a host's messages grow by one a second for each further host. */
+    private static final Duration USUAL = Duration.ofSeconds(1);
+
+    private static final long URGENT_NANOS = URGENT.toNanos();
+    private static final long USUAL_NANOS = USUAL.toNanos();
+    /** A heartbeat that the receiver hasn't seen for this long shows that the link to it is dead. */
+    private static final long UNSEEN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /** A link is given this long to carry heartbeats before it is judged. */
     private static final long LINK_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
 
@@ -28,17 +45,26 @@
     private final EventLog log;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<PoolId, PoolLoad> loads = new HashMap<>();
+    private ImmutableSet<String> watchers = ImmutableSet.of();
+    private long watchersNanos;
     private PeerLinks links;
-    private long number;
     private long sentNanos;
 
     private static final class Peer {
         private HostInfo info;
+        /** Number of the last heartbeat to the host. */
+        private long number;
+        /** Number of its last heartbeat. */
         private long seen;
+        /** Number of our last heartbeat that it has seen. */
         private long seenOurs;
+
+        private long unseenSinceNanos;
+        private long sentNanos;
         private long connectedNanos;
         private long heardNanos;
         private boolean alive;
+        private boolean owed;
     }
 
     /** Hears of the end of another host's process life. */
@@ -47,11 +73,27 @@
         void lost(HostInfo host, long now);
     }
 
+    /**
+     * What each host says of this one at a moment.
+     *
+     * @param stopping whether this host is about to end
+     * @param loads loads of the pools that it is the master of
+     */
+    record Status(boolean stopping, ImmutableMap<PoolId, PoolLoad> loads) {}
+
+    /**
+     * Heartbeats that told every host known then of a claim.
+     *
+     * @param numbers the heartbeat's number by host
+     */
+    record Announcement(ImmutableMap<String, Long> numbers) {}
+
     PeerMonitor(HostInfo self, PoolOwnership ownership, EventLog log, long now) {
         this.self = self;
         this.ownership = ownership;
         this.log = log;
-        this.sentNanos = now - HEARTBEAT_NANOS;
+        this.sentNanos = now - URGENT_NANOS;
+        this.watchersNanos = now - USUAL_NANOS;
     }
 
     void use(PeerLinks opened) {
@@ -69,10 +111,12 @@
         }
         Peer peer = new Peer();
         peer.info = info;
+        peer.sentNanos = now - USUAL_NANOS;
         peer.connectedNanos = now;
         peer.heardNanos = now;
         peers.put(info.id(), peer);
         links.add(info);
+        reviewWatchers(now);
         changed(info, "INTRODUCED", direct ? "by itself" : "by the store");
     }
 
@@ -90,78 +134,142 @@
         Peer peer = peers.get(host);
         if (peer != null) {
             peer.connectedNanos = now;
+            peer.owed = true;
         }
     }
 
-    /** Takes a heartbeat. */
-    void heard(HostInfo sender, PeerMessage.Heartbeat heartbeat, long now) {
+    /** Takes a heartbeat; returns whether it changed which host is the master of a pool. */
+    boolean heard(HostInfo sender, PeerMessage.Heartbeat heartbeat, long now) {
         Peer peer = peers.get(sender.id());
         if (peer == null || peer.info.incarnation() != sender.incarnation()) {
-            return;
+            return false;
         }
         peer.seen = heartbeat.number();
-        peer.seenOurs = heartbeat.seen();
+        peer.seenOurs = Math.max(peer.seenOurs, heartbeat.seen());
+        if (peer.seenOurs < peer.number && now - peer.unseenSinceNanos > UNSEEN_NANOS) {
+            replaceUnseen(peer, now);
+        } else if (peer.seenOurs == peer.number) {
+            peer.unseenSinceNanos = now;
+        }
         peer.heardNanos = now;
-        ownership.heard(sender.id(), sender.incarnation(), heartbeat.stopping(), now);
-        heartbeat.claims().forEach(claim -> ownership.claimed(claim, now));
+        ownership.heard(sender.id(), sender.incarnation(), heartbeat.next(), heartbeat.stopping(), now);
+        boolean news = false;
+        for (Claim claim : heartbeat.claims()) {
+            news |= ownership.claimed(claim, now);
+        }
+        if (news) {
+            peer.owed = true;
+            reviewWatchers(now);
+        }
         loads.putAll(heartbeat.loads());
         if (!peer.alive) {
             peer.alive = true;
             changed(sender, "ALIVE", "heard");
         }
-        // The host hears others but not us: something on the way has lost track of our connection.
-        boolean unseen = number - heartbeat.seen() > MAX_UNSEEN;
-        if (unseen && now - peer.connectedNanos > LINK_AGE_NANOS) {
+        return news || heartbeat.stopping();
+    }
+
+    /** Replaces the link to a host that hears others but not us: something on the way has lost track of it. */
+    private void replaceUnseen(Peer peer, long now) {
+        if (now - peer.connectedNanos > LINK_AGE_NANOS) {
             peer.connectedNanos = now;
-            links.replace(sender.id());
+            peer.unseenSinceNanos = now;
+            links.replace(peer.info.id());
         }
     }
 
-    /** Sends heartbeats when they are due, and notices hosts that are gone. */
-    void tick(boolean stopping, ImmutableMap<PoolId, PoolLoad> ownLoads, LossListener listener, long now) {
-        if (now - sentNanos >= HEARTBEAT_NANOS) {
-            sendHeartbeats(stopping, ownLoads, now);
+    /**
+     * Sends the heartbeats that are due, and notices hosts that are gone.
+     *
+     * @param status what the heartbeats say
+     * @param mastersInUse hosts that run jobs which this one waits for
+     */
+    void tick(Supplier<Status> status, Supplier<Set<String>> mastersInUse, LossListener listener, long now) {
+        boolean urgentDue = now - sentNanos >= URGENT_NANOS;
+        if (urgentDue) {
+            sentNanos = now;
+            links.tick(now);
+            watch(mastersInUse.get(), now);
         }
+        Status told = null;
         for (Peer peer : peers.values()) {
-            if (peer.alive && !ownership.alive(peer.info.id(), peer.info.incarnation(), now)) {
-                peer.alive = false;
-                changed(peer.info, "GONE", "silent");
-                listener.lost(peer.info, now);
+            boolean due = peer.owed
+                    || now - peer.sentNanos >= USUAL_NANOS
+                    || (urgentDue && watchers.contains(peer.info.id()));
+            if (due) {
+                told = told == null ? status.get() : told;
+                send(peer, told, now);
             }
-            // After a cut an old connection carries nothing until its retransmission is due, which takes seconds.
-            if (!peer.alive && now - peer.connectedNanos > LINK_AGE_NANOS) {
-                peer.connectedNanos = now;
-                links.replace(peer.info.id());
+            if (urgentDue) {
+                check(peer, listener, now);
             }
         }
     }
 
-    /** Sends a heartbeat to every host now. */
-    void sendHeartbeats(boolean stopping, ImmutableMap<PoolId, PoolLoad> ownLoads, long now) {
-        sentNanos = now;
-        number++;
-        links.tick(now);
+    /** Chooses the watchers anew with the next heartbeats, because hosts or claims have changed. */
+    void reviewWatchers(long now) {
+        watchersNanos = now - USUAL_NANOS;
+    }
+
+    private void watch(Set<String> mastersInUse, long now) {
+        boolean complete = mastersInUse.stream().allMatch(host -> host.equals(self.id()) || watchers.contains(host));
+        if (complete && now - watchersNanos < USUAL_NANOS) {
+            return;
+        }
+        watchersNanos = now;
+        ImmutableSet<String> before = watchers;
+        watchers = Watchers.of(self, ownership, mastersInUse, now);
+        // A host that expects the next heartbeat soon must be told that it comes later.
+        Sets.difference(before, watchers).forEach(host -> peers.get(host).owed = true);
+    }
+
+    private void check(Peer peer, LossListener listener, long now) {
+        if (peer.alive && !ownership.alive(peer.info.id(), peer.info.incarnation(), now)) {
+            peer.alive = false;
+            changed(peer.info, "GONE", "silent");
+            listener.lost(peer.info, now);
+        }
+        // After a cut an old connection carries nothing until its retransmission is due, which takes seconds.
+        if (!peer.alive && now - peer.connectedNanos > LINK_AGE_NANOS) {
+            peer.connectedNanos = now;
+            links.replace(peer.info.id());
+        }
+    }
+
+    /** Sends a heartbeat to every host now, because this one has become a master or is about to end. */
+    Announcement announce(Status status, long now) {
+        reviewWatchers(now);
+        ImmutableMap.Builder<String, Long> numbers = ImmutableMap.builder();
         for (Peer peer : peers.values()) {
-            links.send(
-                    peer.info.id(),
-                    new PeerMessage.Heartbeat(number, peer.seen, stopping, ownership.ownClaims(), ownLoads));
+            send(peer, status, now);
+            numbers.put(peer.info.id(), peer.number);
         }
+        return new Announcement(numbers.buildOrThrow());
     }
 
-    /** Returns the number of the last heartbeat sent. */
-    long lastHeartbeat() {
-        return number;
+    private void send(Peer peer, Status status, long now) {
+        if (peer.seenOurs == peer.number) {
+            peer.unseenSinceNanos = now;
+        }
+        peer.owed = false;
+        peer.sentNanos = now;
+        peer.number++;
+        Duration next = watchers.contains(peer.info.id()) ? URGENT : USUAL;
+        links.send(
+                peer.info.id(),
+                new PeerMessage.Heartbeat(
+                        peer.number, peer.seen, next, status.stopping(), ownership.ownClaims(), status.loads()));
     }
 
-    /** Returns whether every host that may live has got a heartbeat of ours. */
-    boolean allHaveSeen(long heartbeat, long now) {
+    /** Returns whether every host that may live has got an announcement. */
+    boolean allHaveSeen(Announcement announcement, long now) {
         return peers.values().stream()
-                .allMatch(peer ->
-                        peer.seenOurs >= heartbeat || ownership.gone(peer.info.id(), peer.info.incarnation(), now));
+                .allMatch(peer -> peer.seenOurs >= announcement.numbers().getOrDefault(peer.info.id(), 1L)
+                        || ownership.gone(peer.info.id(), peer.info.incarnation(), now));
     }
 
     long nextHeartbeat() {
-        return sentNanos + HEARTBEAT_NANOS;
+        return sentNanos + URGENT_NANOS;
     }
 
     /** Returns the last load that a pool's master told. */
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -45,7 +45,7 @@
     private final Results results;
     private final OtherPool otherPool;
     private final Map<PoolId, PoolMaster> masters = new LinkedHashMap<>();
-    private final Map<PoolId, Announcement> announcements = new HashMap<>();
+    private final Map<PoolId, Announced> announcements = new HashMap<>();
     private final Map<RequestId, Long> arrivals = new HashMap<>();
     private final Map<Answered, JobResult> recent = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -56,13 +56,13 @@
         }
     };
 
-    /** The heartbeat that told the other hosts of a new claim. */
-    private record Announcement(long heartbeat, long sentNanos) {}
+    /** The heartbeats that told the other hosts of a new claim. */
+    private record Announced(PeerMonitor.Announcement announcement, long sentNanos) {}
 
-    /** Tells whether every host that may live has got a heartbeat. */
+    /** Tells whether every host that may live has got an announcement. */
     @FunctionalInterface
     interface SeenByAll {
-        boolean test(long heartbeat);
+        boolean test(PeerMonitor.Announcement announcement);
     }
 
     /** A request that a pool has answered. */
@@ -115,9 +115,9 @@
         master.targetsListed(targets.targets(pool), now);
     }
 
-    /** Notes the heartbeat that tells the other hosts of a new claim. */
-    void announced(PoolId pool, long heartbeat, long now) {
-        announcements.put(pool, new Announcement(heartbeat, now));
+    /** Notes the heartbeats that tell the other hosts of a new claim. */
+    void announced(PoolId pool, PeerMonitor.Announcement announcement, long now) {
+        announcements.put(pool, new Announced(announcement, now));
     }
 
     /**
@@ -126,15 +126,15 @@
      */
     void endHandovers(SeenByAll seenByAll, long now) {
         announcements.entrySet().removeIf(entry -> {
-            Announcement announcement = entry.getValue();
+            Announced announced = entry.getValue();
             boolean ended =
-                    now - announcement.sentNanos() > OWN_HANDOVER_NANOS && seenByAll.test(announcement.heartbeat());
+                    now - announced.sentNanos() > OWN_HANDOVER_NANOS && seenByAll.test(announced.announcement());
             PoolMaster master = masters.get(entry.getKey());
             if (ended && master != null) {
                 log.line(LogEvent.POOL_HANDED_OVER)
                         .with(LogField.POOL, entry.getKey())
                         .with(LogField.ROUND, master.fence().round())
-                        .with(LogField.AGE_MS, TimeUnit.NANOSECONDS.toMillis(now - announcement.sentNanos()))
+                        .with(LogField.AGE_MS, TimeUnit.NANOSECONDS.toMillis(now - announced.sentNanos()))
                         .write();
                 master.handoverEnded();
             }
@@ -195,7 +195,7 @@
     }
 
     void tick(long now) {
-        ImmutableList.copyOf(masters.values()).forEach(master -> master.tick(now));
+        ImmutableList.copyOf(masters.values()).forEach(master -> master.tickDue(now));
     }
 
     long nextDue(long now, long latest) {
--- a/src/main/java/org/mustardlink/host/TargetDirectory.java
+++ b/src/main/java/org/mustardlink/host/TargetDirectory.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -11,8 +12,8 @@
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
-import org.mustardlink.platform.Documents;
 import org.mustardlink.platform.KeyedRecord;
+import org.mustardlink.platform.TargetEntryReader;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.TargetEntry;
 
@@ -30,6 +31,7 @@
     private static final long DRAINED_NANOS = TimeUnit.SECONDS.toNanos(12);
 
     private final EventLog log;
+    private final TargetEntryReader reader = new TargetEntryReader();
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private final Map<String, Long> vanished = new HashMap<>();
     private boolean known;
@@ -43,15 +45,21 @@
         return known;
     }
 
-    /** Takes records of the list; {@code whole} tells that they are all there are. */
-    void take(ImmutableList<KeyedRecord> records, boolean whole, long now) {
+    /**
+     * Takes records of the list; returns whether any of them says something new.
+     *
+     * @param whole whether they are all there are
+     */
+    @CanIgnoreReturnValue
+    boolean take(ImmutableList<KeyedRecord> records, boolean whole, long now) {
+        boolean changed = !known;
         known = true;
         Set<String> seen = new HashSet<>();
         for (KeyedRecord record : records) {
             Optional<TargetEntry> entry = record.value().isEmpty() ? Optional.empty() : decode(record);
             if (entry.isPresent()) {
                 seen.add(record.key());
-                entries.put(record.key(), entry.get());
+                changed |= !entry.get().equals(entries.put(record.key(), entry.get()));
                 vanished.remove(record.key());
             } else if (entries.containsKey(record.key())) {
                 vanished.putIfAbsent(record.key(), now);
@@ -60,10 +68,11 @@
         if (whole) {
             entries.keySet().stream().filter(id -> !seen.contains(id)).forEach(id -> vanished.putIfAbsent(id, now));
         }
+        return changed;
     }
 
     private Optional<TargetEntry> decode(KeyedRecord record) {
-        Optional<TargetEntry> entry = record.text().flatMap(text -> Documents.target(record.key(), text));
+        Optional<TargetEntry> entry = record.text().flatMap(text -> reader.read(record.key(), text));
         if (entry.isEmpty()) {
             log.line(LogEvent.RECORD_REJECTED)
                     .with(LogField.KEY, record.key())
@@ -83,6 +92,7 @@
             boolean over = now - entry.getValue() > keptNanos(entry.getKey());
             if (over) {
                 entries.remove(entry.getKey());
+                reader.forget(entry.getKey());
             }
             return over;
         });
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.pool.JobOrder;
@@ -30,14 +31,21 @@
      *
      * @param number number of the heartbeat within the sender's incarnation
      * @param seen number of the receiver's last heartbeat that the sender got
+     * @param next time until the sender's next heartbeat to the receiver
      * @param stopping whether the sender is about to end
      * @param claims claims under which the sender is a master
      * @param loads loads of the pools that the sender is the master of
      */
     record Heartbeat(
-            long number, long seen, boolean stopping, ImmutableList<Claim> claims, ImmutableMap<PoolId, PoolLoad> loads)
+            long number,
+            long seen,
+            Duration next,
+            boolean stopping,
+            ImmutableList<Claim> claims,
+            ImmutableMap<PoolId, PoolLoad> loads)
             implements PeerMessage {
         public Heartbeat {
+            checkNotNull(next, "next");
             checkNotNull(claims, "claims");
             checkNotNull(loads, "loads");
         }
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -5,7 +5,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -14,6 +16,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 import org.mustardlink.pool.PoolId;
 
 /**
@@ -24,8 +27,8 @@
  * domain takes it back from one of another domain.
  */
 public final class PoolOwnership {
-    /** A host that wasn't heard of for this long is taken for dead; five heartbeats. */
-    public static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
+    /** A host is taken for dead this long after its next heartbeat was due; four of the shortest intervals. */
+    private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     /** After its start a host waits this long for others to be heard of, so that the first claim is the lasting one. */
     private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
     /** The same for a pool whose master is known to be gone; a heartbeat of a live claimant arrives within it. */
@@ -66,6 +69,7 @@
     private static final class Peer {
         private HostInfo info;
         private long heardNanos;
+        private long nextNanos;
         private boolean heard;
         private boolean stopping;
         private boolean refused;
@@ -75,7 +79,7 @@
         }
 
         private boolean alive(long now) {
-            return heard && now - heardNanos < SILENCE_NANOS;
+            return heard && now - heardNanos < nextNanos + SILENCE_NANOS;
         }
     }
 
@@ -114,8 +118,12 @@
         return true;
     }
 
-    /** Takes a heartbeat. */
-    public void heard(String host, long incarnation, boolean hostIsStopping, long now) {
+    /**
+     * Takes a heartbeat.
+     *
+     * @param next time after which the host sends the next one
+     */
+    public void heard(String host, long incarnation, Duration next, boolean hostIsStopping, long now) {
         Peer peer = peers.get(host);
         if (peer == null || peer.info.incarnation() != incarnation) {
             return;
@@ -123,6 +131,7 @@
         peer.heard = true;
         peer.refused = false;
         peer.heardNanos = now;
+        peer.nextNanos = next.toNanos();
         peer.stopping = hostIsStopping;
     }
 
@@ -140,11 +149,12 @@
         pools = listed;
     }
 
-    /** Takes a claim that was read from the log or told by another host. */
-    public void claimed(Claim claim, long now) {
+    /** Takes a claim that was read from the log or told by another host; returns whether it is the newest one of its pool. */
+    @CanIgnoreReturnValue
+    public boolean claimed(Claim claim, long now) {
         Claim known = claims.get(claim.pool());
         if (known != null && !claim.supersedes(known)) {
-            return;
+            return false;
         }
         if (known != null) {
             changedNanos.put(claim.pool(), now);
@@ -154,6 +164,7 @@
             fencedSince.remove(claim.pool());
             actions.released(claim.pool(), "claimed by " + claim.host() + " in round " + claim.round());
         }
+        return true;
     }
 
     /** Outcome of a write of a claim. */
@@ -265,10 +276,21 @@
     /** Returns whether a process life is over: its host refuses connections, has been silent or has a later life. */
     public boolean gone(String host, long incarnation, long now) {
         Peer peer = peers.get(host);
-        return peer == null
-                || peer.info.incarnation() != incarnation
-                || peer.refused
-                || (peer.heard && !peer.alive(now));
+        return peer == null || peer.info.incarnation() != incarnation || gone(peer, now);
+    }
+
+    private static boolean gone(Peer peer, long now) {
+        return peer.refused || (peer.heard && !peer.alive(now));
+    }
+
+    /** Returns the hosts that would claim a pool first, nearest first, without those known to be gone. */
+    public ImmutableList<HostInfo> successors(PoolId pool, int count, long now) {
+        return Stream.concat(
+                        Stream.of(self),
+                        peers.values().stream().filter(peer -> !gone(peer, now)).map(peer -> peer.info))
+                .sorted(order(pool))
+                .limit(count)
+                .collect(ImmutableList.toImmutableList());
     }
 
     /** Returns the hosts that this one knows of, without itself. */
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -14,12 +14,14 @@
 /**
  * The master of one pool: takes jobs from fronts, starts their tasks on the pool's targets, and reports how they end.
  *
- * <p>Not thread-safe. Every method takes the time of the event on a steady clock in nanoseconds; {@link #tick} has to
+ * <p>Not thread-safe. Every method takes the time of the event on a steady clock in nanoseconds; {@link #tickDue} has to
  * follow events and timers. Nothing is kept beyond the process: a later master finds what runs in the targets' reports.
  */
 public final class PoolMaster {
-    /** Interval of timers while jobs or runs are open; shorter than any of the pool's own times. */
-    private static final long BUSY_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
+    /** Least time between two looks at every run and target; it adds half of it to the time of a noticed end. */
+    private static final long SCAN_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    /** Least time between two attempts to start tasks that found no room. */
+    private static final long PLACE_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
     /** Interval of timers while nothing is open. */
     private static final long IDLE_TICK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -34,6 +36,8 @@
     private final PlacementSystem placement;
     private final ProgressSystem progress;
     private final long resumeNanos;
+    private long scannedNanos;
+    private long placedNanos;
     private boolean released;
 
     /**
@@ -64,6 +68,8 @@
         this.placement = new PlacementSystem(tables, runs);
         this.progress = new ProgressSystem(tables, runs, leases, placement);
         // Every lease that an earlier master granted is over by then; a target's clock may be 2% slow.
+        this.scannedNanos = now - SCAN_NANOS;
+        this.placedNanos = now - PLACE_NANOS;
         this.resumeNanos = now + bounds.lease().toNanos() * 21 / 20;
     }
 
@@ -185,11 +191,37 @@
         leases.failed(targetId, number, verdict, now);
     }
 
+    /**
+     * Runs the systems that are due: starts what has room at once, and looks at every run and target from time to time,
+     * because that costs as much with one event as with many.
+     */
+    public void tickDue(long now) {
+        if (now - scannedNanos >= SCAN_NANOS) {
+            tick(now);
+        } else if (!released && !tables.queue().isEmpty() && now - placedNanos >= PLACE_NANOS) {
+            place(now);
+        }
+    }
+
     /** Runs every system once: starts what has room, then ends what is too late, then asks for reports. */
     public void tick(long now) {
         if (released) {
             return;
         }
+        scannedNanos = now;
+        checkRuns(now);
+        place(now);
+        endJobs(now);
+        leases.tick(now);
+    }
+
+    private void place(long now) {
+        boolean allTaken = tables.targets().stream().allMatch(PoolTarget::taken);
+        placement.tick(now, allTaken || now > resumeNanos);
+        placedNanos = tables.queue().isEmpty() ? now - PLACE_NANOS : now;
+    }
+
+    private void checkRuns(long now) {
         runs.tick(now);
         progress.tick(now);
         for (PoolJob job : new ArrayList<>(tables.jobs())) {
@@ -197,22 +229,26 @@
                 jobs.finish(job, new JobResult.Complete());
             }
         }
-        boolean allTaken = tables.targets().stream().allMatch(PoolTarget::taken);
-        placement.tick(now, allTaken || now > resumeNanos);
+    }
+
+    private void endJobs(long now) {
         placement.markLost(now);
         for (PoolJob job : jobs.expire(now)) {
             String why = job.lost().orElse("the caller's deadline has passed");
             actions.jobChanged(job.id(), "stopped", why + "; " + job.progress());
             runs.stopAll(job, now);
         }
-        leases.tick(now);
     }
 
-    /** Returns when {@link #tick} has to follow if no event comes before. */
+    /** Returns when {@link #tickDue} has to follow if no event comes before. */
     public long nextDue(long now) {
         boolean idle = tables.jobs().isEmpty()
                 && tables.targets().stream().allMatch(target -> target.runs().isEmpty() && target.openHolds() > 0);
-        return now + (idle ? IDLE_TICK_NANOS : BUSY_TICK_NANOS);
+        if (idle) {
+            return now + IDLE_TICK_NANOS;
+        }
+        long scanDue = scannedNanos + SCAN_NANOS;
+        return tables.queue().isEmpty() ? scanDue : Math.min(scanDue, placedNanos + PLACE_NANOS);
     }
 
     /** Gives the pool up: every open job is handed back to its fronts for the next master. */
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -17,6 +18,8 @@
     private static final HostInfo EAST_2 = new HostInfo("east-2", "east", 12, "127.0.0.1:2", 500);
     private static final HostInfo WEST_1 = new HostInfo("west-1", "west", 13, "127.0.0.1:3", 750);
 
+    private static final Duration NEXT = Duration.ofMillis(100);
+
     private final Recorder recorder = new Recorder();
 
     private static long ms(long millis) {
@@ -58,7 +61,7 @@
 
     private static void hear(PoolOwnership ownership, HostInfo host, long now) {
         ownership.introduced(host, true, now);
-        ownership.heard(host.id(), host.incarnation(), false, now);
+        ownership.heard(host.id(), host.incarnation(), NEXT, false, now);
     }
 
     @Test
@@ -130,7 +133,7 @@
         PoolOwnership ownership = ownership(EAST_2, EAST);
         hear(ownership, EAST_1, ms(1_290));
         ownership.claimed(new Claim(EAST, "east-1", 11, 4), 0);
-        ownership.heard("east-1", 11, true, ms(1_295));
+        ownership.heard("east-1", 11, NEXT, true, ms(1_295));
 
         ownership.tick(ms(1_300));
 
@@ -250,13 +253,28 @@
         ownership.introduced(EAST_2, true, ms(1_000));
         assertThat(ownership.gone("east-2", life, ms(1_900))).isFalse();
 
-        ownership.heard("east-2", life, false, ms(2_000));
+        ownership.heard("east-2", life, NEXT, false, ms(2_000));
         assertThat(ownership.gone("east-2", life, ms(2_400))).isFalse();
         assertThat(ownership.gone("east-2", life - 1, ms(2_400))).isTrue();
         assertThat(ownership.gone("east-2", life, ms(2_600))).isTrue();
 
-        ownership.heard("east-2", life, false, ms(3_000));
+        ownership.heard("east-2", life, NEXT, false, ms(3_000));
         ownership.refused("east-2");
         assertThat(ownership.gone("east-2", life, ms(3_001))).isTrue();
     }
+
+    /** Guards against a silent host being taken for dead although it had said that its next heartbeat comes later. */
+    @Test
+    void a_host_is_taken_for_dead_only_after_its_next_heartbeat_was_due() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.introduced(EAST_2, true, 0);
+        ownership.heard("east-2", 12, Duration.ofSeconds(1), false, 0);
+
+        assertThat(ownership.alive("east-2", 12, ms(1_300))).isTrue();
+        assertThat(ownership.alive("east-2", 12, ms(1_500))).isFalse();
+
+        ownership.heard("east-2", 12, NEXT, false, ms(2_000));
+        assertThat(ownership.alive("east-2", 12, ms(2_450))).isTrue();
+        assertThat(ownership.alive("east-2", 12, ms(2_550))).isFalse();
+    }
 }
--- /dev/null
+++ b/src/test/java/org/mustardlink/ownership/WatchersTest.java
@@ -0,0 +1,110 @@
+package org.mustardlink.ownership;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mustardlink.pool.PoolId;
+
+/** Tests which hosts hear a host's heartbeats often. */
+final class WatchersTest {
+    private static final int DOMAINS = 5;
+
+    private static final OwnershipActions NONE = new OwnershipActions() {
+        @Override
+        public void writeClaim(Claim _claim) {}
+
+        @Override
+        public void probe(PoolId _pool) {}
+
+        @Override
+        public void acquired(Claim _claim) {}
+
+        @Override
+        public void released(PoolId _pool, String _why) {}
+    };
+
+    private static List<HostInfo> fleet(int size) {
+        List<HostInfo> hosts = new ArrayList<>();
+        for (int i = 0; i < size; i++) {
+            // The first host of each domain has most processors and is the master of its pool.
+            hosts.add(new HostInfo(
+                    "host-" + i, "domain-" + i % DOMAINS, i + 1, "127.0.0.1:1", i < DOMAINS ? 1_500 : 270));
+        }
+        return hosts;
+    }
+
+    private static PoolId pool(int domain) {
+        return new PoolId("yard", "domain-" + domain);
+    }
+
+    /** Returns what a host knows of a fleet in which every pool has its master. */
+    private static PoolOwnership knowledge(HostInfo self, List<HostInfo> fleet) {
+        PoolOwnership ownership = new PoolOwnership(self, NONE, 0);
+        ImmutableSet.Builder<PoolId> pools = ImmutableSet.builder();
+        for (HostInfo host : fleet) {
+            ownership.introduced(host, true, 0);
+            ownership.heard(host.id(), host.incarnation(), Duration.ofSeconds(1), false, 0);
+        }
+        for (int i = 0; i < DOMAINS; i++) {
+            pools.add(pool(i));
+            ownership.claimed(new Claim(pool(i), "host-" + i, i + 1, 1), 0);
+        }
+        ownership.poolsListed(pools.build());
+        return ownership;
+    }
+
+    /** Guards against heartbeats from every host to every other one, whose cost a host grows with the fleet. */
+    @ParameterizedTest
+    @ValueSource(ints = {30, 100, 300, 1_000})
+    void the_watchers_of_a_host_without_a_pool_do_not_grow_with_the_fleet(int size) {
+        List<HostInfo> fleet = fleet(size);
+        HostInfo self = fleet.get(size - 1);
+
+        ImmutableSet<String> watchers = Watchers.of(self, knowledge(self, fleet), ImmutableSet.of(), 1);
+
+        assertThat(watchers.size()).isAtMost(Watchers.SUCCESSORS);
+        assertThat(watchers).contains("host-" + (size - 1) % DOMAINS);
+    }
+
+    /** Guards against a master whose end the hosts of its own domain or other masters learn of late. */
+    @Test
+    void a_master_is_watched_by_its_domain_and_by_the_other_masters() {
+        List<HostInfo> fleet = fleet(50);
+        PoolOwnership ownership = knowledge(fleet.get(0), fleet);
+        // A host becomes a master by a claim that it has written itself.
+        ownership.tick(Duration.ofSeconds(2).toNanos());
+        Claim own = new Claim(pool(0), "host-0", 1, 2);
+        ownership.claimAnswered(
+                own, PoolOwnership.ClaimOutcome.WRITTEN, Duration.ofSeconds(2).toNanos());
+        assertWithMessage("the host has claimed the pool of its domain")
+                .that(ownership.owns(pool(0)))
+                .isTrue();
+
+        ImmutableSet<String> watchers = Watchers.of(fleet.get(0), ownership, ImmutableSet.of(), 1);
+
+        assertThat(watchers).containsAtLeast("host-1", "host-2", "host-3", "host-4");
+        for (HostInfo host : fleet) {
+            if (host.domain().equals("domain-0") && !host.id().equals("host-0")) {
+                assertThat(watchers).contains(host.id());
+            }
+        }
+        assertThat(watchers).doesNotContain("host-6");
+    }
+
+    /** Guards against jobs that go on for nobody because their master learns of the front's end late. */
+    @Test
+    void masters_that_run_jobs_of_this_host_watch_it() {
+        List<HostInfo> fleet = fleet(50);
+        HostInfo self = fleet.get(49);
+
+        assertThat(Watchers.of(self, knowledge(self, fleet), ImmutableSet.of("host-0"), 1))
+                .contains("host-0");
+    }
+}
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -185,8 +185,8 @@
     }
 
     private void tick(PoolId pool) {
-        masters.get(pool).tick(now);
-        at(masters.get(pool).nextDue(now), () -> masters.get(pool).tick(now));
+        masters.get(pool).tickDue(now);
+        at(masters.get(pool).nextDue(now), () -> masters.get(pool).tickDue(now));
     }
 
     /** Sends jobs of a kind to a pool between two times, with random gaps. */
@@ -249,7 +249,7 @@
                 outcomes.get(kind.name()).failed++;
                 masters.forEach((_pool, master) -> {
                     master.withdraw(id, order.job(), now);
-                    master.tick(now);
+                    master.tickDue(now);
                 });
             }
         });
@@ -312,9 +312,9 @@
 
         private void onMaster(Consumer<PoolMaster> event) {
             event.accept(master);
-            master.tick(now);
+            master.tickDue(now);
             PoolMaster ticked = master;
-            at(ticked.nextDue(now), () -> ticked.tick(now));
+            at(ticked.nextDue(now), () -> ticked.tickDue(now));
         }
 
         @Override
