Divide a domain's targets into shards of twenty, with one master each

Cause: one master carried all targets of a domain.

Change: PoolLayout divides a domain into shards of 20 targets by consistent hashing; the claim with the highest round says into how many, so hosts agree by conditional appends alone. A claim's round is above those of all shards of the domain, because a target keeps its highest token. Equal hosts take shards by turns, those with fewest pools first. A job goes to a shard by its id, so that one that is sent again meets its first run. The work of a silent front is given up after 1 s instead of 0.5 s: its callers send again after 1.3 s, and a front that was only slow keeps its jobs. Fewer hosts hear frequent heartbeats: candidates, masters in use, 8 foreign masters.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -127,7 +128,7 @@
     }
 
     private void dispatch(OpenRequest request, long now) {
-        Optional<PoolId> pool = request.bound ? request.pool : choose(request.service, now);
+        Optional<PoolId> pool = request.bound ? request.pool : choose(request, now);
         Optional<Claim> master = pool.flatMap(known -> directory.master(known, now));
         if (master.isEmpty() || denied(request, master.get(), now)) {
             request.master = Optional.empty();
@@ -151,13 +152,23 @@
         actions.submit(master, request.order.with(left, resumed, home && !resumed));
     }
 
-    /** Returns the pool of the own domain if it has a master, otherwise the one with most room. */
-    private Optional<PoolId> choose(String service, long now) {
-        return directory.pools(service).stream()
-                .filter(pool -> directory.master(pool, now).isPresent())
-                .min(Comparator.<PoolId, Boolean>comparing(
-                                pool -> !pool.domain().equals(domain))
-                        .thenComparing(pool -> -directory.load(pool).freeCpuMillis()));
+    /**
+     * Returns a shard of the own domain if any has a master, otherwise the pool with most room. A job that is sent again goes
+     * to the shard that may still have it.
+     */
+    private Optional<PoolId> choose(OpenRequest request, long now) {
+        List<PoolId> home = new ArrayList<>();
+        List<PoolId> others = new ArrayList<>();
+        for (PoolId pool : directory.pools(request.service)) {
+            if (directory.master(pool, now).isPresent()) {
+                (pool.domain().equals(domain) ? home : others).add(pool);
+            }
+        }
+        if (!home.isEmpty()) {
+            return Optional.of(home.get(Math.floorMod(request.order.job().hashCode(), home.size())));
+        }
+        return others.stream()
+                .max(Comparator.comparingInt(pool -> directory.load(pool).freeCpuMillis()));
     }
 
     /**
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -2,8 +2,10 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.util.concurrent.Uninterruptibles;
 import java.time.Duration;
+import java.util.Arrays;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
@@ -32,6 +34,7 @@
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.ownership.OwnershipActions;
+import org.mustardlink.ownership.PoolLayout;
 import org.mustardlink.ownership.PoolOwnership;
 import org.mustardlink.platform.CallerEndpoint;
 import org.mustardlink.platform.CallerRequests;
@@ -111,6 +114,7 @@
     private final UnroutedRequests unrouted = new UnroutedRequests();
     private final StoreSnapshot snapshot = new StoreSnapshot();
     private final long startedNanos;
+    private ImmutableSortedMap<PoolId, Integer> targetCounts = ImmutableSortedMap.of();
     private boolean snapshotTaken;
     private long timersNanos;
     private long snapshotAskedNanos;
@@ -264,10 +268,13 @@
         log.line(LogEvent.SETTINGS_REJECTED).with(LogField.ERROR, why).write();
     }
 
-    private void eventFailed(RuntimeException failure) {
-        log.line(LogEvent.EVENT_FAILED)
-                .with(LogField.ERROR, failure + " at " + failure.getStackTrace()[0])
-                .write();
+    private void eventFailed(Throwable failure) {
+        // The virtual machine may leave the trace of a repeated exception out.
+        String where = Arrays.stream(failure.getStackTrace())
+                .findFirst()
+                .map(frame -> " at " + frame)
+                .orElse("");
+        log.line(LogEvent.EVENT_FAILED).with(LogField.ERROR, failure + where).write();
     }
 
     private PeerMonitor.Status status(long now) {
@@ -327,10 +334,15 @@
     }
 
     private void targetsChanged(long now) {
-        ownership.poolsListed(targets.pools(routes.map(RoutingTable::services).orElseGet(ImmutableSet::of)));
+        targetCounts = targets.counts(routes.map(RoutingTable::services).orElseGet(ImmutableSet::of));
+        layOutPools();
         pools.targetsChanged(now);
     }
 
+    private void layOutPools() {
+        ownership.poolsListed(PoolLayout.pools(targetCounts, ownership.claims()));
+    }
+
     // ---- callers ----
 
     @Override
@@ -498,6 +510,7 @@
             front.linkReplaced(sender.id(), now);
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
             if (peers.heard(sender, heartbeat, now)) {
+                layOutPools();
                 timersNanos = now;
             }
         } else if (message instanceof PeerMessage.Submit submit) {
@@ -526,6 +539,7 @@
             return;
         }
         other.claims().forEach(claim -> ownership.claimed(claim, now));
+        layOutPools();
         if (!targets.known()) {
             targets.take(StoreSnapshot.targetRecords(other), false, now);
         }
@@ -565,9 +579,11 @@
 
         @Override
         public void claimed(Claim claim, long now) {
-            ownership.claimed(claim, now);
-            peers.reviewWatchers(now);
-            timersNanos = now;
+            if (ownership.claimed(claim, now)) {
+                layOutPools();
+                peers.reviewWatchers(now);
+                timersNanos = now;
+            }
         }
 
         @Override
--- a/src/main/java/org/mustardlink/host/KnownPools.java
+++ b/src/main/java/org/mustardlink/host/KnownPools.java
@@ -49,7 +49,9 @@
                         !candidate.equals(pool) && master(candidate, now).isPresent())
                 .filter(candidate -> load(candidate).freeCpuMillis() >= wanted
                         && load(candidate).widestCpuMillis() >= taskCpu)
-                .max(Comparator.comparingInt(candidate -> load(candidate).freeCpuMillis()));
+                .max(Comparator.<PoolId, Boolean>comparing(
+                                candidate -> candidate.domain().equals(pool.domain()))
+                        .thenComparing(candidate -> load(candidate).freeCpuMillis()));
         other.ifPresent(chosen -> peers.reserve(chosen, wanted));
         return other;
     }
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -65,6 +65,7 @@
         private long heardNanos;
         private boolean alive;
         private boolean owed;
+        private boolean givenUp;
     }
 
     /** Hears of the end of another host's process life. */
@@ -162,6 +163,7 @@
             reviewWatchers(now);
         }
         loads.putAll(heartbeat.loads());
+        peer.givenUp = false;
         if (!peer.alive) {
             peer.alive = true;
             changed(sender, "ALIVE", "heard");
@@ -227,6 +229,10 @@
         if (peer.alive && !ownership.alive(peer.info.id(), peer.info.incarnation(), now)) {
             peer.alive = false;
             changed(peer.info, "GONE", "silent");
+        }
+        if (!peer.givenUp && ownership.givenUp(peer.info.id(), peer.info.incarnation(), now)) {
+            peer.givenUp = true;
+            changed(peer.info, "GIVEN_UP", "silent for too long, or refuses connections");
             listener.lost(peer.info, now);
         }
         // After a cut an old connection carries nothing until its retransmission is due, which takes seconds.
--- a/src/main/java/org/mustardlink/host/StoredClaim.java
+++ b/src/main/java/org/mustardlink/host/StoredClaim.java
@@ -11,29 +11,45 @@
  *
  * @param service service of the pool
  * @param domain failure domain of the pool
+ * @param shard number of the pool's shard
+ * @param shards number of shards, 0 in claims from before there were any
  * @param host the master
  * @param incarnation the master's incarnation
  * @param round round of the claim
  */
-record StoredClaim(String service, String domain, String host, long incarnation, int round) {
+record StoredClaim(String service, String domain, int shard, int shards, String host, long incarnation, int round) {
     static StoredClaim of(Claim claim) {
         return new StoredClaim(
-                claim.pool().service(), claim.pool().domain(), claim.host(), claim.incarnation(), claim.round());
+                claim.pool().service(),
+                claim.pool().domain(),
+                claim.pool().shard(),
+                claim.pool().shards(),
+                claim.host(),
+                claim.incarnation(),
+                claim.round());
     }
 
     String key() {
-        return service + '/' + domain;
+        return pool().toString();
+    }
+
+    private PoolId pool() {
+        return new PoolId(service, domain, shard, Math.max(1, shards));
     }
 
     Claim toClaim() {
-        return new Claim(new PoolId(service, domain), host, incarnation, round);
+        return new Claim(pool(), host, incarnation, round);
     }
 
     /** Reads a claim; empty if the text is none. */
     static Optional<StoredClaim> parse(String text) {
         try {
             return Optional.of(Json.read(text, StoredClaim.class))
-                    .filter(claim -> claim.service() != null && claim.domain() != null && claim.host() != null);
+                    .filter(claim -> claim.service() != null
+                            && claim.domain() != null
+                            && claim.host() != null
+                            && claim.shard() >= 0
+                            && claim.shard() < Math.max(1, claim.shards()));
         } catch (JsonProcessingException e) {
             // The caller logs records that it passes over.
             return Optional.empty();
--- a/src/main/java/org/mustardlink/host/TargetDirectory.java
+++ b/src/main/java/org/mustardlink/host/TargetDirectory.java
@@ -2,7 +2,9 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSortedMap;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -105,16 +107,16 @@
     /** Returns the targets of a pool. */
     ImmutableList<TargetEntry> targets(PoolId pool) {
         return entries.values().stream()
-                .filter(entry -> entry.pool().equals(pool))
+                .filter(entry -> entry.pool().equals(pool.whole()) && pool.holds(entry.id()))
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns the pools of services. */
-    ImmutableSet<PoolId> pools(ImmutableSet<String> services) {
+    /** Returns the number of targets of services by failure domain. */
+    ImmutableSortedMap<PoolId, Integer> counts(ImmutableSet<String> services) {
         return entries.values().stream()
                 .map(TargetEntry::pool)
                 .filter(pool -> services.contains(pool.service()))
-                .sorted()
-                .collect(ImmutableSet.toImmutableSet());
+                .collect(ImmutableSortedMap.toImmutableSortedMap(
+                        Comparator.naturalOrder(), pool -> pool, _pool -> 1, Integer::sum));
     }
 }
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -202,10 +202,12 @@
     private static void write(TCompactProtocol out, PoolId pool) throws TException {
         out.writeString(pool.service());
         out.writeString(pool.domain());
+        out.writeI32(pool.shard());
+        out.writeI32(pool.shards());
     }
 
     private static PoolId readPool(TCompactProtocol in) throws TException {
-        return new PoolId(in.readString(), in.readString());
+        return new PoolId(in.readString(), in.readString(), in.readI32(), in.readI32());
     }
 
     private static void write(TCompactProtocol out, RequestId request) throws TException {
--- /dev/null
+++ b/src/main/java/org/mustardlink/ownership/PoolLayout.java
@@ -0,0 +1,50 @@
+package org.mustardlink.ownership;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Map;
+import java.util.Optional;
+import org.mustardlink.pool.PoolId;
+
+/**
+ * Divides the targets of a service in a failure domain into shards, so that a master's work doesn't grow with the fleet.
+ *
+ * <p>The claim with the highest round decides into how many shards: claims are appended on a condition, so that hosts which
+ * count differently soon agree, and the fences of targets keep two masters apart until they do.
+ */
+public final class PoolLayout {
+    /** Targets of a shard; with 12 ends a second on each, a master spends about a third of a core on them. */
+    static final int TARGETS_A_SHARD = 20;
+    /** Targets relative to {@link #TARGETS_A_SHARD} from which a domain is divided anew; a day's additions are below it. */
+    private static final int OUTGROWN_FACTOR = 2;
+
+    private PoolLayout() {}
+
+    /**
+     * Returns the pools into which targets are divided.
+     *
+     * @param targets number of targets by service and failure domain
+     * @param claims the newest claims of all pools
+     */
+    public static ImmutableSet<PoolId> pools(Map<PoolId, Integer> targets, Collection<Claim> claims) {
+        ImmutableSet.Builder<PoolId> pools = ImmutableSet.builder();
+        targets.forEach((whole, count) -> {
+            int shards = shards(whole, count, claims);
+            for (int shard = 0; shard < shards; shard++) {
+                pools.add(new PoolId(whole.service(), whole.domain(), shard, shards));
+            }
+        });
+        return pools.build();
+    }
+
+    private static int shards(PoolId whole, int targets, Collection<Claim> claims) {
+        int wanted = (targets + TARGETS_A_SHARD - 1) / TARGETS_A_SHARD;
+        Optional<Integer> claimed = claims.stream()
+                .filter(claim -> claim.pool().whole().equals(whole))
+                .max(Comparator.comparingInt(Claim::round))
+                .map(claim -> claim.pool().shards());
+        boolean outgrown = claimed.isPresent() && wanted >= OUTGROWN_FACTOR * claimed.get();
+        return claimed.isEmpty() || outgrown ? wanted : claimed.get();
+    }
+}
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -8,10 +8,12 @@
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -29,6 +31,11 @@
 public final class PoolOwnership {
     /** A host is taken for dead this long after its next heartbeat was due; four of the shortest intervals. */
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
+    /**
+     * Silence after which the work of a host's callers is stopped. They send a job again 1.3 s after they have lost it; a
+     * stop takes up to 50 ms and must be over by then.
+     */
+    private static final long GIVE_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
     /** After its start a host waits this long for others to be heard of, so that the first claim is the lasting one. */
     private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
     /** The same for a pool whose master is known to be gone; a heartbeat of a live claimant arrives within it. */
@@ -46,6 +53,8 @@
     private static final long REACHABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     /** A claim that was read this recently shows that its host lives, even if the host isn't heard of yet. */
     private static final long FRESH_CLAIM_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
+    /** Hosts that watch a pool's master at least; with so many lost at once the next one notices a second later. */
+    static final int MIN_CANDIDATES = 4;
     /** Time for a superseding claim to be heard of after a target has refused our token. */
     private static final long FENCED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -279,18 +288,38 @@
         return peer == null || peer.info.incarnation() != incarnation || gone(peer, now);
     }
 
+    /**
+     * Returns whether the work that a process life waits for is given up. A host that is only silent gets longer for it than
+     * for its pools, because a pool's next master changes nothing for its callers.
+     */
+    public boolean givenUp(String host, long incarnation, long now) {
+        Peer peer = peers.get(host);
+        return gone(host, incarnation, now)
+                && (peer == null
+                        || peer.info.incarnation() != incarnation
+                        || peer.refused
+                        || now - peer.heardNanos > peer.nextNanos + GIVE_UP_NANOS);
+    }
+
     private static boolean gone(Peer peer, long now) {
         return peer.refused || (peer.heard && !peer.alive(now));
     }
 
-    /** Returns the hosts that would claim a pool first, nearest first, without those known to be gone. */
-    public ImmutableList<HostInfo> successors(PoolId pool, int count, long now) {
-        return Stream.concat(
+    /** Returns the hosts that may claim a pool next: those of the first rank, and some more if they are few. */
+    ImmutableSet<String> candidates(PoolId pool, long now) {
+        ImmutableList<HostInfo> ordered = Stream.concat(
                         Stream.of(self),
                         peers.values().stream().filter(peer -> !gone(peer, now)).map(peer -> peer.info))
                 .sorted(order(pool))
-                .limit(count)
                 .collect(ImmutableList.toImmutableList());
+        Comparator<HostInfo> rank = rank(pool);
+        ImmutableSet.Builder<String> candidates = ImmutableSet.builder();
+        for (int i = 0; i < ordered.size(); i++) {
+            if (i < MIN_CANDIDATES || rank.compare(ordered.get(i), ordered.get(0)) == 0) {
+                candidates.add(ordered.get(i).id());
+            }
+        }
+        return candidates.build();
     }
 
     /** Returns the hosts that this one knows of, without itself. */
@@ -320,8 +349,7 @@
             boolean fencedOut = now - fencedSince.getOrDefault(pool, now) > FENCED_NANOS;
             if (fencedOut || (!owned.contains(pool) && shouldClaim(pool, now) && reachable(pool, now))) {
                 fencedSince.remove(pool);
-                Claim known = claims.get(pool);
-                Claim claim = new Claim(pool, self.id(), self.incarnation(), known == null ? 1 : known.round() + 1);
+                Claim claim = new Claim(pool, self.id(), self.incarnation(), nextRound(pool));
                 pending.put(pool, claim);
                 pendingSince.put(pool, now);
                 actions.writeClaim(claim);
@@ -335,6 +363,16 @@
         }
     }
 
+    /** Returns a round above those of all shards: a target keeps its highest token when it comes to another shard. */
+    private int nextRound(PoolId pool) {
+        return 1
+                + claims.values().stream()
+                        .filter(claim -> claim.pool().whole().equals(pool.whole()))
+                        .mapToInt(Claim::round)
+                        .max()
+                        .orElse(0);
+    }
+
     /**
      * Returns whether enough is known of other hosts to claim a pool. Shortly after this host's start a live master may
      * not have been heard of yet; a master whose host has started again since is known to be gone.
@@ -354,8 +392,7 @@
     }
 
     private boolean isFirstOfAll(PoolId pool) {
-        Comparator<HostInfo> order = order(pool);
-        return peers.values().stream().allMatch(peer -> order.compare(self, peer.info) < 0);
+        return isFirst(pool, peers.values().stream().map(peer -> peer.info));
     }
 
     /** Returns whether a pool's targets answer; those of this host's own domain are taken to do so. */
@@ -409,17 +446,57 @@
     }
 
     private boolean isFirst(PoolId pool, long now) {
-        Comparator<HostInfo> order = order(pool);
-        return peers.values().stream()
-                .filter(peer -> peer.alive(now) && !peer.stopping)
-                .allMatch(peer -> order.compare(self, peer.info) < 0);
+        return isFirst(
+                pool,
+                peers.values().stream()
+                        .filter(peer -> peer.alive(now) && !peer.stopping)
+                        .map(peer -> peer.info));
     }
 
-    private static Comparator<HostInfo> order(PoolId pool) {
+    /**
+     * Returns whether this host comes before others. Of hosts that are equal in domain and processors the one with fewest
+     * pools does, and of those the next one in a circle that starts at another host for each shard.
+     */
+    private boolean isFirst(PoolId pool, Stream<HostInfo> others) {
+        Comparator<HostInfo> rank = rank(pool);
+        List<HostInfo> equals = new ArrayList<>();
+        equals.add(self);
+        for (HostInfo other : (Iterable<HostInfo>) others::iterator) {
+            int compared = rank.compare(other, self);
+            if (compared < 0) {
+                return false;
+            }
+            if (compared == 0) {
+                equals.add(other);
+            }
+        }
+        equals.sort(order(pool));
+        int start = pool.shard() % equals.size();
+        Comparator<HostInfo> byPools = Comparator.comparingInt(host -> poolsOf(host));
+        return equals.stream()
+                .min(byPools.thenComparingInt(host -> Math.floorMod(equals.indexOf(host) - start, equals.size())))
+                .filter(self::equals)
+                .isPresent();
+    }
+
+    private int poolsOf(HostInfo host) {
+        int count = 0;
+        for (PoolId pool : pools) {
+            Claim claim = pending.getOrDefault(pool, claims.get(pool));
+            if (claim != null && claim.isOf(host)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    private static Comparator<HostInfo> rank(PoolId pool) {
         return Comparator.<HostInfo, Boolean>comparing(host -> !host.domain().equals(pool.domain()))
-                .thenComparing(host -> -host.cpuMillis())
-                .thenComparing(host -> spread(pool, host.id()))
-                .thenComparing(HostInfo::id);
+                .thenComparing(host -> -host.cpuMillis());
+    }
+
+    private static Comparator<HostInfo> order(PoolId pool) {
+        return rank(pool).thenComparing(host -> spread(pool.whole(), host.id())).thenComparing(HostInfo::id);
     }
 
     /** Spreads the pools of a domain over equal hosts, the same way on every host. */
--- a/src/main/java/org/mustardlink/ownership/Watchers.java
+++ b/src/main/java/org/mustardlink/ownership/Watchers.java
@@ -8,14 +8,14 @@
 /**
  * Chooses the hosts that act at once when this one falls silent.
  *
- * <p>They are the first successors of each pool of its domain, the masters that run its callers' jobs and, for a master,
- * the other masters and the hosts of its pools' domains. Their number follows the pools and the hosts of one domain, not
- * all hosts. Everyone else may notice later: a job goes on with the claim of its pool's next master, which each host reads
+ * <p>They are the masters that run its callers' jobs; for one that may become a master, the others that may, in its domain;
+ * for a master, the hosts of its pools' domains and some masters elsewhere. Their number follows the hosts of one domain,
+ * not all hosts. Everyone else may notice later: a job goes on with the claim of its pool's next master, which each host reads
  * from the store.
  */
 public final class Watchers {
-    /** Successors of a pool that watch its master; with so many lost at once the next one follows a second later. */
-    static final int SUCCESSORS = 4;
+    /** Masters of other domains that hear a master's loads often; jobs are handed over to the one with most room. */
+    private static final int FOREIGN_MASTERS = 8;
 
     private Watchers() {}
 
@@ -30,23 +30,31 @@
     public static ImmutableSet<String> of(HostInfo self, PoolOwnership ownership, Set<String> mastersInUse, long now) {
         Set<String> watchers = new HashSet<>(mastersInUse);
         Set<String> domains = new HashSet<>();
-        domains.add(self.domain());
         ownership.ownClaims().forEach(claim -> domains.add(claim.pool().domain()));
+        boolean master = !domains.isEmpty();
         for (PoolId pool : ownership.pools()) {
-            if (domains.contains(pool.domain())) {
-                ownership.successors(pool, SUCCESSORS, now).forEach(host -> watchers.add(host.id()));
-            }
-        }
-        boolean master = !ownership.ownClaims().isEmpty();
-        for (Claim claim : ownership.claims()) {
-            if (master || claim.pool().domain().equals(self.domain())) {
-                watchers.add(claim.host());
+            // The shards of a domain have the same candidates.
+            if (pool.domain().equals(self.domain()) && pool.shard() == 0) {
+                Set<String> candidates = ownership.candidates(pool, now);
+                if (master || candidates.contains(self.id())) {
+                    watchers.addAll(candidates);
+                    domains.add(self.domain());
+                }
             }
         }
+        ownership.claims().stream()
+                .filter(claim -> domains.contains(claim.pool().domain()))
+                .forEach(claim -> watchers.add(claim.host()));
         if (master) {
             ownership.hosts().stream()
                     .filter(host -> domains.contains(host.domain()))
                     .forEach(host -> watchers.add(host.id()));
+            ownership.claims().stream()
+                    .map(Claim::host)
+                    .filter(host -> !watchers.contains(host))
+                    .distinct()
+                    .limit(FOREIGN_MASTERS)
+                    .forEach(watchers::add);
         }
         watchers.remove(self.id());
         return ImmutableSet.copyOf(watchers);
--- a/src/main/java/org/mustardlink/pool/PoolId.java
+++ b/src/main/java/org/mustardlink/pool/PoolId.java
@@ -1,27 +1,56 @@
 package org.mustardlink.pool;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Comparator;
+
 /**
- * Names a pool: the targets of one service in one failure domain.
+ * Names a pool: the targets of one service in one failure domain, or one of several shards of them.
  *
  * @param service the service
  * @param domain the failure domain
+ * @param shard number of the shard, from 0
+ * @param shards number of shards into which the targets are divided
  */
-public record PoolId(String service, String domain) implements Comparable<PoolId> {
+public record PoolId(String service, String domain, int shard, int shards) implements Comparable<PoolId> {
+    private static final HashFunction HASH = Hashing.murmur3_128();
+    private static final Comparator<PoolId> ORDER = Comparator.comparing(PoolId::service)
+            .thenComparing(PoolId::domain)
+            .thenComparingInt(PoolId::shards)
+            .thenComparingInt(PoolId::shard);
+
     public PoolId {
         checkNotNull(service, "service");
         checkNotNull(domain, "domain");
+        checkArgument(shard >= 0 && shard < shards, "no shard %s of %s", shard, shards);
+    }
+
+    /** Creates the name of all targets of a service in a failure domain. */
+    public PoolId(String service, String domain) {
+        this(service, domain, 0, 1);
+    }
+
+    /** Returns the name of all targets of the service in the failure domain. */
+    public PoolId whole() {
+        return shards == 1 ? this : new PoolId(service, domain);
+    }
+
+    /** Returns whether a target of the service in the domain is in this shard; few targets move when shards are added. */
+    public boolean holds(String target) {
+        return shards == 1 || Hashing.consistentHash(HASH.hashString(target, StandardCharsets.UTF_8), shards) == shard;
     }
 
     @Override
     public int compareTo(PoolId other) {
-        int byService = service.compareTo(other.service);
-        return byService != 0 ? byService : domain.compareTo(other.domain);
+        return ORDER.compare(this, other);
     }
 
     @Override
     public String toString() {
-        return service + '/' + domain;
+        return shards == 1 ? service + '/' + domain : service + '/' + domain + '/' + shard + "of" + shards;
     }
 }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -94,7 +94,7 @@
             }
         }
         for (TargetEntry entry : entries) {
-            checkArgument(entry.pool().equals(id), "not a target of the pool: %s", entry);
+            checkArgument(entry.pool().equals(id.whole()), "not a target of the pool: %s", entry);
             tables.target(entry.id()).ifPresentOrElse(target -> update(target, entry), () -> {
                 long lease = bounds.lease().toMillis();
                 String kind = entry.labels().stream().findFirst().orElse("");
--- a/src/main/java/org/mustardlink/pool/TargetEntry.java
+++ b/src/main/java/org/mustardlink/pool/TargetEntry.java
@@ -11,7 +11,7 @@
  * @param id name of this life of the target
  * @param bornMs start of this life in milliseconds since the epoch; differs when a target starts again under its id
  * @param address where it takes orders
- * @param pool the pool it belongs to
+ * @param pool all targets of its service in its failure domain
  * @param draining whether it is leaving and takes no new tasks
  * @param capacity all of its resources
  * @param labels its kind and its rack
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -277,4 +277,58 @@
         assertThat(ownership.alive("east-2", 12, ms(2_450))).isTrue();
         assertThat(ownership.alive("east-2", 12, ms(2_550))).isFalse();
     }
+
+    /** Guards against shards of a domain that end up on one of several equal hosts. */
+    @Test
+    void equal_hosts_claim_one_shard_each() {
+        HostInfo twin = new HostInfo("east-3", "east", 14, "127.0.0.1:4", 750);
+        PoolId first = new PoolId("yard", "east", 0, 2);
+        PoolId second = new PoolId("yard", "east", 1, 2);
+        PoolOwnership one = ownership(EAST_1, first, second);
+        PoolOwnership other = ownership(twin, first, second);
+        hear(one, twin, ms(1_250));
+        hear(other, EAST_1, ms(1_250));
+
+        one.tick(ms(1_300));
+        assertThat(recorder.written).hasSize(1);
+        other.tick(ms(1_300));
+        assertThat(recorder.written).hasSize(2);
+        assertThat(recorder.written.stream().map(Claim::pool)).containsExactly(first, second);
+    }
+
+    /** Guards against targets that refuse the master of their new shard because they know a higher token. */
+    @Test
+    void the_first_claim_of_a_shard_is_above_all_claims_of_its_domain() {
+        PoolId second = new PoolId("yard", "east", 1, 2);
+        PoolOwnership ownership = ownership(EAST_1, second);
+        ownership.claimed(new Claim(EAST, "east-2", 12, 7), ms(10));
+        ownership.tick(ms(1_300));
+
+        assertThat(recorder.written).containsExactly(new Claim(second, "east-1", 11, 8));
+    }
+
+    /**
+     * Guards against jobs that are given up because their front was silent for a moment. Its callers send a job again 1.3 s
+     * after they have lost it, so its runs have to be stopped by then.
+     */
+    @Test
+    void the_work_of_a_silent_host_is_given_up_later_than_its_pools() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.introduced(EAST_2, true, 0);
+        ownership.heard("east-2", 12, NEXT, false, 0);
+
+        assertThat(ownership.alive("east-2", 12, ms(900))).isFalse();
+        assertThat(ownership.givenUp("east-2", 12, ms(900))).isFalse();
+        assertThat(ownership.givenUp("east-2", 12, ms(1_050))).isTrue();
+    }
+
+    @Test
+    void the_work_of_a_host_that_refuses_connections_is_given_up_at_once() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.introduced(EAST_2, true, 0);
+        ownership.heard("east-2", 12, NEXT, false, 0);
+        ownership.refused("east-2");
+
+        assertThat(ownership.givenUp("east-2", 12, ms(10))).isTrue();
+    }
 }
