Keep the loop and the followers of topics alive after errors and records that can't be handled

Cause: the loop caught runtime exceptions of events only. An error of the virtual machine, or a failure while the next timer was computed, ended its thread, and the process went on without deciding anything. A listener that threw ended the following of its topic without a line: the host would never have read another configuration.

Change: both go on, with one log line each.

--- a/src/main/java/org/mustardlink/host/HostLoop.java
+++ b/src/main/java/org/mustardlink/host/HostLoop.java
@@ -15,7 +15,7 @@
     private final BlockingQueue<LongConsumer> events = new LinkedBlockingQueue<>();
     private final LongConsumer afterBatch;
     private final LongUnaryOperator nextDue;
-    private final Consumer<RuntimeException> onFailure;
+    private final Consumer<Throwable> onFailure;
     private final Thread thread;
     private volatile boolean closed;
 
@@ -26,7 +26,7 @@
      * @param nextDue returns when the timers have to run next
      * @param onFailure hears of events that failed
      */
-    HostLoop(LongConsumer afterBatch, LongUnaryOperator nextDue, Consumer<RuntimeException> onFailure) {
+    HostLoop(LongConsumer afterBatch, LongUnaryOperator nextDue, Consumer<Throwable> onFailure) {
         this.afterBatch = afterBatch;
         this.nextDue = nextDue;
         this.onFailure = onFailure;
@@ -58,16 +58,21 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
                 return;
+            } catch (RuntimeException | Error e) {
+                onFailure.accept(e);
             }
             handle(afterBatch);
         }
     }
 
-    /** Handles one event; the loop outlives an event that fails, and what it left half done ends by its deadline. */
+    /**
+     * Handles one event. The loop outlives an event that fails, errors of the virtual machine included: without it the
+     * process would go on and answer nobody. What the event left half done ends by its deadline.
+     */
     private void handle(LongConsumer event) {
         try {
             event.accept(System.nanoTime());
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             onFailure.accept(e);
         }
     }
--- a/src/main/java/org/mustardlink/host/StoreFollowing.java
+++ b/src/main/java/org/mustardlink/host/StoreFollowing.java
@@ -120,6 +120,14 @@
                     public void reachable(String topic, boolean isReachable, String why) {
                         dependency(topic, isReachable, why);
                     }
+
+                    @Override
+                    public void failed(String topic, Throwable cause) {
+                        log.line(LogEvent.RECORD_REJECTED)
+                                .with(LogField.KEY, topic)
+                                .with(LogField.REASON, "records can't be handled: " + cause)
+                                .write();
+                    }
                 },
                 timer));
     }
--- a/src/main/java/org/mustardlink/platform/TopicFollower.java
+++ b/src/main/java/org/mustardlink/platform/TopicFollower.java
@@ -34,6 +34,9 @@
 
         /** The store stopped to answer, or answers again. */
         void reachable(String topic, boolean isReachable, String why);
+
+        /** Records came that couldn't be handled; they are passed over. */
+        void failed(String topic, Throwable cause);
     }
 
     private TopicFollower(
@@ -84,7 +87,7 @@
                 return;
             }
             answered();
-            listener.records(page, true);
+            deliver(page, true);
             later(() -> readFrom(page.end()), pause);
         });
     }
@@ -104,14 +107,22 @@
                         readNewest();
                         return;
                     }
-                    deliver(page);
+                    if (!page.get().records().isEmpty()) {
+                        deliver(page.get(), false);
+                    }
                     later(() -> readFrom(page.get().next()), pause);
                 });
     }
 
-    private void deliver(Optional<StoreClient.Page> page) {
-        if (!closed && !page.get().records().isEmpty()) {
-            listener.records(page.get(), false);
+    /** Hands records on; following goes on after records that can't be handled, or later changes would never be read. */
+    private void deliver(StoreClient.Page page, boolean whole) {
+        if (closed) {
+            return;
+        }
+        try {
+            listener.records(page, whole);
+        } catch (RuntimeException e) {
+            listener.failed(topic, e);
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/mustardlink/platform/TopicFollowerTest.java
@@ -0,0 +1,77 @@
+package org.mustardlink.platform;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlink.http.HttpRequester;
+import org.mustardlink.platform.standin.StandInStore;
+
+/** Tests that a topic is followed on whatever its records hold. */
+final class TopicFollowerTest {
+    private static final String TOPIC = "keyed.followed";
+    private static final Duration LONG = Duration.ofSeconds(5);
+
+    private final StandInStore store = StandInStore.start(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+    private final HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small());
+    private final ScheduledExecutorService timer = Executors.newScheduledThreadPool(1);
+    private final List<String> read = new CopyOnWriteArrayList<>();
+    private final List<String> failed = new CopyOnWriteArrayList<>();
+
+    @AfterEach
+    void close() {
+        timer.shutdownNow();
+        requester.close();
+        store.close();
+    }
+
+    private final class Listener implements TopicFollower.Listener {
+        @Override
+        public void records(StoreClient.Page page, boolean _whole) {
+            for (KeyedRecord record : page.records()) {
+                if (record.key().equals("bad")) {
+                    throw new IllegalArgumentException("planted");
+                }
+                read.add(record.key());
+            }
+        }
+
+        @Override
+        public void reachable(String _topic, boolean _isReachable, String _why) {}
+
+        @Override
+        public void failed(String _topic, Throwable cause) {
+            failed.add(String.valueOf(cause.getMessage()));
+        }
+    }
+
+    /** Guards against a host that hears of no change any more because one record couldn't be handled. */
+    @Test
+    void a_record_that_cannot_be_handled_does_not_end_the_following() {
+        store.put(TOPIC, "first", "1");
+        TopicFollower follower = TopicFollower.start(
+                StoreClient.create(requester, store.address()),
+                TOPIC,
+                Duration.ofMillis(200),
+                Duration.ZERO,
+                new Listener(),
+                timer);
+        await().atMost(LONG).until(() -> read.contains("first"));
+
+        store.put(TOPIC, "bad", "2");
+        await().atMost(LONG).until(() -> !failed.isEmpty());
+        store.put(TOPIC, "later", "3");
+
+        await().atMost(LONG).until(() -> read.contains("later"));
+        assertThat(failed).containsExactly("planted");
+        follower.close();
+    }
+}
