Start a host faster, and run its timers when something is due

Timers ran each 20 ms while any request was open.

Timers run each 100 ms, with the next deadline, and each 20 ms while a request has no master or a pool is handed over. Heartbeats to hosts that don't act on them come each 2 s.

Ports of tests: RealHostsTest and DispatchHostTest failed once each because an outgoing connection had taken the port of a host that starts again ("cannot listen").

--- a/src/main/java/org/mustardlink/cli/ExerciseCommand.java
+++ b/src/main/java/org/mustardlink/cli/ExerciseCommand.java
@@ -1,10 +1,18 @@
 package org.mustardlink.cli;
 
+import static com.google.common.base.Preconditions.checkState;
+
 import com.google.common.util.concurrent.Uninterruptibles;
+import java.io.File;
+import java.io.IOException;
+import java.nio.file.Files;
 import java.time.Duration;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
+import org.mustardlink.config.settings.HostSettings;
+import org.mustardlink.errors.CodedException;
+import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.exercise.StandInDeployment;
 import org.mustardlink.http.HttpReply;
 
@@ -16,6 +24,28 @@
     private static final int TASKS = 3;
     private static final int TASK_MS = 5;
     private static final int OK = 200;
+    private static final String SETTINGS = """
+            [host]
+            id = host
+            domain = east
+            address = 127.0.0.1
+            cpu-share = 0.75
+            cores = 1
+            [callers]
+            address = 127.0.0.1:1
+            [readiness]
+            address = 127.0.0.1:2
+            [peers]
+            address = 127.0.0.1:3
+            [store]
+            address = 127.0.0.1:4
+            [targets]
+            lease-ms = 1000
+            [stop]
+            grace-s = 6
+            [logs]
+            level = INFO
+            """;
 
     @Override
     public void register(Subparsers parsers) {
@@ -28,8 +58,22 @@
         parser.setDefault(Main.COMMAND, this);
     }
 
+    /** Reads settings as a host does, so that the classes for it are recorded too. */
+    private static void readSettings() {
+        try {
+            File file = File.createTempFile("mustardlink", ".ini");
+            Files.writeString(file.toPath(), SETTINGS);
+            HostSettings settings = HostSettings.load(file);
+            Files.delete(file.toPath());
+            checkState(settings.id().equals("host"), "the settings were read wrongly: %s", settings);
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "cannot write a file for settings", e);
+        }
+    }
+
     @Override
     public int run(Namespace _arguments) {
+        readSettings();
         try (StandInDeployment deployment = StandInDeployment.start()) {
             for (int i = 0; i < 4; i++) {
                 deployment.addTarget("target-" + i, i % 2 == 0 ? "east" : "west", 4);
--- a/src/main/java/org/mustardlink/cli/HostCommand.java
+++ b/src/main/java/org/mustardlink/cli/HostCommand.java
@@ -17,6 +17,8 @@
 
 /** {@code host}: runs a dispatch host on the users' platform until the process is asked to stop. */
 final class HostCommand implements Subcommand {
+    static final String NAME = "host";
+
     /** Bits of an incarnation that are random; the higher ones are the start in seconds. */
     private static final int RANDOM_BITS = 24;
     /** Interval of looks at the settings file, which may change without a signal. */
@@ -24,7 +26,7 @@
 
     @Override
     public void register(Subparsers parsers) {
-        Subparser parser = parsers.addParser("host")
+        Subparser parser = parsers.addParser(NAME)
                 .help("run a dispatch host on the users' platform")
                 .description("Runs a dispatch host until the process is asked to stop (SIGTERM). SIGHUP and a change of"
                         + " the settings file read the settings again. Log lines go to standard output.")
--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -55,6 +55,11 @@
         System.exit(run(args));
     }
 
+    /** Returns the commands that the arguments may name: a host that starts again doesn't wait for the parsers of others. */
+    private static ImmutableList<Subcommand> commandsFor(String[] args) {
+        return args.length > 0 && args[0].equals(HostCommand.NAME) ? ImmutableList.of(new HostCommand()) : COMMANDS;
+    }
+
     /** Runs one subcommand and returns its exit code; errors go to standard error as one message each. */
     static int run(String[] args) {
         ArgumentParser parser = ArgumentParsers.newFor("mustardlink")
@@ -65,7 +70,7 @@
                         + " 4 the job may have run, 5 an address is unavailable."
                         + " Start with: mustardlink demo");
         Subparsers parsers = parser.addSubparsers().title("commands").metavar("COMMAND");
-        COMMANDS.forEach(command -> command.register(parsers));
+        commandsFor(args).forEach(command -> command.register(parsers));
         if (args.length == 0) {
             parser.printHelp();
             return ExitCode.OK;
--- a/src/main/java/org/mustardlink/exercise/StandInDeployment.java
+++ b/src/main/java/org/mustardlink/exercise/StandInDeployment.java
@@ -2,10 +2,8 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -14,8 +12,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicLong;
 import org.mustardlink.config.settings.HostSettings;
-import org.mustardlink.errors.CodedException;
-import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.host.DispatchHost;
 import org.mustardlink.http.HttpCall;
 import org.mustardlink.http.HttpReply;
@@ -59,11 +55,7 @@
     }
 
     private static InetSocketAddress freeAddress() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-        } catch (IOException e) {
-            throw new CodedException(ErrorCode.INTERNAL, "no free port", e);
-        }
+        return new InetSocketAddress(InetAddress.getLoopbackAddress(), FreePorts.next());
     }
 
     /** Publishes a configuration in which the one queue has a path prefix. */
--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -34,6 +34,8 @@
     private static final long LAST_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Pause before a host that has denied to be the master is asked again; a write of a claim is answered within it. */
     private static final long DENIAL_NANOS = TimeUnit.MILLISECONDS.toNanos(40);
+    /** Interval at which a master is looked for; half of the pause before one that denies is asked again. */
+    private static final long RETRY_NANOS = DENIAL_NANOS / 2;
     /** A new request waits this long for some master before it is refused; a planned handover takes less. */
     private static final long MASTER_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(250);
 
@@ -273,6 +275,18 @@
         }
     }
 
+    /** Returns when {@link #tick} has to follow: with the next deadline, and soon while a request has no master. */
+    public long nextDue(long now) {
+        long due = Long.MAX_VALUE;
+        for (OpenRequest request : requests.values()) {
+            due = Math.min(due, request.deadlineNanos - LAST_ANSWER_NANOS);
+            if (request.master.isEmpty()) {
+                due = Math.min(due, now + RETRY_NANOS);
+            }
+        }
+        return due;
+    }
+
     /** Goes on with requests whose master has changed, and answers those whose time is over. */
     public void tick(long now) {
         for (OpenRequest request : new ArrayList<>(requests.values())) {
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -56,16 +56,16 @@
  * and what runs is learned from the targets.
  */
 public final class DispatchHost implements CallerRequests, AutoCloseable {
-    /** Interval of timers while requests are open; half of the pause before a master that denies is asked again. */
-    private static final long BUSY_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
-    /** Interval of timers while none is. */
-    private static final long IDLE_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
+    /** Longest interval of timers; that of frequent heartbeats. */
+    private static final long TIMERS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** A host is up this long before it claims pools without having read the earlier claims. */
     private static final long CLAIMS_UNREAD_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** Pause before a snapshot is asked for again; a reachable store answers within 100 ms and makes it needless. */
     private static final long SNAPSHOT_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
     /** Hosts that are asked for a snapshot at a time; one may be cut off from the store as well. */
     private static final int SNAPSHOT_HOSTS = 2;
+    /** Interval of timers while no pool has a master or one is handed over. */
+    private static final long CHANGING_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** After a stop was asked for, the balancer sends new connections for two missed questions of a second each. */
     private static final Duration BALANCER_LAG = Duration.ofMillis(3_200);
     /** Time kept free before the end by force. */
@@ -285,8 +285,9 @@
         pools.tick(now);
         if (now >= timersNanos || now >= peers.nextHeartbeat()) {
             timers(now);
-            timersNanos = now + (front.openRequests() > 0 ? BUSY_NANOS : IDLE_NANOS);
+            timersNanos = now + (anyMaster && !pools.handingOver() ? TIMERS_NANOS : CHANGING_NANOS);
         }
+        timersNanos = Math.min(timersNanos, front.nextDue(now));
         openRequests = front.openRequests();
     }
 
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -30,11 +30,13 @@
 final class PeerMonitor {
     /** Interval of heartbeats to the hosts that have to notice this one's end at once. */
     private static final Duration URGENT = Duration.ofMillis(100);
-    /** Interval of heartbeats to all others; with it a host's messages grow by one a second for each further host. */
-    private static final Duration USUAL = Duration.ofSeconds(1);
+    /** Interval of heartbeats to all others; with it a host sends one message more in two seconds for each further host. */
+    private static final Duration USUAL = Duration.ofSeconds(2);
 
     private static final long URGENT_NANOS = URGENT.toNanos();
     private static final long USUAL_NANOS = USUAL.toNanos();
+    /** Interval at which watchers are chosen anew though nothing is known to have changed; hosts fall silent meanwhile. */
+    private static final long REVIEW_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** A heartbeat that the receiver hasn't seen for this long shows that the link to it is dead. */
     private static final long UNSEEN_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /** A link is given this long to carry heartbeats before it is judged. */
@@ -94,7 +96,7 @@
         this.ownership = ownership;
         this.log = log;
         this.sentNanos = now - URGENT_NANOS;
-        this.watchersNanos = now - USUAL_NANOS;
+        this.watchersNanos = now - REVIEW_NANOS;
     }
 
     void use(PeerLinks opened) {
@@ -210,12 +212,12 @@
 
     /** Chooses the watchers anew with the next heartbeats, because hosts or claims have changed. */
     void reviewWatchers(long now) {
-        watchersNanos = now - USUAL_NANOS;
+        watchersNanos = now - REVIEW_NANOS;
     }
 
     private void watch(Set<String> mastersInUse, long now) {
         boolean complete = mastersInUse.stream().allMatch(host -> host.equals(self.id()) || watchers.contains(host));
-        if (complete && now - watchersNanos < USUAL_NANOS) {
+        if (complete && now - watchersNanos < REVIEW_NANOS) {
             return;
         }
         watchersNanos = now;
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -142,6 +142,11 @@
         });
     }
 
+    /** Returns whether fronts may still hand jobs of an earlier master over. */
+    boolean handingOver() {
+        return !announcements.isEmpty();
+    }
+
     /** Gives a pool up. */
     void release(PoolId pool, String why) {
         PoolMaster master = masters.remove(pool);
--- a/src/test/java/org/mustardlink/peer/RealHostsTest.java
+++ b/src/test/java/org/mustardlink/peer/RealHostsTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.mustardlink.exercise.FreePorts;
 import org.mustardlink.membership.CheckResult;
 import org.mustardlink.membership.ExchangeEnvelope;
 import org.mustardlink.membership.ExchangeTransport;
@@ -38,7 +39,7 @@
         relay = SilentRelay.start();
         for (int i = 0; i < 6; i++) {
             String advertised = i == 5 ? relay.address() : "";
-            MemberHost host = start(i, 1000, 0, advertised);
+            MemberHost host = start(i, 1000, FreePorts.next(), advertised);
             hosts.add(host);
         }
         relay.pointTo(hosts.get(5).address());
