Decide the division of a domain by incarnation between claims of one round; play shards against one queue

Cause: two claims of one round, which hosts may make without the store, left it to the order of a map into how many shards a domain is divided.

A network-free test plays a domain of 51 targets in three shards against one queue over all at 0.55, 1.0 and 1.2 times the usual traffic: within 2%.

--- a/src/main/java/org/mustardlink/ownership/PoolLayout.java
+++ b/src/main/java/org/mustardlink/ownership/PoolLayout.java
@@ -42,7 +42,7 @@
         int wanted = (targets + TARGETS_A_SHARD - 1) / TARGETS_A_SHARD;
         Optional<Integer> claimed = claims.stream()
                 .filter(claim -> claim.pool().whole().equals(whole))
-                .max(Comparator.comparingInt(Claim::round))
+                .max(Comparator.comparingInt(Claim::round).thenComparingLong(Claim::incarnation))
                 .map(claim -> claim.pool().shards());
         boolean outgrown = claimed.isPresent() && wanted >= OUTGROWN_FACTOR * claimed.get();
         return claimed.isEmpty() || outgrown ? wanted : claimed.get();
--- a/src/test/java/org/mustardlink/ownership/PoolLayoutTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolLayoutTest.java
@@ -61,4 +61,16 @@
                     .hasSize(1);
         }
     }
+
+    /** Guards against hosts that divide a domain differently for ever after two claims of one round without the store. */
+    @Test
+    void of_two_claims_of_one_round_the_later_incarnation_decides() {
+        Claim earlier = new Claim(shard(0, 2), "east-1", 1, 5);
+        Claim later = new Claim(shard(0, 3), "east-2", 2, 5);
+
+        assertThat(PoolLayout.pools(ImmutableMap.of(EAST, 52), ImmutableList.of(earlier, later)))
+                .hasSize(3);
+        assertThat(PoolLayout.pools(ImmutableMap.of(EAST, 52), ImmutableList.of(later, earlier)))
+                .hasSize(3);
+    }
 }
--- a/src/test/java/org/mustardlink/pool/LoadPatternTest.java
+++ b/src/test/java/org/mustardlink/pool/LoadPatternTest.java
@@ -136,4 +136,33 @@
         // At most three tasks at once before each of the pauses of 0.4, 0.8 and 1.6 s, then one trial in 3.2 s.
         assertThat(simulation.target("west-1").started()).isLessThan(20);
     }
+
+    /** Plays the usual mix of a domain of 51 targets that is divided into equal pools. */
+    private static double shareOfLargeDomain(int pools, double factor) {
+        Duration length = Duration.ofSeconds(12);
+        PoolSimulation simulation = new PoolSimulation(11);
+        for (int i = 0; i < pools; i++) {
+            PoolId pool = simulation.addPool("shard-" + i, 33 / pools, 18 / pools, 0.7, 1.7, 32_000);
+            for (PoolSimulation.Kind kind : List.of(SHORT, LONG, MEDIUM)) {
+                // 51 targets instead of 11 get traffic in proportion.
+                double perSecond = kind.perSecond() * factor * 51 / 11 / pools;
+                simulation.traffic(
+                        pool,
+                        new PoolSimulation.Kind(kind.name(), perSecond, kind.tasks(), kind.taskMs(), kind.cpuMillis()),
+                        Duration.ofMillis(500),
+                        length);
+            }
+        }
+        simulation.run(length.plusSeconds(3));
+        assertThat(simulation.violations()).isEmpty();
+        return simulation.meanShare();
+    }
+
+    /** Guards against shards that waste room: a domain in three must serve within 2% of what one queue over all serves. */
+    @Test
+    void a_large_domain_in_three_shards_serves_the_usual_mix_like_one_queue() {
+        for (double factor : List.of(0.55, 1.0, 1.2)) {
+            assertThat(shareOfLargeDomain(3, factor)).isAtLeast(shareOfLargeDomain(1, factor) - 0.02);
+        }
+    }
 }
