--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -4,16 +4,11 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.hash.Hashing;
 import com.google.errorprone.annotations.CanIgnoreReturnValue;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -53,8 +48,6 @@
     private static final long REACHABLE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     /** A claim that was read this recently shows that its host lives, even if the host isn't heard of yet. */
     private static final long FRESH_CLAIM_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
-    /** Hosts that watch a pool's master at least; with so many lost at once the next one notices a second later. */
-    static final int MIN_CANDIDATES = 4;
     /** Time for a superseding claim to be heard of after a target has refused our token. */
     private static final long FENCED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
@@ -307,19 +300,11 @@
 
     /** Returns the hosts that may claim a pool next: those of the first rank, and some more if they are few. */
     ImmutableSet<String> candidates(PoolId pool, long now) {
-        ImmutableList<HostInfo> ordered = Stream.concat(
+        return Succession.candidates(
+                pool,
+                Stream.concat(
                         Stream.of(self),
-                        peers.values().stream().filter(peer -> !gone(peer, now)).map(peer -> peer.info))
-                .sorted(order(pool))
-                .collect(ImmutableList.toImmutableList());
-        Comparator<HostInfo> rank = rank(pool);
-        ImmutableSet.Builder<String> candidates = ImmutableSet.builder();
-        for (int i = 0; i < ordered.size(); i++) {
-            if (i < MIN_CANDIDATES || rank.compare(ordered.get(i), ordered.get(0)) == 0) {
-                candidates.add(ordered.get(i).id());
-            }
-        }
-        return candidates.build();
+                        peers.values().stream().filter(peer -> !gone(peer, now)).map(peer -> peer.info)));
     }
 
     /** Returns the hosts that this one knows of, without itself. */
@@ -392,7 +377,7 @@
     }
 
     private boolean isFirstOfAll(PoolId pool) {
-        return isFirst(pool, peers.values().stream().map(peer -> peer.info));
+        return Succession.isFirst(self, pool, peers.values().stream().map(peer -> peer.info), this::poolsOf);
     }
 
     /** Returns whether a pool's targets answer; those of this host's own domain are taken to do so. */
@@ -446,37 +431,13 @@
     }
 
     private boolean isFirst(PoolId pool, long now) {
-        return isFirst(
+        return Succession.isFirst(
+                self,
                 pool,
                 peers.values().stream()
                         .filter(peer -> peer.alive(now) && !peer.stopping)
-                        .map(peer -> peer.info));
-    }
-
-    /**
-     * Returns whether this host comes before others. Of hosts that are equal in domain and processors the one with fewest
-     * pools does, and of those the next one in a circle that starts at another host for each shard.
-     */
-    private boolean isFirst(PoolId pool, Stream<HostInfo> others) {
-        Comparator<HostInfo> rank = rank(pool);
-        List<HostInfo> equals = new ArrayList<>();
-        equals.add(self);
-        for (HostInfo other : (Iterable<HostInfo>) others::iterator) {
-            int compared = rank.compare(other, self);
-            if (compared < 0) {
-                return false;
-            }
-            if (compared == 0) {
-                equals.add(other);
-            }
-        }
-        equals.sort(order(pool));
-        int start = pool.shard() % equals.size();
-        Comparator<HostInfo> byPools = Comparator.comparingInt(host -> poolsOf(host));
-        return equals.stream()
-                .min(byPools.thenComparingInt(host -> Math.floorMod(equals.indexOf(host) - start, equals.size())))
-                .filter(self::equals)
-                .isPresent();
+                        .map(peer -> peer.info),
+                this::poolsOf);
     }
 
     private int poolsOf(HostInfo host) {
@@ -489,20 +450,4 @@
         }
         return count;
     }
-
-    private static Comparator<HostInfo> rank(PoolId pool) {
-        return Comparator.<HostInfo, Boolean>comparing(host -> !host.domain().equals(pool.domain()))
-                .thenComparing(host -> -host.cpuMillis());
-    }
-
-    private static Comparator<HostInfo> order(PoolId pool) {
-        return rank(pool).thenComparing(host -> spread(pool.whole(), host.id())).thenComparing(HostInfo::id);
-    }
-
-    /** Spreads the pools of a domain over equal hosts, the same way on every host. */
-    private static long spread(PoolId pool, String host) {
-        return Hashing.murmur3_128()
-                .hashString(pool + "@" + host, StandardCharsets.UTF_8)
-                .asLong();
-    }
 }
--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -83,6 +83,10 @@
             actions.targetChanged(target.entry(), "taken", "first report under our token");
         }
         runs.report(target, report, sent.getAsLong(), newest, now);
+        if (target.openHolds() == 0) {
+            // The next end frees room that tasks wait for, so it must not wait for a look at all targets.
+            hold(target, WAIT_MS, now);
+        }
     }
 
     /** Forgets an earlier life of a target: what ran there is gone. */
--- a/src/main/java/org/mustardlink/pool/ProgressSystem.java
+++ b/src/main/java/org/mustardlink/pool/ProgressSystem.java
@@ -12,11 +12,11 @@
  */
 final class ProgressSystem {
     /** Shares of a run's expected time after which its target is asked for its progress, unless it has just told it. */
-    private static final double[] LOOKS = {0.2, 0.6, 1.1};
+    private static final double[] LOOKS = {0.2, 0.4, 0.7, 1, 1.4};
     /** A run is younger than this at its first look at least; a report takes 3 ms between domains. */
     private static final long MIN_LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Share of a run's expected time for which a report is as good as a new one; ends at its target bring reports too. */
-    private static final double FRESH_SHARE = 0.2;
+    private static final double FRESH_SHARE = 0.1;
     /**
      * Share of the expected time without a percent of progress from which a run stands still; a target that is seven times
      * slower makes four percents in it.
