Count only known hosts as watchers

Cause: a claim outlives its host, so a host that nobody has introduced could be a watcher; when it was none any more, the heartbeats of that moment ended with a null pointer, which the loop logged.

--- a/src/main/java/org/mustardlink/ownership/Watchers.java
+++ b/src/main/java/org/mustardlink/ownership/Watchers.java
@@ -20,7 +20,7 @@
     private Watchers() {}
 
     /**
-     * Returns the hosts that have to notice the end of this one at once, without itself.
+     * Returns the hosts that have to notice the end of this one at once: known ones, without itself.
      *
      * @param self this host
      * @param ownership what this host knows of others and their claims
@@ -56,7 +56,10 @@
                     .limit(FOREIGN_MASTERS)
                     .forEach(watchers::add);
         }
-        watchers.remove(self.id());
-        return ImmutableSet.copyOf(watchers);
+        // A claim may outlive its host, or be read before the host is known.
+        return ownership.hosts().stream()
+                .map(HostInfo::id)
+                .filter(watchers::contains)
+                .collect(ImmutableSet.toImmutableSet());
     }
 }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -18,7 +18,7 @@
  * follow events and timers. Nothing is kept beyond the process: a later master finds what runs in the targets' reports.
  */
 public final class PoolMaster {
-    /** Least time between two looks at every run and target; it adds half of it to the time of a noticed end. */
+    /** Least time between two looks at every run and target; all that they wait for takes tens of milliseconds. */
     private static final long SCAN_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     /** Least time between two attempts to start tasks that found no room. */
     private static final long PLACE_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
--- a/src/test/java/org/mustardlink/ownership/WatchersTest.java
+++ b/src/test/java/org/mustardlink/ownership/WatchersTest.java
@@ -106,4 +106,15 @@
         assertThat(Watchers.of(self, knowledge(self, fleet), ImmutableSet.of("host-0"), 1))
                 .contains("host-0");
     }
+
+    /** Guards against heartbeats to a host that nobody has introduced: its claim outlives it in the store. */
+    @Test
+    void a_host_that_is_known_by_a_claim_alone_is_no_watcher() {
+        List<HostInfo> fleet = fleet(50);
+        HostInfo self = fleet.get(4);
+        PoolOwnership ownership = knowledge(self, fleet);
+        ownership.claimed(new Claim(pool(4), "removed", 99, 7), 0);
+
+        assertThat(Watchers.of(self, ownership, ImmutableSet.of(), 1)).doesNotContain("removed");
+    }
 }
