--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -14,6 +14,7 @@
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.pool.Capacity;
 import org.mustardlink.pool.JobOrder;
+import org.mustardlink.pool.JobOrders;
 import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
@@ -88,19 +89,7 @@
                 ImmutableList.of(),
                 Optional.empty(),
                 Integer.MAX_VALUE);
-        JobOrder order = new JobOrder(
-                new RequestId("east-1", 1, number),
-                job,
-                "queue",
-                "",
-                ImmutableList.of(step),
-                3,
-                Duration.ofMillis(60),
-                1.6,
-                Duration.ofMillis(1_500),
-                false,
-                true);
-        front.submit(order, "yard", now);
+        front.submit(JobOrders.of(number, job, step, true), "yard", now);
     }
 
     /** Guards against callers that are refused by one full pool while another has room: bursts in one domain. */
--- /dev/null
+++ b/src/test/java/org/mustardlink/pool/JobOrders.java
@@ -0,0 +1,32 @@
+package org.mustardlink.pool;
+
+import com.google.common.collect.ImmutableList;
+import java.time.Duration;
+
+/** Orders of the usual kind for tests: one step, three attempts, an objective of 60 ms and a caller that waits 1.5 s. */
+public final class JobOrders {
+    private JobOrders() {}
+
+    /**
+     * Returns an order.
+     *
+     * @param number number of the request
+     * @param job id of the job
+     * @param step its only step
+     * @param mayMove whether another pool may take the job
+     */
+    public static JobOrder of(long number, String job, StepSpec step, boolean mayMove) {
+        return new JobOrder(
+                new RequestId("east-1", 1, number),
+                job,
+                "queue",
+                "",
+                ImmutableList.of(step),
+                3,
+                Duration.ofMillis(60),
+                1.6,
+                Duration.ofMillis(1_500),
+                false,
+                mayMove);
+    }
+}
--- a/src/test/java/org/mustardlink/pool/PoolMasterTest.java
+++ b/src/test/java/org/mustardlink/pool/PoolMasterTest.java
@@ -24,13 +24,7 @@
             ImmutableSet.of("a"));
 
     private final RecordedOrders recorder = new RecordedOrders();
-    private final PoolMaster master = new PoolMaster(
-            POOL,
-            FencingToken.of(1, 1),
-            new PoolBounds(Duration.ofSeconds(1)),
-            recorder,
-            _order -> Optional.empty(),
-            0);
+    private final PoolMaster master = recorder.masterOf(POOL);
 
     private static long ms(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
@@ -63,20 +57,7 @@
                 ImmutableList.of(),
                 Optional.empty(),
                 Integer.MAX_VALUE);
-        master.submit(
-                new JobOrder(
-                        new RequestId("east-1", 1, 1),
-                        job,
-                        "queue",
-                        "",
-                        ImmutableList.of(step),
-                        3,
-                        Duration.ofMillis(60),
-                        1.6,
-                        Duration.ofMillis(1_500),
-                        false,
-                        false),
-                now);
+        master.submit(JobOrders.of(1, job, step, false), now);
         master.tick(now);
         return recorder.starts.get(recorder.starts.size() - 1);
     }
--- a/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
+++ b/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
@@ -17,13 +17,7 @@
     private static final Capacity WHOLE = new Capacity(14_000, 64, 0);
 
     private final RecordedOrders recorder = new RecordedOrders();
-    private final PoolMaster master = new PoolMaster(
-            POOL,
-            FencingToken.of(1, 1),
-            new PoolBounds(Duration.ofSeconds(1)),
-            recorder,
-            _order -> Optional.empty(),
-            0);
+    private final PoolMaster master = recorder.masterOf(POOL);
 
     private static long ms(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
@@ -71,20 +65,7 @@
 
     private void submitWithoutAnswers(String job, int tasks, long atMs) {
         StepSpec step = new StepSpec(tasks, WHOLE, Duration.ofMillis(900), ImmutableList.of(), Optional.empty(), 100);
-        master.submit(
-                new JobOrder(
-                        new RequestId("east-1", 1, atMs),
-                        job,
-                        "queue",
-                        "",
-                        ImmutableList.of(step),
-                        3,
-                        Duration.ofMillis(60),
-                        1.6,
-                        Duration.ofMillis(1_500),
-                        false,
-                        false),
-                ms(atMs));
+        master.submit(JobOrders.of(atMs, job, step, false), ms(atMs));
         master.tick(ms(atMs));
     }
 
--- a/src/test/java/org/mustardlink/pool/RecordedOrders.java
+++ b/src/test/java/org/mustardlink/pool/RecordedOrders.java
@@ -1,9 +1,11 @@
 package org.mustardlink.pool;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 
 /** Keeps what a master orders, in order. */
 final class RecordedOrders implements PoolActions {
@@ -14,6 +16,17 @@
     private final List<HoldOrder> holds = new ArrayList<>();
     private final Map<String, HoldOrder> lastHolds = new HashMap<>();
 
+    /** Returns the first master of a pool, whose orders are kept here; no other pool has room. */
+    PoolMaster masterOf(PoolId pool) {
+        return new PoolMaster(
+                pool,
+                FencingToken.of(1, 1),
+                new PoolBounds(Duration.ofSeconds(1)),
+                this,
+                _order -> Optional.empty(),
+                0);
+    }
+
     @Override
     public void start(TargetEntry target, RunId run, String _payload, long _deadlineMs, long _fence) {
         starts.add(run);
