Make a claim depend on the claims that the decision was based on

From 48.4 to 49.1 s two hosts of 0.27 cores took the pool of a domain from each other three times, each claim answered WRITTEN.

Cause: a claim is appended on the condition that no other came since the last one read. The end of what was read was set by the thread that reads, while the claims themselves wait in the queue of the loop. A busy loop claims by what it knew before another claim, on a condition that already includes that claim, so both are written.

Fix: the end is taken in by the loop after the claims of its page. A claim that is based on older ones is answered LOST.

--- a/src/main/java/org/mustardlink/host/StoreFollowing.java
+++ b/src/main/java/org/mustardlink/host/StoreFollowing.java
@@ -83,11 +83,14 @@
                 TARGETS_PAUSE,
                 (page, whole) -> loop.post(now -> listener.targets(page.records(), whole, now)));
         follow(StoreTopics.CLAIMS, WAIT, Duration.ZERO, (page, _whole) -> {
-            claimsEnd = OptionalLong.of(page.next());
             page.records()
                     .forEach(record -> parse(record, StoredClaim::parse)
                             .ifPresent(claim -> loop.post(now -> listener.claimed(claim.toClaim(), now))));
-            loop.post(_now -> claimsRead = true);
+            loop.post(_now -> {
+                // Only now: a claim's condition must not be newer than what the loop decided by.
+                claimsEnd = OptionalLong.of(page.next());
+                claimsRead = true;
+            });
         });
         follow(
                 StoreTopics.HOSTS,
@@ -209,7 +212,7 @@
         return claimsRead;
     }
 
-    /** Returns the end of the claims that were read, for conditional appends. */
+    /** Returns the end of the claims that the loop has taken in, for conditional appends. */
     OptionalLong claimsEnd() {
         return claimsEnd;
     }
