Give a pool back to a host with twice the processors of its master

Cause: hosts of the first rank claim first, but a live master keeps its pool, so whatever small host claims while the larger ones are silent keeps it for good. The state doesn't heal by itself.

Evidence: no pool.acquired of that domain after 49.0 s although edge-balanza-1 and -2 of the first rank were up from 45.5 s. PoolOwnershipTest a_pool_goes_back_from_a_master_with_a_fraction_of_the_processors failed before.

Fix: after 2 s the first host in a pool's order takes it back from a master of its own domain with half of its processors or less, with the same handover as from another domain's. Smaller differences change nothing.

--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -39,6 +39,11 @@
     private static final long CLAIM_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     /** A host of the pool's own domain is up this long before it takes the pool back. */
     private static final long RETURN_NANOS = TimeUnit.SECONDS.toNanos(2);
+    /**
+     * A pool goes back to a host with this many times the processors of its master. A shard needs a third of a core, which the
+     * smallest hosts don't have; a smaller difference isn't worth a handover.
+     */
+    private static final int RETURN_FACTOR = 2;
 
     /** Without a live peer and without the store a host waits this long before it claims: it may be the one cut off. */
     private static final long ISOLATION_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -407,10 +412,12 @@
         }
         if (master.isPresent()) {
             HostInfo holder = peers.get(master.get().host()).info;
-            boolean mayReturn = !holder.domain().equals(pool.domain())
+            boolean worseHolder =
+                    !holder.domain().equals(pool.domain()) || holder.cpuMillis() * RETURN_FACTOR <= self.cpuMillis();
+            return worseHolder
                     && self.domain().equals(pool.domain())
-                    && now - startedNanos > RETURN_NANOS;
-            return mayReturn && isFirst(pool, now);
+                    && now - startedNanos > RETURN_NANOS
+                    && isFirst(pool, now);
         }
         return isFirst(pool, now);
     }
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -116,6 +116,30 @@
         assertThat(recorder.written).containsExactly(new Claim(EAST, "east-2", 12, 5));
     }
 
+    /** Guards against a domain that a small host keeps for good, after it claimed while larger ones were silent. */
+    @Test
+    void a_pool_goes_back_from_a_master_with_a_fraction_of_the_processors() {
+        HostInfo small = new HostInfo("east-3", "east", 14, "127.0.0.1:4", 270);
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.claimed(new Claim(EAST, "east-3", 14, 6), 0);
+        hear(ownership, small, ms(1_950));
+        ownership.tick(ms(1_990));
+        assertThat(recorder.written).isEmpty();
+
+        hear(ownership, small, ms(2_050));
+        ownership.tick(ms(2_060));
+        assertThat(recorder.written).containsExactly(new Claim(EAST, "east-1", 11, 7));
+    }
+
+    @Test
+    void a_pool_stays_with_a_master_that_has_somewhat_fewer_processors() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.claimed(new Claim(EAST, "east-2", 12, 6), 0);
+        hear(ownership, EAST_2, ms(2_050));
+        ownership.tick(ms(2_060));
+        assertThat(recorder.written).isEmpty();
+    }
+
     @Test
     void a_refused_connection_ends_the_wait_for_a_silent_master() {
         PoolOwnership ownership = ownership(EAST_2, EAST);
