Don't count a host's own delay as silence of others

Cause: silence is measured from the moment at which a heartbeat is handled. A host whose loop is late by half a second has the heartbeats in its queue or its sockets, and takes every other host for dead. It claims their pools, and as a master it stops the jobs of fronts that are alive. The class is a judgement of others by a clock that runs on while the judge stands still; a host that was paused does the same.

Evidence: eight hosts of 0.27 cores started within 0.15 s, calls to the store timed out, and the claims followed 0.9 s after their start. PoolOwnershipTest a_host_that_was_late_itself_doesnt_take_a_master_for_silent failed before.

Fix: the loop measures how long an event waits for it, and what is 200 ms or more is added to the time at which others were heard. Observability: loop.late and the histogram of loop lag, which the older entry hosts had, now exist on dispatch hosts too; without them a busy host couldn't be told from a silent one.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -116,6 +116,7 @@
     private final long startedNanos;
     private ImmutableSortedMap<PoolId, Integer> targetCounts = ImmutableSortedMap.of();
     private boolean snapshotTaken;
+    private boolean measuringDelay;
     private long timersNanos;
     private long snapshotAskedNanos;
     private volatile Optional<RoutingTable> routes = Optional.empty();
@@ -306,7 +307,25 @@
                 .forEach(host -> links.send(host.id(), new PeerMessage.SnapshotRequest()));
     }
 
+    /** Measures how long events wait for the loop, one at a time. */
+    private void measureDelay(long now) {
+        if (measuringDelay) {
+            return;
+        }
+        measuringDelay = true;
+        loop.post(at -> {
+            measuringDelay = false;
+            metrics.recordLoopLag(at - now);
+            if (ownership.delayed(at - now)) {
+                log.line(LogEvent.LOOP_LATE)
+                        .with(LogField.ELAPSED_MS, TimeUnit.NANOSECONDS.toMillis(at - now))
+                        .write();
+            }
+        });
+    }
+
     private void timers(long now) {
+        measureDelay(now);
         requestSnapshot(now);
         if (targets.expire(following.targetsReachable(), now)) {
             targetsChanged(now);
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -44,6 +44,8 @@
      * smallest hosts don't have; a smaller difference isn't worth a handover.
      */
     private static final int RETURN_FACTOR = 2;
+    /** Delay of this host's own loop from which it may have missed others' heartbeats; two of the shortest intervals. */
+    private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(200);
 
     /** Without a live peer and without the store a host waits this long before it claims: it may be the one cut off. */
     private static final long ISOLATION_NANOS = TimeUnit.SECONDS.toNanos(2);
@@ -142,6 +144,18 @@
         peer.stopping = hostIsStopping;
     }
 
+    /**
+     * Takes the delay with which this host's own loop handles events; returns whether it was late. Heartbeats that came
+     * meanwhile may wait behind it, so the delay doesn't count as silence of others.
+     */
+    public boolean delayed(long delayNanos) {
+        if (delayNanos < LATE_NANOS) {
+            return false;
+        }
+        peers.values().forEach(peer -> peer.heardNanos += delayNanos);
+        return true;
+    }
+
     /** Takes the refusal of a connection by a host: its process is gone. */
     public void refused(String host) {
         Peer peer = peers.get(host);
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -140,6 +140,21 @@
         assertThat(recorder.written).isEmpty();
     }
 
+    /** Guards against an overloaded host that takes others for dead because their heartbeats wait in its own queue. */
+    @Test
+    void a_host_that_was_late_itself_doesnt_take_a_master_for_silent() {
+        PoolOwnership ownership = ownership(EAST_2, EAST);
+        hear(ownership, EAST_1, ms(1_200));
+        ownership.claimed(new Claim(EAST, "east-1", 11, 4), 0);
+
+        assertThat(ownership.delayed(ms(700))).isTrue();
+        ownership.tick(ms(1_900));
+        assertThat(recorder.written).isEmpty();
+        assertThat(ownership.givenUp("east-1", 11, ms(2_300))).isFalse();
+        ownership.tick(ms(2_450));
+        assertThat(recorder.written).containsExactly(new Claim(EAST, "east-2", 12, 5));
+    }
+
     @Test
     void a_refused_connection_ends_the_wait_for_a_silent_master() {
         PoolOwnership ownership = ownership(EAST_2, EAST);
