Write the equality of keys by hand

Hosts run with the first compiler only, which doesn't see through the method handles behind generated equals and hashCode of records.

--- a/src/main/java/org/mustardlink/ownership/Claim.java
+++ b/src/main/java/org/mustardlink/ownership/Claim.java
@@ -27,4 +27,21 @@
     public boolean isOf(HostInfo info) {
         return host.equals(info.id()) && incarnation == info.incarnation();
     }
+
+    // A key of the tables on every job's path: generated methods of records are several times slower without the second
+    // compiler.
+    @Override
+    public boolean equals(Object object) {
+        return this == object
+                || (object instanceof Claim other
+                        && round == other.round
+                        && incarnation == other.incarnation
+                        && host.equals(other.host)
+                        && pool.equals(other.pool));
+    }
+
+    @Override
+    public int hashCode() {
+        return (31 * pool.hashCode() + Long.hashCode(incarnation)) * 31 + round;
+    }
 }
--- a/src/main/java/org/mustardlink/pool/PoolId.java
+++ b/src/main/java/org/mustardlink/pool/PoolId.java
@@ -53,4 +53,21 @@
     public String toString() {
         return shards == 1 ? service + '/' + domain : service + '/' + domain + '/' + shard + "of" + shards;
     }
+
+    // A key of the tables on every job's path: generated methods of records are several times slower without the second
+    // compiler.
+    @Override
+    public boolean equals(Object object) {
+        return this == object
+                || (object instanceof PoolId other
+                        && shard == other.shard
+                        && shards == other.shards
+                        && domain.equals(other.domain)
+                        && service.equals(other.service));
+    }
+
+    @Override
+    public int hashCode() {
+        return ((31 * service.hashCode() + domain.hashCode()) * 31 + shard) * 31 + shards;
+    }
 }
--- a/src/main/java/org/mustardlink/pool/RunId.java
+++ b/src/main/java/org/mustardlink/pool/RunId.java
@@ -12,4 +12,16 @@
     public RunId {
         checkNotNull(task, "task");
     }
+
+    // A key of the tables on every job's path: generated methods of records are several times slower without the second
+    // compiler.
+    @Override
+    public boolean equals(Object object) {
+        return this == object || (object instanceof RunId other && run == other.run && task.equals(other.task));
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * task.hashCode() + run;
+    }
 }
