Configure logging in code, and record its classes for the start of a host

Cause: of the processor time of a host's start a quarter went to Log4j's plugins and templates. The archive of classes lacked those of logging, because the command that records it had its logs turned off.

Change: StandardOutputLogs and JsonLineLayout in place of log4j2.properties, the templates and the layout library; the same fields in the same order. exercise logs like a host.

EventLogTest has a new test for lines of libraries.

--- a/src/main/java/org/mustardlink/cli/ExerciseCommand.java
+++ b/src/main/java/org/mustardlink/cli/ExerciseCommand.java
@@ -58,6 +58,12 @@
         parser.setDefault(Main.COMMAND, this);
     }
 
+    /** Returns true: it logs as a host does, so that the build records the classes of logging too. */
+    @Override
+    public boolean isDaemon() {
+        return true;
+    }
+
     /** Reads settings as a host does, so that the classes for it are recorded too. */
     private static void readSettings() {
         try {
--- /dev/null
+++ b/src/main/java/org/mustardlink/observe/StandardOutputLogs.java
@@ -0,0 +1,98 @@
+package org.mustardlink.observe;
+
+import java.net.URI;
+import java.util.List;
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.core.Appender;
+import org.apache.logging.log4j.core.LoggerContext;
+import org.apache.logging.log4j.core.appender.AsyncAppender;
+import org.apache.logging.log4j.core.appender.ConsoleAppender;
+import org.apache.logging.log4j.core.config.AbstractConfiguration;
+import org.apache.logging.log4j.core.config.AppenderRef;
+import org.apache.logging.log4j.core.config.ConfigurationSource;
+import org.apache.logging.log4j.core.config.LoggerConfig;
+import org.apache.logging.log4j.core.selector.ContextSelector;
+
+/**
+ * The logging of a process: JSON lines on standard output. Log4j creates it by name, see {@code log4j2.component.properties}.
+ *
+ * <p>Hosts have no disks. A reader of standard output that stands still must not block a host, so lines wait in bounded
+ * queues, and what doesn't fit is dropped. The configuration is code instead of a file, because reading one through Log4j's
+ * plugins takes a quarter of the processor time of a host's start.
+ */
+public final class StandardOutputLogs implements ContextSelector {
+    private static final String PROJECT = "org.mustardlink";
+    private static final String CONSOLE = "console";
+    /** Lines of the project that wait at most; two seconds of a flood at a host's usual bound of lines. */
+    private static final int EVENTS = 2_048;
+    /** Lines of libraries that wait at most; they log warnings only. */
+    private static final int LIBRARY_LINES = 256;
+    /** Time in milliseconds for waiting lines at the end of the process, within the margin that a stopping host keeps. */
+    private static final int FLUSH_MS = 200;
+
+    private final LoggerContext context = new LoggerContext("mustardlink");
+
+    /** Starts the logging. */
+    public StandardOutputLogs() {
+        context.start(new Lines(context));
+    }
+
+    @Override
+    public LoggerContext getContext(String _fqcn, ClassLoader _loader, boolean _currentContext) {
+        return context;
+    }
+
+    @Override
+    public LoggerContext getContext(String _fqcn, ClassLoader _loader, boolean _currentContext, URI _location) {
+        return context;
+    }
+
+    @Override
+    public List<LoggerContext> getLoggerContexts() {
+        return List.of(context);
+    }
+
+    @Override
+    public void removeContext(LoggerContext _context) {
+        // The context lives as long as the process.
+    }
+
+    private static final class Lines extends AbstractConfiguration {
+        private Lines(LoggerContext context) {
+            super(context, ConfigurationSource.NULL_SOURCE);
+        }
+
+        @Override
+        public void initialize() {
+            setState(State.INITIALIZING);
+            Appender console = ConsoleAppender.newBuilder()
+                    .setName(CONSOLE)
+                    .setLayout(new JsonLineLayout())
+                    .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
+                    .setConfiguration(this)
+                    .build();
+            console.start();
+            addAppender(console);
+            LoggerConfig project = new LoggerConfig(PROJECT, Level.INFO, false);
+            project.addAppender(queued("events", EVENTS), null, null);
+            addLogger(PROJECT, project);
+            getRootLogger().setLevel(Level.WARN);
+            getRootLogger().addAppender(queued("libraries", LIBRARY_LINES), null, null);
+            setState(State.INITIALIZED);
+        }
+
+        private Appender queued(String name, int lines) {
+            Appender appender = AsyncAppender.newBuilder()
+                    .setName(name)
+                    .setAppenderRefs(new AppenderRef[] {AppenderRef.createAppenderRef(CONSOLE, null, null)})
+                    .setBlocking(false)
+                    .setBufferSize(lines)
+                    .setShutdownTimeout(FLUSH_MS)
+                    .setConfiguration(this)
+                    .build();
+            appender.start();
+            addAppender(appender);
+            return appender;
+        }
+    }
+}
--- a/src/test/java/org/mustardlink/observe/EventLogTest.java
+++ b/src/test/java/org/mustardlink/observe/EventLogTest.java
@@ -18,7 +18,6 @@
 import org.apache.logging.log4j.core.Logger;
 import org.apache.logging.log4j.core.appender.WriterAppender;
 import org.apache.logging.log4j.core.config.Configurator;
-import org.apache.logging.log4j.layout.template.json.JsonTemplateLayout;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -31,13 +30,9 @@
 
     @BeforeEach
     void capture() {
-        JsonTemplateLayout layout = JsonTemplateLayout.newBuilder()
-                .setConfiguration(logger.getContext().getConfiguration())
-                .setEventTemplateUri("classpath:LogEventTemplate.json")
-                .build();
         appender = WriterAppender.newBuilder()
                 .setName("test")
-                .setLayout(layout)
+                .setLayout(new JsonLineLayout())
                 .setTarget(written)
                 .build();
         appender.start();
@@ -88,4 +83,18 @@
         Set<String> listed = Arrays.stream(LogField.values()).map(LogField::id).collect(Collectors.toSet());
         assertThat(Sets.difference(names, listed)).containsExactly("time", "level", "event");
     }
+
+    /** Guards against lines of libraries that are lost or break the format, because they carry no event. */
+    @Test
+    void a_warning_of_a_library_is_a_json_object_with_its_logger_and_error() throws JsonProcessingException {
+        Configurator.setLevel("org.mustardlink", Level.WARN);
+        logger.warn("a \"pool\"\nis closed", new IllegalStateException("closed\ttwice"));
+
+        JsonNode line = Json.mapper().readTree(written.toString());
+        assertThat(line.path("event").asText()).isEqualTo("library");
+        assertThat(line.path("level").asText()).isEqualTo("WARN");
+        assertThat(line.path("logger").asText()).isEqualTo("org.mustardlink.events");
+        assertThat(line.path("message").asText()).isEqualTo("a \"pool\"\nis closed");
+        assertThat(line.path("error").asText()).isEqualTo("closed\ttwice");
+    }
 }
