Name Grizzly's threads and servers without run-time string concatenation

Cause: Grizzly joins names by invokedynamic; each place spins classes at the start of a host (20 of 26 such classes came from there).

Change: IoThreads makes the pools of servers, client and links; servers have a name. The connection pool's own thread can't be set and remains.

--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -37,7 +37,6 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
 
@@ -73,11 +72,7 @@
         transport = TCPNIOTransportBuilder.newInstance()
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
                 .setSelectorRunnersCount(limits.selectors())
-                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig()
-                        .setPoolName("http-client")
-                        .setDaemon(true)
-                        .setCorePoolSize(limits.selectors())
-                        .setMaxPoolSize(limits.selectors()))
+                .setSelectorThreadPoolConfig(IoThreads.pool("http-client", limits.selectors()))
                 .setTcpNoDelay(true)
                 .build();
         transport.setProcessor(FilterChainBuilder.stateless()
--- a/src/main/java/org/mustardlink/http/HttpServers.java
+++ b/src/main/java/org/mustardlink/http/HttpServers.java
@@ -15,7 +15,6 @@
 import org.glassfish.grizzly.http.server.RequestExecutorProvider;
 import org.glassfish.grizzly.http.server.Response;
 import org.glassfish.grizzly.http.util.MimeHeaders;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
 
@@ -97,13 +96,11 @@
         listener.getTransport().setTcpNoDelay(true);
         listener.getTransport().setReadTimeout(READ_TIMEOUT.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS);
         listener.getTransport().setSelectorRunnersCount(1);
-        listener.getTransport()
-                .setWorkerThreadPoolConfig(ThreadPoolConfig.defaultConfig()
-                        .setPoolName("http-server")
-                        .setDaemon(true)
-                        .setCorePoolSize(threads)
-                        .setMaxPoolSize(threads));
+        listener.getTransport().setKernelThreadPoolConfig(IoThreads.pool("http-server-io", 1));
+        listener.getTransport().setWorkerThreadPoolConfig(IoThreads.pool("http-server", threads));
         server.addListener(listener);
+        // Without a name Grizzly joins one at run time, which slows the start of a host.
+        server.getServerConfiguration().setName("http-server");
         server.getServerConfiguration().addHttpHandler(handler, "/");
         try {
             server.start();
--- a/src/main/java/org/mustardlink/link/PeerLinks.java
+++ b/src/main/java/org/mustardlink/link/PeerLinks.java
@@ -24,10 +24,10 @@
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransportBuilder;
 import org.glassfish.grizzly.strategies.SameThreadIOStrategy;
-import org.glassfish.grizzly.threadpool.ThreadPoolConfig;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.http.Addresses;
+import org.mustardlink.http.IoThreads;
 import org.mustardlink.ownership.HostInfo;
 
 /**
@@ -75,11 +75,7 @@
         transport = TCPNIOTransportBuilder.newInstance()
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
                 .setSelectorRunnersCount(1)
-                .setSelectorThreadPoolConfig(ThreadPoolConfig.defaultConfig()
-                        .setPoolName("links")
-                        .setDaemon(true)
-                        .setCorePoolSize(1)
-                        .setMaxPoolSize(1))
+                .setSelectorThreadPoolConfig(IoThreads.pool("links", 1))
                 .setTcpNoDelay(true)
                 .build();
         transport.setProcessor(FilterChainBuilder.stateless()
