--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -164,9 +164,15 @@
 
     /** Ends the jobs that can't be finished in time; returns those of which something may run. */
     List<PoolJob> expire(long now) {
-        List<PoolJob> abandoned = new ArrayList<>();
-        for (PoolJob job : new ArrayList<>(tables.jobs())) {
-            if (!job.started() && now > job.lastStartNanos() && !job.order().resumed()) {
+        List<PoolJob> due = new ArrayList<>(0);
+        for (PoolJob job : tables.jobs()) {
+            if (mayNotStart(job, now) || now > job.deadlineNanos() || job.lost().isPresent()) {
+                due.add(job);
+            }
+        }
+        List<PoolJob> abandoned = new ArrayList<>(0);
+        for (PoolJob job : due) {
+            if (mayNotStart(job, now)) {
                 finish(job, new JobResult.Refused("no target became free in time", MIN_RETRY_AFTER));
             } else if (now > job.deadlineNanos()) {
                 finish(job, new JobResult.Abandoned("the caller's deadline has passed"));
@@ -178,4 +184,9 @@
         }
         return abandoned;
     }
+
+    /** Returns whether a job that hasn't started would come too late. */
+    private static boolean mayNotStart(PoolJob job, long now) {
+        return !job.started() && now > job.lastStartNanos() && !job.order().resumed();
+    }
 }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -224,11 +225,13 @@
     private void checkRuns(long now) {
         runs.tick(now);
         progress.tick(now);
-        for (PoolJob job : new ArrayList<>(tables.jobs())) {
+        List<PoolJob> done = new ArrayList<>(0);
+        for (PoolJob job : tables.jobs()) {
             if (job.order().resumed() && job.allDone()) {
-                jobs.finish(job, new JobResult.Complete());
+                done.add(job);
             }
         }
+        done.forEach(job -> jobs.finish(job, new JobResult.Complete()));
     }
 
     private void endJobs(long now) {
--- a/src/main/java/org/mustardlink/pool/ProgressSystem.java
+++ b/src/main/java/org/mustardlink/pool/ProgressSystem.java
@@ -1,6 +1,5 @@
 package org.mustardlink.pool;
 
-import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 
@@ -51,16 +50,14 @@
 
     /** Stops runs whose tasks are better started elsewhere, and asks for the progress of others. */
     void tick(long now) {
-        int moving = moving();
         for (PoolTarget target : tables.targets()) {
             if (target.runs().isEmpty() || !target.taken() || target.misses() > 0) {
                 continue;
             }
             boolean look = false;
-            for (Run run : List.copyOf(target.runs())) {
-                if (run.state() == Run.State.RUNNING
-                        && run.task().filter(task -> !task.job().closed()).isPresent()) {
-                    moving += judge(target, run, run.task().get(), moving, now);
+            for (Run run : target.runs()) {
+                if (run.state() == Run.State.RUNNING && isWanted(run)) {
+                    judge(target, run, run.task().get(), now);
                     look |= lookIsDue(run, now);
                 }
             }
@@ -75,8 +72,7 @@
         int moving = 0;
         for (PoolTarget target : tables.targets()) {
             for (Run run : target.runs()) {
-                if (run.state() == Run.State.STOPPING
-                        && run.task().filter(task -> !task.job().closed()).isPresent()) {
+                if (run.state() == Run.State.STOPPING && isWanted(run)) {
                     moving++;
                 }
             }
@@ -84,6 +80,10 @@
         return moving;
     }
 
+    private static boolean isWanted(Run run) {
+        return run.task().isPresent() && !run.task().get().job().closed();
+    }
+
     private static boolean lookIsDue(Run run, long now) {
         if (run.looks() == LOOKS.length) {
             return false;
@@ -96,16 +96,16 @@
         return now - run.reportedNanos() > FRESH_SHARE * run.expectedNanos();
     }
 
-    /** Stops a run if that serves its task; returns the number of runs stopped. */
-    private int judge(PoolTarget target, Run run, PoolTask task, int moving, long now) {
+    /** Stops a run if that serves its task. */
+    private void judge(PoolTarget target, Run run, PoolTask task, long now) {
         if (run.percent() < 100
                 && run.stillNanos() > Math.max(MIN_STILL_NANOS, (long) (STILL_SHARE * run.expectedNanos()))) {
             runs.standsStill(target, run, now);
-            return 1;
+            return;
         }
         OptionalLong end = run.projectedEndNanos();
         if (end.isEmpty() || end.getAsLong() <= task.job().deadlineNanos()) {
-            return 0;
+            return;
         }
         OptionalLong work = run.projectedNanos();
         double factor = work.getAsLong() / Math.max(1, target.slowness() * tables.expectedNanos(task));
@@ -113,22 +113,24 @@
             work = OptionalLong.empty();
             factor = 1;
         }
-        String why = "%d%% done after %d ms, %d ms were expected at slowness %.2f; would end after the deadline"
-                .formatted(
-                        run.percent(),
-                        TimeUnit.NANOSECONDS.toMillis(run.reportedNanos() - run.orderedNanos()),
-                        TimeUnit.NANOSECONDS.toMillis(run.expectedNanos()),
-                        target.slowness());
-        if (placement.roomsInTimeElsewhere(task, target, now + MOVE_NANOS, factor, now) > moving) {
-            runs.move(target, run, work, why, now);
-            return 1;
+        if (placement.roomsInTimeElsewhere(task, target, now + MOVE_NANOS, factor, now) > moving()) {
+            runs.move(target, run, work, describe(target, run), now);
+            return;
         }
         if (isLost(run, task, end.getAsLong(), factor, now)) {
             task.job()
                     .markLost("task " + task.name().index() + " on "
-                            + target.entry().id() + ": " + why);
+                            + target.entry().id() + ": " + describe(target, run));
         }
-        return 0;
+    }
+
+    private static String describe(PoolTarget target, Run run) {
+        return "%d%% done after %d ms, %d ms were expected at slowness %.2f; would end after the deadline"
+                .formatted(
+                        run.percent(),
+                        TimeUnit.NANOSECONDS.toMillis(run.reportedNanos() - run.orderedNanos()),
+                        TimeUnit.NANOSECONDS.toMillis(run.expectedNanos()),
+                        target.slowness());
     }
 
     /** Returns whether neither the run nor a new one on the best target can end before the deadline, room or not. */
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -314,7 +313,7 @@
             if (target.runs().isEmpty() || !target.taken()) {
                 continue;
             }
-            for (Run run : List.copyOf(target.runs())) {
+            for (Run run : target.runs()) {
                 check(target, run, now);
             }
         }
