Bound a host's own delay by the present, and measure it in a class of its own

A heartbeat that was handled at the end of a delay was moved into the future by the whole delay, so a death right after it was noticed late by as much.

Change: others count as heard at the latest now. LoopDelay takes the measurement out of DispatchHost.

Evidence: PoolOwnershipTest a_delay_adds_nothing_to_a_heartbeat_that_was_handled_at_its_end fails without the bound.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -93,6 +93,7 @@
     private final EventLog log;
     private final EntryMetrics metrics = EntryMetrics.create(MAX_SERIES, DIGITS);
     private final HostLoop loop;
+    private final LoopDelay loopDelay;
     private final HttpRequester targetRequester;
     private final HttpRequester storeRequester;
     private final StoreClient store;
@@ -116,7 +117,6 @@
     private final long startedNanos;
     private ImmutableSortedMap<PoolId, Integer> targetCounts = ImmutableSortedMap.of();
     private boolean snapshotTaken;
-    private boolean measuringDelay;
     private long timersNanos;
     private long snapshotAskedNanos;
     private volatile Optional<RoutingTable> routes = Optional.empty();
@@ -138,6 +138,7 @@
         this.log = EventLog.create(self.id(), self.domain(), settings.logs().linesPerSecond());
         this.requests = new OpenRequests(self.domain(), metrics, log);
         this.loop = new HostLoop(this::afterBatch, this::nextDue, this::eventFailed);
+        this.loopDelay = new LoopDelay(loop, this::loopDelayed);
         this.targetRequester = HttpRequester.start(
                 new HttpRequester.Limits(TARGET_CONNECTIONS, MAX_CONNECTIONS, CONNECT_TIMEOUT, IDLE_TIMEOUT, 1));
         this.storeRequester = HttpRequester.start(
@@ -307,25 +308,17 @@
                 .forEach(host -> links.send(host.id(), new PeerMessage.SnapshotRequest()));
     }
 
-    /** Measures how long events wait for the loop, one at a time. */
-    private void measureDelay(long now) {
-        if (measuringDelay) {
-            return;
+    private void loopDelayed(long delayNanos, long now) {
+        metrics.recordLoopLag(delayNanos);
+        if (ownership.delayed(delayNanos, now)) {
+            log.line(LogEvent.LOOP_LATE)
+                    .with(LogField.ELAPSED_MS, TimeUnit.NANOSECONDS.toMillis(delayNanos))
+                    .write();
         }
-        measuringDelay = true;
-        loop.post(at -> {
-            measuringDelay = false;
-            metrics.recordLoopLag(at - now);
-            if (ownership.delayed(at - now)) {
-                log.line(LogEvent.LOOP_LATE)
-                        .with(LogField.ELAPSED_MS, TimeUnit.NANOSECONDS.toMillis(at - now))
-                        .write();
-            }
-        });
     }
 
     private void timers(long now) {
-        measureDelay(now);
+        loopDelay.measure(now);
         requestSnapshot(now);
         if (targets.expire(following.targetsReachable(), now)) {
             targetsChanged(now);
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -148,11 +148,11 @@
      * Takes the delay with which this host's own loop handles events; returns whether it was late. Heartbeats that came
      * meanwhile may wait behind it, so the delay doesn't count as silence of others.
      */
-    public boolean delayed(long delayNanos) {
+    public boolean delayed(long delayNanos, long now) {
         if (delayNanos < LATE_NANOS) {
             return false;
         }
-        peers.values().forEach(peer -> peer.heardNanos += delayNanos);
+        peers.values().forEach(peer -> peer.heardNanos = Math.min(now, peer.heardNanos + delayNanos));
         return true;
     }
 
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -147,7 +147,7 @@
         hear(ownership, EAST_1, ms(1_200));
         ownership.claimed(new Claim(EAST, "east-1", 11, 4), 0);
 
-        assertThat(ownership.delayed(ms(700))).isTrue();
+        assertThat(ownership.delayed(ms(700), ms(1_900))).isTrue();
         ownership.tick(ms(1_900));
         assertThat(recorder.written).isEmpty();
         assertThat(ownership.givenUp("east-1", 11, ms(2_300))).isFalse();
@@ -155,6 +155,18 @@
         assertThat(recorder.written).containsExactly(new Claim(EAST, "east-2", 12, 5));
     }
 
+    /** Guards against a death that is noticed late, because a delay counts for a heartbeat that came at its end. */
+    @Test
+    void a_delay_adds_nothing_to_a_heartbeat_that_was_handled_at_its_end() {
+        PoolOwnership ownership = ownership(EAST_2, EAST);
+        hear(ownership, EAST_1, ms(1_900));
+        ownership.claimed(new Claim(EAST, "east-1", 11, 4), 0);
+
+        assertThat(ownership.delayed(ms(700), ms(1_900))).isTrue();
+        ownership.tick(ms(2_450));
+        assertThat(recorder.written).containsExactly(new Claim(EAST, "east-2", 12, 5));
+    }
+
     @Test
     void a_refused_connection_ends_the_wait_for_a_silent_master() {
         PoolOwnership ownership = ownership(EAST_2, EAST);
