--- a/src/main/java/org/mustardlink/observe/StandardOutputLogs.java
+++ b/src/main/java/org/mustardlink/observe/StandardOutputLogs.java
@@ -23,7 +23,7 @@
 public final class StandardOutputLogs implements ContextSelector {
     private static final String PROJECT = "org.mustardlink";
     private static final String CONSOLE = "console";
-    /** Lines of the project that wait at most; two seconds of a flood at a host's usual bound of lines. */
+    /** Lines of the project that wait at most; ten times the lines that one event may write in a second. */
     private static final int EVENTS = 2_048;
     /** Lines of libraries that wait at most; they log warnings only. */
     private static final int LIBRARY_LINES = 256;
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -21,7 +21,7 @@
  *
  * <p>Not thread-safe. The first live host in a pool's order claims it: hosts of the pool's own failure domain come first,
  * the ones with more processors before the others. A live master keeps its pool, except that a host of the pool's own
- * domain takes it back from one of another domain.
+ * domain takes it back from one of another domain, or from one with half of its processors or less.
  */
 public final class PoolOwnership {
     /** A host is taken for dead this long after its next heartbeat was due; four of the shortest intervals. */
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -64,6 +64,14 @@
         ownership.heard(host.id(), host.incarnation(), NEXT, false, now);
     }
 
+    /** Returns the decision of the second host, which has heard the first one, the master, at a time. */
+    private PoolOwnership besideMasterHeardAt(long now) {
+        PoolOwnership ownership = ownership(EAST_2, EAST);
+        hear(ownership, EAST_1, now);
+        ownership.claimed(new Claim(EAST, "east-1", 11, 4), 0);
+        return ownership;
+    }
+
     @Test
     void the_host_with_more_processors_of_the_domain_claims_the_pool() {
         PoolOwnership first = ownership(EAST_1, EAST);
@@ -106,9 +114,7 @@
 
     @Test
     void a_silent_master_is_replaced_and_a_heard_one_is_not() {
-        PoolOwnership ownership = ownership(EAST_2, EAST);
-        hear(ownership, EAST_1, ms(1_200));
-        ownership.claimed(new Claim(EAST, "east-1", 11, 4), 0);
+        PoolOwnership ownership = besideMasterHeardAt(ms(1_200));
 
         ownership.tick(ms(1_600));
         assertThat(recorder.written).isEmpty();
@@ -143,9 +149,7 @@
     /** Guards against an overloaded host that takes others for dead because their heartbeats wait in its own queue. */
     @Test
     void a_host_that_was_late_itself_doesnt_take_a_master_for_silent() {
-        PoolOwnership ownership = ownership(EAST_2, EAST);
-        hear(ownership, EAST_1, ms(1_200));
-        ownership.claimed(new Claim(EAST, "east-1", 11, 4), 0);
+        PoolOwnership ownership = besideMasterHeardAt(ms(1_200));
 
         assertThat(ownership.delayed(ms(700), ms(1_900))).isTrue();
         ownership.tick(ms(1_900));
@@ -158,9 +162,7 @@
     /** Guards against a death that is noticed late, because a delay counts for a heartbeat that came at its end. */
     @Test
     void a_delay_adds_nothing_to_a_heartbeat_that_was_handled_at_its_end() {
-        PoolOwnership ownership = ownership(EAST_2, EAST);
-        hear(ownership, EAST_1, ms(1_900));
-        ownership.claimed(new Claim(EAST, "east-1", 11, 4), 0);
+        PoolOwnership ownership = besideMasterHeardAt(ms(1_900));
 
         assertThat(ownership.delayed(ms(700), ms(1_900))).isTrue();
         ownership.tick(ms(2_450));
--- /dev/null
+++ b/src/test/java/org/mustardlink/pool/KeyEqualityTest.java
@@ -0,0 +1,61 @@
+package org.mustardlink.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.lang.reflect.RecordComponent;
+import java.util.Arrays;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.mustardlink.ownership.Claim;
+
+/** Tests the equality of records that is written by hand. */
+final class KeyEqualityTest {
+    /** Guards against a component that equality leaves out: two keys would share one row of a table. */
+    @ParameterizedTest
+    @ValueSource(classes = {PoolId.class, TaskName.class, RunId.class, RequestId.class, Claim.class})
+    void keys_are_equal_when_all_their_components_are(Class<? extends Record> type)
+            throws ReflectiveOperationException {
+        RecordComponent[] components = type.getRecordComponents();
+        Object[] values = new Object[components.length];
+        Arrays.setAll(values, i -> value(components[i], 1));
+        Record key = create(type, values);
+
+        assertThat(create(type, values)).isEqualTo(key);
+        assertThat(create(type, values).hashCode()).isEqualTo(key.hashCode());
+        for (int i = 0; i < components.length; i++) {
+            Object[] changed = values.clone();
+            changed[i] = value(components[i], 2);
+            assertWithMessage(components[i].getName())
+                    .that(create(type, changed))
+                    .isNotEqualTo(key);
+        }
+    }
+
+    private static Record create(Class<? extends Record> type, Object... values) throws ReflectiveOperationException {
+        Class<?>[] types = Arrays.stream(type.getRecordComponents())
+                .map(RecordComponent::getType)
+                .toArray(Class<?>[]::new);
+        return type.getDeclaredConstructor(types).newInstance(values);
+    }
+
+    /** Returns a value of a component; those of different numbers differ. */
+    private static Object value(RecordComponent component, int number) {
+        Class<?> type = component.getType();
+        if (type == int.class) {
+            // A shard's number has to be below that of all shards.
+            return component.getName().equals("shards") ? number + 10 : number;
+        }
+        if (type == long.class) {
+            return (long) number;
+        }
+        if (type == String.class) {
+            return "text-" + number;
+        }
+        if (type == TaskName.class) {
+            return new TaskName("job", 0, 0, number);
+        }
+        assertThat(type).isEqualTo(PoolId.class);
+        return new PoolId("yard", "east", number, 9);
+    }
+}
