Name the claim under which a result is given, and log one that is superseded

Purpose: the hypothesis that an answer of a replaced master is taken for its successor's can't be told from the logs: a result named its pool and request only.

Change: orders and results between hosts carry the round of the claim; a front logs result.superseded when a result comes under another claim than the one to which the request went last. No decision changes.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -57,6 +57,9 @@
         private final long deadlineNanos;
         private Optional<PoolId> pool = Optional.empty();
         private Optional<Claim> master = Optional.empty();
+        /** The claim to which the order went last, also while no live master is known. */
+        private Optional<Claim> sentTo = Optional.empty();
+
         private Optional<Claim> deniedBy = Optional.empty();
         private long deniedNanos;
         private boolean bound;
@@ -148,6 +151,7 @@
         boolean resumed = request.bound;
         request.pool = Optional.of(pool);
         request.master = Optional.of(master);
+        request.sentTo = Optional.of(master);
         request.bound = true;
         Duration left = Duration.ofNanos(Math.max(0, request.deadlineNanos - now));
         boolean home = pool.domain().equals(domain);
@@ -176,10 +180,18 @@
     /**
      * Takes a master's answer. What the master of an earlier pool says again, because an order was repeated over a new
      * link, is passed over: the job may be running in the pool that has it now.
+     *
+     * @param claim the claim under which the master answers
      */
-    public void answered(long number, PoolId pool, JobResult result, long now) {
+    public void answered(long number, Claim claim, JobResult result, long now) {
         OpenRequest request = requests.get(number);
-        if (request == null || !request.pool.equals(Optional.of(pool))) {
+        if (request == null) {
+            return;
+        }
+        if (!request.sentTo.equals(Optional.of(claim))) {
+            actions.superseded(claim, number, result);
+        }
+        if (!request.pool.equals(Optional.of(claim.pool()))) {
             return;
         }
         if (result instanceof JobResult.Complete) {
--- a/src/main/java/org/mustardlink/front/FrontActions.java
+++ b/src/main/java/org/mustardlink/front/FrontActions.java
@@ -2,6 +2,7 @@
 
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.pool.JobOrder;
+import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.RequestId;
 
 /** Carries out the decisions of a {@link Front}. */
@@ -12,6 +13,9 @@
     /** Tells a master that nobody waits for a job any more. */
     void withdraw(Claim master, RequestId request, String job);
 
+    /** Notes a result under a claim other than the one to which the request was sent last. */
+    void superseded(Claim claim, long request, JobResult result);
+
     /** Gives a caller its answer. */
     void answer(long request, Answer answer);
 }
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -443,13 +443,14 @@
 
     // ---- jobs between fronts and masters ----
 
-    private void resultOf(PoolId pool, RequestId request, JobResult result) {
+    private void resultOf(PoolId pool, int round, RequestId request, JobResult result) {
         if (request.host().equals(self.id())) {
             if (request.incarnation() == self.incarnation()) {
-                loop.post(now -> front.answered(request.number(), pool, result, now));
+                Claim claim = new Claim(pool, self.id(), self.incarnation(), round);
+                loop.post(now -> front.answered(request.number(), claim, result, now));
             }
         } else {
-            links.send(request.host(), new PeerMessage.Result(pool, request, result));
+            links.send(request.host(), new PeerMessage.Result(pool, round, request, result));
         }
     }
 
@@ -459,9 +460,9 @@
             long now = System.nanoTime();
             requests.sent(master, order, peers.ageMs(master.host(), now));
             if (master.isOf(self)) {
-                loop.post(at -> pools.submit(master.pool(), order, at));
+                loop.post(at -> pools.submit(master.pool(), master.round(), order, at));
             } else {
-                links.send(master.host(), new PeerMessage.Submit(master.pool(), order));
+                links.send(master.host(), new PeerMessage.Submit(master.pool(), master.round(), order));
             }
         }
 
@@ -478,6 +479,11 @@
         public void answer(long request, Answer answer) {
             requests.answer(request, answer, System.nanoTime());
         }
+
+        @Override
+        public void superseded(Claim claim, long request, JobResult result) {
+            requests.superseded(claim, request, result);
+        }
     }
 
     // ---- other hosts ----
@@ -527,12 +533,13 @@
                 timersNanos = now;
             }
         } else if (message instanceof PeerMessage.Submit submit) {
-            pools.submit(submit.pool(), submit.order(), now);
+            pools.submit(submit.pool(), submit.round(), submit.order(), now);
         } else if (message instanceof PeerMessage.Withdraw withdraw) {
             pools.withdraw(withdraw.pool(), withdraw.request(), withdraw.job(), now);
         } else if (message instanceof PeerMessage.Result result) {
             if (result.request().incarnation() == self.incarnation()) {
-                front.answered(result.request().number(), result.pool(), result.result(), now);
+                Claim claim = new Claim(result.pool(), sender.id(), sender.incarnation(), result.round());
+                front.answered(result.request().number(), claim, result.result(), now);
             }
         } else if (message instanceof PeerMessage.SnapshotRequest) {
             snapshot.toMessage(ownership.claims()).ifPresent(answer -> links.send(sender.id(), answer));
--- a/src/main/java/org/mustardlink/host/OpenRequests.java
+++ b/src/main/java/org/mustardlink/host/OpenRequests.java
@@ -13,6 +13,7 @@
 import org.mustardlink.observe.LogField;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.pool.JobOrder;
+import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.PoolId;
 
 /** Who waits for the answers of open requests, and what logs and metrics need of them. Runs on the loop thread. */
@@ -65,6 +66,21 @@
                 .write();
     }
 
+    /** Notes a result under a claim other than the one to which a request was sent last. */
+    void superseded(Claim claim, long number, JobResult result) {
+        Waiting request = waiting.get(number);
+        if (request == null) {
+            return;
+        }
+        log.line(LogEvent.RESULT_SUPERSEDED)
+                .with(LogField.JOB, request.order.job())
+                .with(LogField.POOL, claim.pool())
+                .with(LogField.MASTER, claim.host())
+                .with(LogField.ROUND, claim.round())
+                .with(LogField.ANSWER, result.getClass().getSimpleName())
+                .write();
+    }
+
     /** Gives a caller its final answer. */
     void answer(long number, Answer answer, long now) {
         Waiting request = waiting.remove(number);
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -68,10 +68,10 @@
     /** A request that a pool has answered. */
     private record Answered(PoolId pool, RequestId request) {}
 
-    /** Takes the result of a job. */
+    /** Takes the result of a job, with the round of the claim to which its order was sent. */
     @FunctionalInterface
     interface Results {
-        void finished(PoolId pool, RequestId request, JobResult result);
+        void finished(PoolId pool, int round, RequestId request, JobResult result);
     }
 
     /** Finds another pool that has room for a whole job. */
@@ -159,14 +159,18 @@
         }
     }
 
-    /** Takes a job; one that was answered already gets the same answer again. */
-    void submit(PoolId pool, JobOrder order, long now) {
+    /**
+     * Takes a job; one that was answered already gets the same answer again.
+     *
+     * @param round the round of the claim under which this host is the pool's master as far as the front knows
+     */
+    void submit(PoolId pool, int round, JobOrder order, long now) {
         JobResult earlier = recent.get(new Answered(pool, order.request()));
         PoolMaster master = masters.get(pool);
         if (earlier != null) {
-            results.finished(pool, order.request(), earlier);
+            results.finished(pool, round, order.request(), earlier);
         } else if (master == null) {
-            results.finished(pool, order.request(), new JobResult.Moved());
+            results.finished(pool, round, order.request(), new JobResult.Moved());
         } else {
             arrivals.putIfAbsent(order.request(), now);
             master.submit(order, now);
@@ -305,7 +309,7 @@
             if (!(result instanceof JobResult.Moved)) {
                 recent.put(new Answered(pool, request), result);
             }
-            results.finished(pool, request, result);
+            results.finished(pool, round, request, result);
         }
 
         @Override
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -80,6 +80,7 @@
         } else if (message instanceof PeerMessage.Submit submit) {
             out.writeByte(SUBMIT);
             write(out, submit.pool());
+            out.writeI32(submit.round());
             write(out, submit.order());
         } else if (message instanceof PeerMessage.Withdraw withdraw) {
             out.writeByte(WITHDRAW);
@@ -89,6 +90,7 @@
         } else if (message instanceof PeerMessage.Result result) {
             out.writeByte(RESULT);
             write(out, result.pool());
+            out.writeI32(result.round());
             write(out, result.request());
             write(out, result.result());
         } else if (message instanceof PeerMessage.SnapshotRequest) {
@@ -111,9 +113,9 @@
         return switch (type) {
             case HELLO -> new PeerMessage.Hello(readHost(in));
             case HEARTBEAT -> readHeartbeat(in);
-            case SUBMIT -> new PeerMessage.Submit(readPool(in), readOrder(in));
+            case SUBMIT -> new PeerMessage.Submit(readPool(in), in.readI32(), readOrder(in));
             case WITHDRAW -> new PeerMessage.Withdraw(readPool(in), readRequest(in), in.readString());
-            case RESULT -> new PeerMessage.Result(readPool(in), readRequest(in), readResult(in));
+            case RESULT -> new PeerMessage.Result(readPool(in), in.readI32(), readRequest(in), readResult(in));
             case SNAPSHOT_REQUEST -> new PeerMessage.SnapshotRequest();
             case SNAPSHOT -> readSnapshot(in);
             case CANCEL -> new PeerMessage.Cancel(in.readString());
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -55,9 +55,10 @@
      * Hands a job to the master of a pool.
      *
      * @param pool the pool
+     * @param round the round of the claim under which the receiver is the pool's master as far as the sender knows
      * @param order the job
      */
-    record Submit(PoolId pool, JobOrder order) implements PeerMessage {
+    record Submit(PoolId pool, int round, JobOrder order) implements PeerMessage {
         public Submit {
             checkNotNull(pool, "pool");
             checkNotNull(order, "order");
@@ -77,10 +78,11 @@
      * Answers a {@link Submit}.
      *
      * @param pool the pool whose master answers
+     * @param round the round of the claim to which the request was sent
      * @param request the request
      * @param result the result
      */
-    record Result(PoolId pool, RequestId request, JobResult result) implements PeerMessage {}
+    record Result(PoolId pool, int round, RequestId request, JobResult result) implements PeerMessage {}
 
     /** Asks for a {@link Snapshot}; sent by a host that has no configuration yet. */
     record SnapshotRequest() implements PeerMessage {}
--- a/src/main/java/org/mustardlink/observe/LogEvent.java
+++ b/src/main/java/org/mustardlink/observe/LogEvent.java
@@ -47,6 +47,8 @@
     MEMBERSHIP_FAILED("membership.failed", StandardLevel.ERROR),
     /** A request was handed to the master of a pool. */
     REQUEST_SENT("request.sent", StandardLevel.INFO),
+    /** A master answered a request under a claim other than the one to which the request was sent last. */
+    RESULT_SUPERSEDED("result.superseded", StandardLevel.INFO),
     /** A request got its final answer. */
     REQUEST_ANSWERED("request.answered", StandardLevel.INFO),
     /** A pool's master ended a job. */
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -34,6 +34,7 @@
     private final Map<PoolId, PoolLoad> loads = new HashMap<>();
     private final List<Sent> sent = new ArrayList<>();
     private final List<Claim> withdrawn = new ArrayList<>();
+    private final List<Claim> superseded = new ArrayList<>();
     private final Map<Long, Answer> answers = new HashMap<>();
     private final Front front = new Front("east", new Directory(), new Recorder());
 
@@ -67,6 +68,11 @@
             withdrawn.add(master);
         }
 
+        @Override
+        public void superseded(Claim claim, long _request, JobResult _result) {
+            superseded.add(claim);
+        }
+
         @Override
         public void answer(long request, Answer answer) {
             answers.put(request, answer);
@@ -100,12 +106,12 @@
         loads.put(WEST, new PoolLoad(1_000, 1_000, 0));
         submit(1, 0);
 
-        front.answered(1, EAST, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
+        front.answered(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
 
         assertThat(answers).isEmpty();
         assertThat(sent.get(1).master()).isEqualTo(WEST_MASTER);
         assertThat(sent.get(1).order().resumed()).isFalse();
-        front.answered(1, WEST, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
+        front.answered(1, WEST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
         assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
     }
 
@@ -117,8 +123,8 @@
         loads.put(EAST, new PoolLoad(2_000, 500, 3));
         submit(1, 0);
 
-        front.answered(1, EAST, new JobResult.Redirected(WEST), ms(2));
-        front.answered(1, WEST, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
+        front.answered(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(2));
+        front.answered(1, WEST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
 
         assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
         assertThat(sent).hasSize(2);
@@ -159,7 +165,7 @@
         loads.put(WEST, new PoolLoad(999, 999, 5));
         submit(1, 0);
 
-        front.answered(1, EAST, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
+        front.answered(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
 
         assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
     }
@@ -209,13 +215,13 @@
         submit(1, 0);
 
         for (int i = 0; i < 10; i++) {
-            front.answered(1, EAST, new JobResult.Moved(), ms(i));
+            front.answered(1, EAST_MASTER, new JobResult.Moved(), ms(i));
             front.tick(ms(i));
         }
         assertThat(sent).hasSize(1);
         front.tick(ms(60));
         assertThat(sent).hasSize(2);
-        front.answered(1, EAST, new JobResult.Moved(), ms(61));
+        front.answered(1, EAST_MASTER, new JobResult.Moved(), ms(61));
         masters.put(EAST, EAST_NEXT);
         front.tick(ms(62));
 
@@ -228,7 +234,7 @@
         masters.put(WEST, WEST_MASTER);
         submit(1, 0);
 
-        front.answered(1, EAST, new JobResult.Redirected(WEST), ms(1));
+        front.answered(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
 
         assertThat(sent.get(1).master()).isEqualTo(WEST_MASTER);
         assertThat(sent.get(1).order().mayMove()).isFalse();
@@ -241,10 +247,10 @@
         masters.put(EAST, EAST_MASTER);
         masters.put(WEST, WEST_MASTER);
         submit(1, 0);
-        front.answered(1, EAST, new JobResult.Redirected(WEST), ms(1));
+        front.answered(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
         masters.remove(WEST);
 
-        front.answered(1, EAST, new JobResult.Redirected(WEST), ms(2));
+        front.answered(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(2));
         front.tick(ms(3));
 
         assertThat(sent).hasSize(2);
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -46,6 +46,7 @@
             new PeerMessage.Heartbeat(0, 0, Duration.ZERO, false, ImmutableList.of(), ImmutableMap.of()),
             new PeerMessage.Submit(
                     POOL,
+                    7,
                     new JobOrder(
                             REQUEST,
                             "0123456789abcdef",
@@ -59,12 +60,12 @@
                             true,
                             false)),
             new PeerMessage.Withdraw(POOL, REQUEST, "0123456789abcdef"),
-            new PeerMessage.Result(POOL, REQUEST, new JobResult.Complete()),
-            new PeerMessage.Result(POOL, REQUEST, new JobResult.Failed("why")),
-            new PeerMessage.Result(POOL, REQUEST, new JobResult.Refused("why", Duration.ofSeconds(2))),
-            new PeerMessage.Result(POOL, REQUEST, new JobResult.Redirected(POOL)),
-            new PeerMessage.Result(POOL, REQUEST, new JobResult.Abandoned("why")),
-            new PeerMessage.Result(POOL, REQUEST, new JobResult.Moved()),
+            new PeerMessage.Result(POOL, 7, REQUEST, new JobResult.Complete()),
+            new PeerMessage.Result(POOL, 7, REQUEST, new JobResult.Failed("why")),
+            new PeerMessage.Result(POOL, 7, REQUEST, new JobResult.Refused("why", Duration.ofSeconds(2))),
+            new PeerMessage.Result(POOL, 7, REQUEST, new JobResult.Redirected(POOL)),
+            new PeerMessage.Result(POOL, 7, REQUEST, new JobResult.Abandoned("why")),
+            new PeerMessage.Result(POOL, 7, REQUEST, new JobResult.Moved()),
             new PeerMessage.SnapshotRequest(),
             new PeerMessage.Snapshot(
                     "{}", ImmutableMap.of("i-1", "\u00e4"), ImmutableList.of(new Claim(POOL, "east-1", 9, 2))),
