Take a result only under the claim to which the request was sent last

Callers could see: a job that ran in two pools at once, or "not run" for a job that the next master had started. A front that had handed a job on to the next master of its pool took a redirection or refusal of the earlier master, which was slow, frozen or cut off, for the successor's; so it gave the job to another pool, while the successor was starting its tasks, or told the caller that nothing had run. A host that had lost a pool and got it back also repeated its old refusal, although another master had had the job meanwhile.

Cause: results were matched by pool and request, without the claim. Class: a message of an earlier term taken for one of the present term, because the term isn't part of what is compared.

Change: a front passes over results under any claim but the last one it sent the order to; only that a job is complete holds whoever says it, and the job is then withdrawn from the present master. A master hands back orders that were sent to another claim of its host, and repeats that nothing has started under its own claim only.

Evidence: four tests in FrontTest failed before the change, with the claim already named: a redirection and a refusal of a replaced master were sent to the other pool, a job given up by it was answered, and a complete one stayed with its successor. They pass now.

Also seen, once, at a load of 30 on 8 cores: DispatchHostTest.jobs_are_answered_when_their_last_task_has_ended got two 503 "no target of the pool takes tasks". From its log: the first connections to two targets took over 0.3 s, and the test's jobs came before their first reports. Not caused by this change.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -178,8 +178,8 @@
     }
 
     /**
-     * Takes a master's answer. What the master of an earlier pool says again, because an order was repeated over a new
-     * link, is passed over: the job may be running in the pool that has it now.
+     * Takes a master's answer. One under another claim than that to which the order went last is passed over, because the
+     * job may be running under the last one; only that every task is done stays true whoever says it.
      *
      * @param claim the claim under which the master answers
      */
@@ -190,8 +190,10 @@
         }
         if (!request.sentTo.equals(Optional.of(claim))) {
             actions.superseded(claim, number, result);
-        }
-        if (!request.pool.equals(Optional.of(claim.pool()))) {
+            if (result instanceof JobResult.Complete && request.pool.equals(Optional.of(claim.pool()))) {
+                withdraw(request, now);
+                end(request, Answer.of(Answer.Kind.COMPLETE, "complete"));
+            }
             return;
         }
         if (result instanceof JobResult.Complete) {
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -47,11 +47,11 @@
     private final Map<PoolId, PoolMaster> masters = new LinkedHashMap<>();
     private final Map<PoolId, Announced> announcements = new HashMap<>();
     private final Map<RequestId, Long> arrivals = new HashMap<>();
-    private final Map<Answered, JobResult> recent = new LinkedHashMap<>() {
+    private final Map<Answered, Kept> recent = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<Answered, JobResult> _eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Answered, Kept> _eldest) {
             return size() > MAX_RESULTS;
         }
     };
@@ -68,6 +68,18 @@
     /** A request that a pool has answered. */
     private record Answered(PoolId pool, RequestId request) {}
 
+    /** A result and the round under which it was given. */
+    private record Kept(int round, JobResult result) {
+        /**
+         * Returns whether the result still holds for an order that is sent to a claim. That nothing of the job has started
+         * holds for its own claim only: a master in between may have started tasks.
+         */
+        private boolean holdsFor(int claimRound) {
+            boolean saysNotStarted = result instanceof JobResult.Refused || result instanceof JobResult.Redirected;
+            return claimRound == round || !saysNotStarted;
+        }
+    }
+
     /** Takes the result of a job, with the round of the claim to which its order was sent. */
     @FunctionalInterface
     interface Results {
@@ -160,16 +172,17 @@
     }
 
     /**
-     * Takes a job; one that was answered already gets the same answer again.
+     * Takes a job; one that was answered already gets the same answer again. An order that was sent to another claim is
+     * handed back, as its front doesn't know under which claim the job runs.
      *
      * @param round the round of the claim under which this host is the pool's master as far as the front knows
      */
     void submit(PoolId pool, int round, JobOrder order, long now) {
-        JobResult earlier = recent.get(new Answered(pool, order.request()));
+        Kept earlier = recent.get(new Answered(pool, order.request()));
         PoolMaster master = masters.get(pool);
-        if (earlier != null) {
-            results.finished(pool, round, order.request(), earlier);
-        } else if (master == null) {
+        if (earlier != null && earlier.holdsFor(round)) {
+            results.finished(pool, round, order.request(), earlier.result());
+        } else if (master == null || master.fence().round() != round) {
             results.finished(pool, round, order.request(), new JobResult.Moved());
         } else {
             arrivals.putIfAbsent(order.request(), now);
@@ -307,7 +320,7 @@
                     .write();
             // A job that was redirected must not be taken when its order is repeated: it may run in the other pool.
             if (!(result instanceof JobResult.Moved)) {
-                recent.put(new Answered(pool, request), result);
+                recent.put(new Answered(pool, request), new Kept(round, result));
             }
             results.finished(pool, round, request, result);
         }
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -257,6 +257,61 @@
         assertThat(answers).isEmpty();
     }
 
+    private void handOverToNextMaster() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        loads.put(WEST, new PoolLoad(1_000, 1_000, 0));
+        submit(1, 0);
+        masters.put(EAST, EAST_NEXT);
+        front.tick(ms(600));
+        assertThat(sent).hasSize(2);
+    }
+
+    /** Guards against a second run in another pool: a master that was slow redirects a job that its successor has started. */
+    @Test
+    void a_redirection_by_a_replaced_master_is_passed_over() {
+        handOverToNextMaster();
+
+        front.answered(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(610));
+
+        assertThat(sent).hasSize(2);
+        assertThat(superseded).containsExactly(EAST_MASTER);
+    }
+
+    /** Guards against a second run in another pool, and against "not run" for a job that the next master has started. */
+    @Test
+    void a_refusal_by_a_replaced_master_is_passed_over() {
+        handOverToNextMaster();
+
+        front.answered(1, EAST_MASTER, new JobResult.Refused("too late", Duration.ofSeconds(1)), ms(610));
+
+        assertThat(sent).hasSize(2);
+        assertThat(answers).isEmpty();
+    }
+
+    /** Guards against work of the next master that goes on beside a second try, because a replaced one has given the job up. */
+    @Test
+    void a_job_that_a_replaced_master_gives_up_goes_on_with_the_next_one() {
+        handOverToNextMaster();
+
+        front.answered(1, EAST_MASTER, new JobResult.Abandoned("the front is gone"), ms(610));
+
+        assertThat(answers).isEmpty();
+        front.answered(1, EAST_NEXT, new JobResult.Complete(), ms(700));
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.COMPLETE);
+    }
+
+    /** Guards against a ready answer that isn't delivered, and against further work for it. */
+    @Test
+    void a_job_that_a_replaced_master_has_completed_is_complete_and_withdrawn_from_the_next_one() {
+        handOverToNextMaster();
+
+        front.answered(1, EAST_MASTER, new JobResult.Complete(), ms(610));
+
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.COMPLETE);
+        assertThat(withdrawn).containsExactly(EAST_NEXT);
+    }
+
     @Test
     void a_request_without_any_master_is_refused_soon_as_not_run() {
         submit(1, 0);
