Take a job that is sent again where runs of its first try may be left

Callers send a job again 1.3 s after a broken connection. A master that had inherited runs of the first try, or was still stopping them, treated the second try as any new job: without room it pointed the front to another pool, where the job started beside the first runs, or refused it, which tells the caller that nothing has run.

Cause: JobSystem.submit looked at open jobs only. Runs without an open job (PoolTables.presentRun) didn't count.

A job with a present run of any of its tasks now counts as resumed: it is neither redirected nor refused at its arrival, adopts what it can, and isn't refused later for want of room; a task with a present run starts only when that run is gone. Its run numbers go on after those of the present runs.

ResentJobTest failed before in all three cases: "expected to be empty but was: [Redirected[pool=yard/west]]" for an inherited run and for one that is being stopped, and Redirected instead of Abandoned for the third.

--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -51,7 +51,13 @@
                 now,
                 tables.runningTimes().expectedNanos(order.route(), order.longestChain()),
                 tables.slowness());
-        if (!order.resumed()) {
+        if (tables.mayRun(job)) {
+            // An earlier try left runs here. In another pool, or after an answer that nothing has run, the job would
+            // start
+            // beside them.
+            job.resume();
+        }
+        if (!job.order().resumed()) {
             Optional<JobResult> refusal = refusal(job, now);
             if (refusal.isPresent()) {
                 actions.finished(order.request(), order.job(), refusal.get());
--- a/src/main/java/org/mustardlink/pool/PoolJob.java
+++ b/src/main/java/org/mustardlink/pool/PoolJob.java
@@ -27,7 +27,7 @@
      */
     private static final double EXPECTED_WEIGHT = 0.5;
 
-    private final JobOrder order;
+    private JobOrder order;
     private final long sequence;
     private final List<RequestId> requests = new ArrayList<>();
     private final ImmutableList<PoolTask> tasks;
@@ -78,6 +78,11 @@
         return order;
     }
 
+    /** Makes the job count as one of which an earlier master, or an earlier try, may have started tasks. */
+    void resume() {
+        order = order.with(order.remaining(), true, false);
+    }
+
     String id() {
         return order.job();
     }
--- a/src/main/java/org/mustardlink/pool/PoolTables.java
+++ b/src/main/java/org/mustardlink/pool/PoolTables.java
@@ -93,6 +93,11 @@
         return present.getOrDefault(task, Set.of()).stream().findFirst();
     }
 
+    /** Returns whether a run of any task of a job may be present somewhere. */
+    boolean mayRun(PoolJob job) {
+        return job.tasks().stream().anyMatch(task -> present.containsKey(task.name()));
+    }
+
     void add(PoolTarget target, Run run) {
         target.add(run);
         present.computeIfAbsent(run.id().task(), _task -> new HashSet<>()).add(new Present(target, run));
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -129,6 +129,10 @@
     /** Takes inherited runs of a job over, and ends of its tasks that an earlier master didn't see. */
     void adopt(PoolJob job, long now) {
         for (PoolTask task : job.tasks()) {
+            // A run of the same number would be rejected by the target, and an answer to the first taken for its
+            // answer.
+            tables.presentRun(task.name())
+                    .ifPresent(present -> task.skipTo(present.run().id().run()));
             if (task.state() != PoolTask.State.WAITING) {
                 continue;
             }
@@ -144,7 +148,6 @@
                                 * tables.slowness().of(present.target().kind()));
                         tables.remove(present.target(), present.run());
                         tables.add(present.target(), present.run().adoptedBy(task, now, expected));
-                        task.skipTo(present.run().id().run());
                         actions.jobChanged(
                                 job.id(),
                                 "run adopted",
--- a/src/test/java/org/mustardlink/pool/RecordedOrders.java
+++ b/src/test/java/org/mustardlink/pool/RecordedOrders.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Function;
 
 /** Keeps what a master orders, in order. */
 final class RecordedOrders implements PoolActions {
@@ -18,13 +19,12 @@
 
     /** Returns the first master of a pool, whose orders are kept here; no other pool has room. */
     PoolMaster masterOf(PoolId pool) {
-        return new PoolMaster(
-                pool,
-                FencingToken.of(1, 1),
-                new PoolBounds(Duration.ofSeconds(1)),
-                this,
-                _order -> Optional.empty(),
-                0);
+        return masterOf(pool, _order -> Optional.empty());
+    }
+
+    /** Returns the first master of a pool beside other pools that may have room. */
+    PoolMaster masterOf(PoolId pool, Function<JobOrder, Optional<PoolId>> otherPool) {
+        return new PoolMaster(pool, FencingToken.of(1, 1), new PoolBounds(Duration.ofSeconds(1)), this, otherPool, 0);
     }
 
     @Override
--- /dev/null
+++ b/src/test/java/org/mustardlink/pool/ResentJobTest.java
@@ -0,0 +1,138 @@
+package org.mustardlink.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** Tests what a master does with a job that its caller sends again while runs of the first try may be left. */
+final class ResentJobTest {
+    private static final PoolId POOL = new PoolId("yard", "east");
+    private static final PoolId OTHER_POOL = new PoolId("yard", "west");
+    private static final StepSpec STEP = new StepSpec(
+            1,
+            new Capacity(2_000, 1, 0),
+            Duration.ofMillis(50),
+            ImmutableList.of(),
+            Optional.empty(),
+            Integer.MAX_VALUE);
+
+    private final RecordedOrders recorder = new RecordedOrders();
+
+    private static long ms(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private static TargetEntry target(String id) {
+        return new TargetEntry(
+                id,
+                0,
+                InetSocketAddress.createUnresolved(id, 1),
+                POOL,
+                false,
+                new Capacity(2_000, 100, 0),
+                ImmutableSet.of("a"));
+    }
+
+    private static RunId firstRunOf(String job) {
+        return new RunId(new TaskName(job, 0, 0, 0), 1);
+    }
+
+    private static HoldReport report(long clockMs, RunId... running) {
+        ImmutableList.Builder<HoldReport.RunProgress> listed = ImmutableList.builder();
+        for (RunId run : running) {
+            listed.add(new HoldReport.RunProgress(run, 0));
+        }
+        return new HoldReport(clockMs, 0, listed.build(), ImmutableList.of());
+    }
+
+    private static JobOrder order(long request, String job) {
+        return JobOrders.of(request, job, STEP, true);
+    }
+
+    private PoolMaster masterBesideFreePool(TargetEntry... targets) {
+        PoolMaster master = recorder.masterOf(POOL, _order -> Optional.of(OTHER_POOL));
+        master.targetsListed(ImmutableList.copyOf(targets), 0);
+        master.tick(0);
+        return master;
+    }
+
+    /** Guards against a second run in another pool beside the one that this master has inherited. */
+    @Test
+    void a_job_with_an_inherited_run_is_taken_although_another_pool_has_room() {
+        PoolMaster master = masterBesideFreePool(target("t"));
+        RunId first = firstRunOf("job");
+        master.reported("t", recorder.takeHold(), report(1_001, first), ms(1));
+
+        master.submit(order(1, "job"), ms(2));
+        master.tick(ms(2));
+
+        assertThat(recorder.results).isEmpty();
+        master.reported(
+                "t",
+                recorder.takeHold(),
+                new HoldReport(
+                        1_020,
+                        0,
+                        ImmutableList.of(),
+                        ImmutableList.of(new HoldReport.RunEnd(1, first, HoldReport.How.DONE))),
+                ms(20));
+        assertThat(recorder.starts).isEmpty();
+        assertThat(recorder.results).containsExactly(new JobResult.Complete());
+    }
+
+    /** Guards against a second run in another pool beside one whose stop hasn't been carried out yet. */
+    @Test
+    void a_job_whose_first_try_is_being_stopped_is_taken_and_starts_when_that_run_is_gone() {
+        PoolMaster master = masterBesideFreePool(target("t"));
+        master.reported("t", recorder.takeHold(), report(1_001), ms(1));
+        master.submit(order(1, "job"), ms(2));
+        master.tick(ms(2));
+        RunId first = recorder.starts.get(0);
+        master.startAnswered("t", first, OrderVerdict.DONE, 1_003, ms(3));
+        master.withdraw(new RequestId("east-1", 1, 1), "job", ms(10));
+        recorder.results.clear();
+
+        master.submit(order(2, "job"), ms(11));
+        master.tick(ms(11));
+        assertThat(recorder.results).isEmpty();
+        assertThat(recorder.starts).hasSize(1);
+
+        master.reported(
+                "t",
+                recorder.takeHold(),
+                new HoldReport(
+                        1_060,
+                        0,
+                        ImmutableList.of(),
+                        ImmutableList.of(new HoldReport.RunEnd(1, first, HoldReport.How.STOPPED))),
+                ms(60));
+        master.tick(ms(60));
+        assertThat(recorder.starts).hasSize(2);
+        assertThat(recorder.starts.get(1).run()).isGreaterThan(first.run());
+    }
+
+    /** Guards against the answer "not run" to a job whose first try has run here. */
+    @Test
+    void a_job_that_was_taken_beside_a_run_of_its_first_try_is_never_refused_as_not_run() {
+        PoolMaster master = masterBesideFreePool(target("t"));
+        master.reported("t", recorder.takeHold(), report(1_001, firstRunOf("job")), ms(1));
+        master.handoverEnded();
+        master.tick(ms(20));
+        assertThat(recorder.stops).containsExactly(firstRunOf("job"));
+
+        master.submit(order(1, "job"), ms(21));
+        for (long at = 30; at <= 1_600; at += 10) {
+            master.tick(ms(at));
+        }
+
+        assertThat(recorder.starts).isEmpty();
+        assertThat(recorder.results).hasSize(1);
+        assertThat(recorder.results.get(0)).isInstanceOf(JobResult.Abandoned.class);
+    }
+}
