Let a known job count as resumed once a request says that an earlier master had it

Two requests of one job can be open: the caller's second try, which the new master takes as new, and the first one, whose front hands it over as resumed. The row kept what the first of the two had said. When that was "new", its tasks could start before every target had reported, beside runs of the first try on a target that hadn't yet.

A request that says resumed now makes the open job count so from then on: it starts nothing before every target has reported or the leases are over, and adopts inherited runs and their ends.

ResentJobTest (known job that is handed over as resumed) failed before: a start was ordered on the target that had reported, while the other one, which runs the task, had not.

--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -35,15 +35,21 @@
         this.otherPool = otherPool;
     }
 
-    /** Takes a job in; returns its row unless it is refused, redirected or known already. */
+    /** Takes a job in; returns its row unless it is refused or redirected, or is known and says nothing new. */
     Optional<PoolJob> submit(JobOrder order, long now) {
         Optional<PoolJob> known = tables.job(order.job());
         if (known.isPresent()) {
             // The caller sent the job again through another host, or the front repeats an order.
-            if (!known.get().requests().contains(order.request())) {
-                known.get().requests().add(order.request());
+            PoolJob job = known.get();
+            if (!job.requests().contains(order.request())) {
+                job.requests().add(order.request());
             }
-            return Optional.empty();
+            if (!order.resumed() || job.order().resumed()) {
+                return Optional.empty();
+            }
+            // Another request for it went to an earlier master, which may have started it.
+            job.resume();
+            return known;
         }
         PoolJob job = new PoolJob(
                 order,
--- a/src/test/java/org/mustardlink/pool/ResentJobTest.java
+++ b/src/test/java/org/mustardlink/pool/ResentJobTest.java
@@ -55,6 +55,11 @@
         return JobOrders.of(request, job, STEP, true);
     }
 
+    private static JobOrder resumed(long request, String job) {
+        JobOrder order = order(request, job);
+        return order.with(order.remaining(), true, false);
+    }
+
     private PoolMaster masterBesideFreePool(TargetEntry... targets) {
         PoolMaster master = recorder.masterOf(POOL, _order -> Optional.of(OTHER_POOL));
         master.targetsListed(ImmutableList.copyOf(targets), 0);
@@ -135,4 +140,41 @@
         assertThat(recorder.results).hasSize(1);
         assertThat(recorder.results.get(0)).isInstanceOf(JobResult.Abandoned.class);
     }
+
+    /** Guards against a second run: the repeated order says that an earlier master may have started the job. */
+    @Test
+    void a_known_job_that_is_handed_over_as_resumed_starts_nothing_before_every_target_has_reported() {
+        PoolMaster master = recorder.masterOf(POOL);
+        master.targetsListed(ImmutableList.of(target("t"), target("u")), 0);
+        master.tick(0);
+        long holdOfU = recorder.takeHold();
+        master.reported("t", recorder.takeHold(), report(1_001), ms(1));
+        master.submit(order(1, "other"), ms(2));
+        master.tick(ms(2));
+        RunId other = recorder.starts.get(0);
+        master.startAnswered("t", other, OrderVerdict.DONE, 1_003, ms(3));
+
+        master.submit(order(2, "job"), ms(4));
+        master.submit(resumed(3, "job"), ms(5));
+        master.reported(
+                "t",
+                recorder.lastHold("t").number(),
+                new HoldReport(
+                        1_020,
+                        0,
+                        ImmutableList.of(),
+                        ImmutableList.of(new HoldReport.RunEnd(1, other, HoldReport.How.DONE))),
+                ms(20));
+        master.tick(ms(20));
+        assertThat(recorder.starts).containsExactly(other);
+
+        RunId first = firstRunOf("job");
+        master.reported("u", holdOfU, report(501, first), ms(30));
+        master.tick(ms(30));
+        assertThat(recorder.starts).containsExactly(other);
+        assertThat(recorder.stops).isEmpty();
+        master.handoverEnded();
+        master.tick(ms(60));
+        assertThat(recorder.stops).isEmpty();
+    }
 }
