Log a job's size with its answer, and a pool's room with the end of each job

Which jobs of a kind are refused, and whether another pool had room at that moment, couldn't be read from the logs: request.answered lacked the number of tasks, their processors and declared times, and only heartbeats told a pool's load.

--- a/src/main/java/org/mustardlink/host/OpenRequests.java
+++ b/src/main/java/org/mustardlink/host/OpenRequests.java
@@ -61,6 +61,10 @@
                 .with(LogField.MASTER, master.host())
                 .with(LogField.ROUND, master.round())
                 .with(LogField.RESUMED, order.resumed())
+                .with(LogField.TASKS, request.order.tasks())
+                .with(LogField.TASK_CPU, request.order.widestTaskCpuMillis())
+                .with(LogField.CHAIN_MS, request.order.longestChain().toMillis())
+                .with(LogField.WORK, Math.round(request.order.work() / TimeUnit.SECONDS.toNanos(1)))
                 .with(LogField.CONFIG_VERSION, request.configVersion)
                 .with(LogField.AGE_MS, masterAgeMs)
                 .write();
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -310,6 +310,7 @@
         @Override
         public void finished(RequestId request, String job, JobResult result) {
             Long arrived = arrivals.remove(request);
+            PoolLoad load = load(pool, System.nanoTime()).orElse(PoolLoad.NONE);
             log.line(LogEvent.JOB_ENDED)
                     .with(LogField.JOB, job)
                     .with(LogField.POOL, pool)
@@ -317,6 +318,8 @@
                     .with(LogField.ANSWER, result.getClass().getSimpleName())
                     .with(LogField.REASON, result)
                     .with(LogField.ELAPSED_MS, arrived == null ? -1 : (System.nanoTime() - arrived) / 1_000_000)
+                    .with(LogField.FREE_CPU, load.freeCpuMillis())
+                    .with(LogField.WIDEST_CPU, load.widestCpuMillis())
                     .write();
             // A job that was redirected must not be taken when its order is repeated: it may run in the other pool.
             if (!(result instanceof JobResult.Moved)) {
--- a/src/main/java/org/mustardlink/observe/LogField.java
+++ b/src/main/java/org/mustardlink/observe/LogField.java
@@ -73,7 +73,19 @@
     /** Key of a record in the store. */
     KEY,
     /** Age of the newest input that decided, in milliseconds. */
-    AGE_MS;
+    AGE_MS,
+    /** Number of tasks of a job. */
+    TASKS,
+    /** Processors that the widest task of a job needs, in thousandths of a core. */
+    TASK_CPU,
+    /** Longest chain of declared running times of a job, in milliseconds. */
+    CHAIN_MS,
+    /** Declared processor time of a whole job, in thousandths of a core times seconds. */
+    WORK,
+    /** Free processors of a pool's targets less what its queue needs, in thousandths of a core. */
+    FREE_CPU,
+    /** Most free processors on one target of a pool, in thousandths of a core. */
+    WIDEST_CPU;
 
     /** Returns the stable name. */
     public String id() {
--- a/src/main/java/org/mustardlink/pool/JobOrder.java
+++ b/src/main/java/org/mustardlink/pool/JobOrder.java
@@ -68,6 +68,16 @@
                 .sum();
     }
 
+    /** Returns the number of tasks of all steps. */
+    public int tasks() {
+        return steps.stream().mapToInt(StepSpec::count).sum();
+    }
+
+    /** Returns the processors that the widest task needs, in thousandths of a core. */
+    public int widestTaskCpuMillis() {
+        return steps.stream().mapToInt(step -> step.need().cpuMillis()).max().orElseThrow();
+    }
+
     /** Returns the same order with less time, as resumed work, or bound to the pool that it is sent to. */
     public JobOrder with(Duration left, boolean isResumed, boolean canMove) {
         return new JobOrder(
