Let a master expect frequent heartbeats from a front before it gets its first job

Callers could see: a job that ran on for up to 2.9 s after its front was lost, beside its second try 1.3 s later. A host tells its heartbeats' interval to the masters that it uses with the next round of heartbeats, up to 0.1 s after the first job; lost within that time, it was missed only 0.9 s after the two seconds that it had announced before.

Cause: the bound on a front's silence rested on a message that came after the job. Class: safety that rests on timing.

Change: the heartbeat that announces frequent ones goes ahead of the first order on the same connection.

Measured: PeerMonitorTest.

--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -215,6 +215,20 @@
         watchersNanos = now - REVIEW_NANOS;
     }
 
+    /**
+     * Makes a host that is about to get a job one that notices this one's silence at once. The heartbeat that says so goes
+     * ahead of the job: a master that expects the next one in two seconds would let the job run on for that long after the
+     * loss of its front, while the caller sends it again after 1.3 s.
+     */
+    void watchedFromNowOn(String host, Supplier<Status> status, long now) {
+        Peer peer = peers.get(host);
+        if (peer == null || watchers.contains(host)) {
+            return;
+        }
+        watchers = ImmutableSet.<String>builder().addAll(watchers).add(host).build();
+        send(peer, status.get(), now);
+    }
+
     private void watch(Set<String> mastersInUse, long now) {
         boolean complete = mastersInUse.stream().allMatch(host -> host.equals(self.id()) || watchers.contains(host));
         if (complete && now - watchersNanos < REVIEW_NANOS) {
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -330,7 +330,7 @@
 
         @Override
         public void fenced(TargetEntry _target) {
-            loop.post(now -> ownership.fenced(pool, now));
+            onMaster((_master, now) -> ownership.fenced(pool, now));
         }
 
         @Override
--- /dev/null
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -0,0 +1,133 @@
+package org.mustardlink.host;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import com.google.common.collect.ImmutableMap;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.mustardlink.exercise.FreePorts;
+import org.mustardlink.link.PeerLinks;
+import org.mustardlink.link.PeerListener;
+import org.mustardlink.link.PeerMessage;
+import org.mustardlink.observe.EventLog;
+import org.mustardlink.ownership.Claim;
+import org.mustardlink.ownership.HostInfo;
+import org.mustardlink.ownership.OwnershipActions;
+import org.mustardlink.ownership.PoolOwnership;
+import org.mustardlink.pool.PoolId;
+
+/** Tests which heartbeats a host sends, over real links. */
+final class PeerMonitorTest {
+    private static final int LINES_PER_SECOND = 10;
+
+    private final List<PeerMessage> received = new CopyOnWriteArrayList<>();
+    private final HostInfo self = host("east-1", "east", 1);
+    private final HostInfo master = host("west-1", "west", 2);
+    private final AtomicBoolean connected = new AtomicBoolean();
+    private PeerLinks links;
+    private PeerLinks mastersLinks;
+    private PeerMonitor monitor;
+
+    private static HostInfo host(String id, String domain, long incarnation) {
+        return new HostInfo(id, domain, incarnation, "127.0.0.1:" + FreePorts.next(), 750);
+    }
+
+    @BeforeEach
+    void open() {
+        long now = System.nanoTime();
+        links = PeerLinks.start(self, new Ignoring() {
+            @Override
+            public void connected(String _host) {
+                connected.set(true);
+            }
+        });
+        mastersLinks = PeerLinks.start(master, new Recording());
+        PoolOwnership ownership = new PoolOwnership(self, new NoActions(), now);
+        monitor = new PeerMonitor(self, ownership, EventLog.create("east-1", "east", LINES_PER_SECOND), now);
+        monitor.use(links);
+        monitor.introduced(master, true, (_host, _now) -> {}, now);
+        await().untilTrue(connected);
+    }
+
+    @AfterEach
+    void close() {
+        links.close();
+        mastersLinks.close();
+    }
+
+    private static PeerMonitor.Status status() {
+        return new PeerMonitor.Status(false, ImmutableMap.of());
+    }
+
+    private List<Duration> nextHeartbeats() {
+        return received.stream()
+                .filter(PeerMessage.Heartbeat.class::isInstance)
+                .map(message -> ((PeerMessage.Heartbeat) message).next())
+                .toList();
+    }
+
+    /** Guards against a job that runs on beside its second try: its master learned too late how soon to miss its front. */
+    @Test
+    void a_master_knows_how_soon_to_expect_heartbeats_before_it_gets_a_job() {
+        long now = System.nanoTime();
+        monitor.connected(master.id(), now);
+        monitor.tick(PeerMonitorTest::status, Set::of, (_host, _now) -> {}, now);
+        await().until(() -> nextHeartbeats().size() == 1);
+        assertThat(nextHeartbeats()).containsExactly(Duration.ofSeconds(2));
+
+        monitor.watchedFromNowOn(master.id(), PeerMonitorTest::status, now);
+        links.send(master.id(), new PeerMessage.Cancel("job"));
+
+        await().until(() -> received.stream().anyMatch(PeerMessage.Cancel.class::isInstance));
+        assertThat(nextHeartbeats()).containsExactly(Duration.ofSeconds(2), Duration.ofMillis(100));
+        monitor.watchedFromNowOn(master.id(), PeerMonitorTest::status, now);
+        links.send(master.id(), new PeerMessage.Cancel("other"));
+        await().until(() -> received.contains(new PeerMessage.Cancel("other")));
+        assertThat(nextHeartbeats()).hasSize(2);
+    }
+
+    private static final class NoActions implements OwnershipActions {
+        @Override
+        public void writeClaim(Claim _claim) {}
+
+        @Override
+        public void probe(PoolId _pool) {}
+
+        @Override
+        public void acquired(Claim _claim) {}
+
+        @Override
+        public void released(PoolId _pool, String _why) {}
+    }
+
+    private static class Ignoring implements PeerListener {
+        @Override
+        public void received(HostInfo _sender, PeerMessage _message) {}
+
+        @Override
+        public void closed(HostInfo _sender) {}
+
+        @Override
+        public void malformed(String _why) {}
+
+        @Override
+        public void connected(String _host) {}
+
+        @Override
+        public void refused(String _host) {}
+    }
+
+    private final class Recording extends Ignoring {
+        @Override
+        public void received(HostInfo _sender, PeerMessage message) {
+            received.add(message);
+        }
+    }
+}
