Let the lease of a silent target run out

A target that stopped answering was asked for its report again every 0.1 s, each time with a new lease. By the master's reckoning that lease never ended: tasks of the target's runs waited until their jobs' deadline instead of starting elsewhere, and a target that had left the list was asked without end and kept its row and its runs. docs/platform.md promised the opposite.

The first request after a missed report still extends the lease, the later ones don't, so it ends about 1.7 s after the last report. An answered request is followed at once by one that extends it.

LateOrderTest (lease of a silent target) failed before: the request after 1.9 s of silence still carried a deadline ("expected to be empty but was present with value: 3820").

--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -15,6 +15,12 @@
     /** Pause before a lost report is asked for again, so that a dead target costs ten calls a second. */
     private static final long RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
+    /**
+     * A target that has missed this many reports in a row gets no longer lease, so that what runs there is over within a
+     * lease if the target is gone.
+     */
+    private static final int EXTENDED_MISSES = 2;
+
     private final PoolTables tables;
     private final PoolActions actions;
     private final RunSystem runs;
@@ -55,7 +61,8 @@
     private void hold(PoolTarget target, int waitMs, long now) {
         long number = ++holdNumber;
         target.opened(number, now);
-        OptionalLong deadline = target.clockKnown() ? OptionalLong.of(target.newDeadlineMs(now)) : OptionalLong.empty();
+        boolean extend = target.clockKnown() && target.misses() < EXTENDED_MISSES;
+        OptionalLong deadline = extend ? OptionalLong.of(target.newDeadlineMs(now)) : OptionalLong.empty();
         actions.hold(
                 target.entry(), new HoldOrder(number, target.fence().value(), deadline, target.acknowledged(), waitMs));
     }
--- /dev/null
+++ b/src/test/java/org/mustardlink/pool/LateOrderTest.java
@@ -0,0 +1,109 @@
+package org.mustardlink.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Tests what a master makes of orders without an answer, which a target may carry out seconds later. */
+final class LateOrderTest {
+    private static final PoolId POOL = new PoolId("yard", "east");
+
+    private static final StepSpec ONE_TASK = new StepSpec(
+            1,
+            new Capacity(1_000, 1, 0),
+            Duration.ofMillis(50),
+            ImmutableList.of(),
+            Optional.empty(),
+            Integer.MAX_VALUE);
+
+    private final RecordedOrders recorder = new RecordedOrders();
+    private final PoolMaster master = recorder.masterOf(POOL);
+
+    private static long ms(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private static TargetEntry target(String id, long bornMs) {
+        return new TargetEntry(
+                id,
+                bornMs,
+                InetSocketAddress.createUnresolved(id, 1),
+                POOL,
+                false,
+                new Capacity(2_000, 100, 0),
+                ImmutableSet.of("a"));
+    }
+
+    private static HoldReport report(long clockMs, RunId... running) {
+        ImmutableList.Builder<HoldReport.RunProgress> listed = ImmutableList.builder();
+        for (RunId run : running) {
+            listed.add(new HoldReport.RunProgress(run, 0));
+        }
+        return new HoldReport(clockMs, 0, listed.build(), ImmutableList.of());
+    }
+
+    private void answerHold(String target, HoldReport report, long now) {
+        master.reported(target, recorder.lastHold(target).number(), report, now);
+        master.tick(now);
+    }
+
+    private void missHold(String target, long now) {
+        master.reportFailed(target, recorder.lastHold(target).number(), OrderVerdict.UNKNOWN, now);
+        master.tick(now);
+    }
+
+    private RunId submitOneTask(long now) {
+        master.submit(JobOrders.of(1, "job", ONE_TASK, false), now);
+        master.tick(now);
+        return recorder.starts.get(recorder.starts.size() - 1);
+    }
+
+    /** Lets every request for a report of a target fail until a time. */
+    private void silence(String target, long fromMs, long untilMs) {
+        long answered = 0;
+        for (long at = fromMs; at <= untilMs; at += 10) {
+            master.tick(ms(at));
+            long number = recorder.lastHold(target).number();
+            if (number != answered) {
+                answered = number;
+                missHold(target, ms(at));
+            }
+        }
+    }
+
+    @BeforeEach
+    void takeTheTargetOver() {
+        master.targetsListed(ImmutableList.of(target("t", 0)), 0);
+        master.tick(0);
+        answerHold("t", report(1_000), ms(1));
+    }
+
+    /** Guards against targets that are gone and keep their rows, and against tasks that wait for them without end. */
+    @Test
+    void the_lease_of_a_silent_target_runs_out_although_its_report_is_asked_for_again() {
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.DONE, 1_003, ms(3));
+        master.targetsListed(ImmutableList.of(target("t", 0), target("u", 0)), ms(10));
+        master.tick(ms(10));
+        answerHold("u", report(7_000), ms(11));
+
+        silence("t", 20, 1_300);
+        answerHold("u", report(8_300), ms(1_310));
+        silence("t", 1_320, 1_900);
+        assertThat(recorder.lastHold("t").deadlineMs()).isEmpty();
+        master.targetsListed(ImmutableList.of(target("u", 0)), ms(1_900));
+        silence("t", 1_910, 3_000);
+
+        int holds = recorder.holdsOf("t");
+        master.tick(ms(5_000));
+        master.tick(ms(6_000));
+        assertThat(recorder.holdsOf("t")).isEqualTo(holds);
+    }
+}
--- a/src/test/java/org/mustardlink/pool/RecordedOrders.java
+++ b/src/test/java/org/mustardlink/pool/RecordedOrders.java
@@ -1,5 +1,7 @@
 package org.mustardlink.pool;
 
+import com.google.common.collect.HashMultiset;
+import com.google.common.collect.Multiset;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -14,8 +16,10 @@
     final List<String> startedOn = new ArrayList<>();
     final List<RunId> stops = new ArrayList<>();
     final List<JobResult> results = new ArrayList<>();
+    final List<String> fenced = new ArrayList<>();
     private final List<HoldOrder> holds = new ArrayList<>();
     private final Map<String, HoldOrder> lastHolds = new HashMap<>();
+    private final Multiset<String> heldTargets = HashMultiset.create();
 
     /** Returns the first master of a pool, whose orders are kept here; no other pool has room. */
     PoolMaster masterOf(PoolId pool) {
@@ -42,6 +46,7 @@
     public void hold(TargetEntry target, HoldOrder order) {
         holds.add(order);
         lastHolds.put(target.id(), order);
+        heldTargets.add(target.id());
     }
 
     @Override
@@ -50,7 +55,9 @@
     }
 
     @Override
-    public void fenced(TargetEntry _target) {}
+    public void fenced(TargetEntry target) {
+        fenced.add(target.id());
+    }
 
     @Override
     public void jobChanged(String _job, String _change, String _why) {}
@@ -63,6 +70,11 @@
         return holds.remove(holds.size() - 1).number();
     }
 
+    /** Returns how often a target's report was asked for. */
+    int holdsOf(String target) {
+        return heldTargets.count(target);
+    }
+
     /** Returns the newest request for a report of a target. */
     HoldOrder lastHold(String target) {
         return lastHolds.get(target);
