Raise a target's token after its runs were taken for over, and let no clock end a start without an answer

Three paths took a start that may still be carried out for over, and started its task elsewhere: - A report that came after the lease in the order ended an unanswered start that it didn't list.

An unanswered start is now stopped whatever the clock says. After the runs of a target were taken for over its token is raised, as after a restart, and it gets no tasks before it has reported under it; reports asked for under the earlier token don't count. A report under the raised token that doesn't list an unanswered start ends it, because the target refuses the order from then on. What a target has confirmed still ends with its lease.

LateOrderTest failed before in all four cases: a second start of the task without a stop of the first, on the same target, on another one and after a restart, and the same token after the lease.

--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -35,24 +35,33 @@
     /** Sends a report request to each target that has none open. */
     void tick(long now) {
         for (PoolTarget target : new ArrayList<>(tables.targets())) {
-            if (target.misses() > 0 && !target.fencedOut() && now >= target.leaseEndNanos()) {
-                runs.expireAll(target);
-                if (!target.listed()) {
-                    tables.drop(target);
-                    continue;
-                }
+            boolean silent = target.misses() > 0 && !target.fencedOut();
+            if (silent && now >= target.leaseEndNanos()) {
+                expire(target, now);
             }
             if (!target.listed() && target.runs().isEmpty()) {
                 tables.drop(target);
                 continue;
             }
             boolean wait = target.misses() > 0 && now - target.missedNanos() < RETRY_NANOS;
-            if (target.openHolds() == 0 && !wait) {
+            if (wait) {
+                continue;
+            }
+            if (target.openHolds() == 0) {
                 hold(target, target.taken() && target.misses() == 0 ? WAIT_MS : 0, now);
             }
         }
     }
 
+    private void expire(PoolTarget target, long now) {
+        if (!target.listed()) {
+            runs.dropAll(target);
+        } else if (target.runs().stream().anyMatch(run -> run.seen() || !run.orderedBefore(target.fence()))) {
+            runs.expireAll(target, now);
+            target.raiseFence();
+        }
+    }
+
     /** Asks a target for an immediate report. */
     void requestReport(PoolTarget target, long now) {
         hold(target, 0, now);
@@ -80,7 +89,7 @@
         if (report.bornMs() != 0
                 && target.entry().bornMs() != 0
                 && report.bornMs() != target.entry().bornMs()) {
-            restarted(target, report.bornMs());
+            restarted(target, report.bornMs(), now);
             return;
         }
         boolean newest = report.clockMs() >= target.clockMs();
@@ -97,11 +106,11 @@
     }
 
     /** Forgets an earlier life of a target: what ran there is gone. */
-    void restarted(PoolTarget target, long bornMs) {
+    void restarted(PoolTarget target, long bornMs, long now) {
         TargetEntry old = target.entry();
         target.update(new TargetEntry(
                 old.id(), bornMs, old.address(), old.pool(), old.draining(), old.capacity(), old.labels()));
-        runs.expireAll(target);
+        runs.expireAll(target, now);
         target.restart();
         actions.targetChanged(target.entry(), "restarted", "another life under the same id");
     }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -96,7 +96,7 @@
         }
         for (TargetEntry entry : entries) {
             checkArgument(entry.pool().equals(id.whole()), "not a target of the pool: %s", entry);
-            tables.target(entry.id()).ifPresentOrElse(target -> update(target, entry), () -> {
+            tables.target(entry.id()).ifPresentOrElse(target -> update(target, entry, now), () -> {
                 long lease = bounds.lease().toMillis();
                 String kind = entry.labels().stream().findFirst().orElse("");
                 tables.add(new PoolTarget(entry, fence, lease, tables.slowness().of(kind), now));
@@ -104,9 +104,9 @@
         }
     }
 
-    private void update(PoolTarget target, TargetEntry entry) {
+    private void update(PoolTarget target, TargetEntry entry, long now) {
         if (entry.bornMs() > target.entry().bornMs() && target.entry().bornMs() != 0) {
-            leases.restarted(target, entry.bornMs());
+            leases.restarted(target, entry.bornMs(), now);
         }
         if (entry.bornMs() < target.entry().bornMs()) {
             return;
--- a/src/main/java/org/mustardlink/pool/PoolTarget.java
+++ b/src/main/java/org/mustardlink/pool/PoolTarget.java
@@ -180,18 +180,23 @@
         taken = false;
     }
 
-    /** Forgets a life of the target that is over. */
+    /** Forgets a life of the target that is over; orders of before must not be carried out by the new one. */
     void restart() {
-        runs.clear();
-        used = Capacity.NONE;
         acknowledged = 0;
         clockMs = 0;
         maxDeadlineMs = 0;
-        openHolds.clear();
-        // Orders of before the restart must not be carried out by the new life.
+        raiseFence();
+        fencedOut = false;
+    }
+
+    /**
+     * Takes a higher token for the target, which then refuses every earlier order once it has seen it, and keeps new tasks
+     * away until it has. Reports that were asked for under the earlier token count no more.
+     */
+    void raiseFence() {
         fence = fence.next();
         taken = false;
-        fencedOut = false;
+        openHolds.clear();
     }
 
     int misses() {
--- a/src/main/java/org/mustardlink/pool/Run.java
+++ b/src/main/java/org/mustardlink/pool/Run.java
@@ -22,13 +22,14 @@
 
     private final RunId id;
     private final long orderedNanos;
-    private final long deadlineMs;
+    private final long fence;
     private final Optional<PoolTask> task;
     private final Capacity need;
     private final long expectedNanos;
     private State state;
     private long stateSince;
     private long confirmedClockMs;
+    private boolean seen;
     private boolean stopConfirmed;
     private long baseNanos;
     private int basePercent;
@@ -38,43 +39,39 @@
     private int looks;
 
     private Run(
-            RunId id,
-            Optional<PoolTask> task,
-            Capacity need,
-            State state,
-            long now,
-            long deadlineMs,
-            long expectedNanos) {
+            RunId id, Optional<PoolTask> task, Capacity need, State state, long now, long fence, long expectedNanos) {
         this.id = id;
         this.task = task;
         this.need = need;
         this.state = state;
         this.orderedNanos = now;
         this.stateSince = now;
-        this.deadlineMs = deadlineMs;
+        this.fence = fence;
         this.expectedNanos = expectedNanos;
         this.baseNanos = now;
         this.progressNanos = now;
         this.reportedNanos = now;
     }
 
-    /** Creates the row of a start that is being ordered. */
-    static Run ordered(RunId id, PoolTask task, long now, long deadlineMs, long expectedNanos) {
-        return new Run(id, Optional.of(task), task.spec().need(), State.STARTING, now, deadlineMs, expectedNanos);
+    /** Creates the row of a start that is being ordered under a fencing token. */
+    static Run ordered(RunId id, PoolTask task, long now, FencingToken token, long expectedNanos) {
+        return new Run(id, Optional.of(task), task.spec().need(), State.STARTING, now, token.value(), expectedNanos);
     }
 
     /** Creates the row of a run that an earlier master started; it takes the whole target until it is adopted. */
     static Run inherited(RunId id, Capacity whole, long now, long clockMs) {
-        Run run = new Run(id, Optional.empty(), whole, State.RUNNING, now, Long.MAX_VALUE, Long.MAX_VALUE);
+        Run run = new Run(id, Optional.empty(), whole, State.RUNNING, now, 0, Long.MAX_VALUE);
         run.confirmedClockMs = clockMs;
+        run.seen = true;
         return run;
     }
 
     /** Returns the row of this inherited run as one of a known task. */
     Run adoptedBy(PoolTask adopter, long now, long adoptedExpectedNanos) {
         Run run = new Run(
-                id, Optional.of(adopter), adopter.spec().need(), State.RUNNING, now, deadlineMs, adoptedExpectedNanos);
+                id, Optional.of(adopter), adopter.spec().need(), State.RUNNING, now, fence, adoptedExpectedNanos);
         run.confirmedClockMs = confirmedClockMs;
+        run.seen = true;
         run.basePercent = percent;
         run.percent = percent;
         return run;
@@ -109,8 +106,21 @@
         return orderedNanos;
     }
 
-    long deadlineMs() {
-        return deadlineMs;
+    /** Returns whether the target has carried the start out; until then the order may still be on its way. */
+    boolean seen() {
+        return seen;
+    }
+
+    /** Returns whether the start was ordered under a lower token than a given one. */
+    boolean orderedBefore(FencingToken token) {
+        return fence < token.value();
+    }
+
+    /** Notes that the token was raised while the start had no answer; only a report under the raised one tells more. */
+    void doubt(long now) {
+        become(State.UNKNOWN, now);
+        stopConfirmed = false;
+        confirmedClockMs = 0;
     }
 
     long expectedNanos() {
@@ -123,6 +133,7 @@
     }
 
     void confirm(long clockMs, long now) {
+        seen = true;
         confirmedClockMs = clockMs;
         if (state == State.STARTING || state == State.UNKNOWN) {
             become(State.RUNNING, now);
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -36,7 +37,7 @@
     /** Orders a start. */
     void start(PoolTarget target, PoolTask task, long now, long expectedNanos) {
         long deadlineMs = target.newDeadlineMs(now);
-        Run run = Run.ordered(task.nextRunId(), task, now, deadlineMs, expectedNanos);
+        Run run = Run.ordered(task.nextRunId(), task, now, target.fence(), expectedNanos);
         tables.add(target, run);
         task.become(PoolTask.State.ACTIVE);
         task.job().markStarted();
@@ -57,6 +58,9 @@
         if (run == null) {
             return false;
         }
+        if (run.orderedBefore(target.fence())) {
+            return supersededStartAnswered(target, run, verdict);
+        }
         if (verdict == OrderVerdict.DONE) {
             run.confirm(clockMs, now);
             return false;
@@ -89,6 +93,18 @@
         return verdict != OrderVerdict.OLD;
     }
 
+    /**
+     * Takes the answer to a start that was ordered before the token was raised. Which life of the target has answered isn't
+     * known, so only the next report tells whether a start that was carried out is still there.
+     */
+    private boolean supersededStartAnswered(PoolTarget target, Run run, OrderVerdict verdict) {
+        if (verdict == OrderVerdict.DONE || verdict.mayTakeEffect()) {
+            return true;
+        }
+        remove(target, run, "start answered " + verdict + " after the token was raised");
+        return false;
+    }
+
     /** Takes a report of a target. */
     void report(PoolTarget target, HoldReport report, long sentNanos, boolean newest, long now) {
         Set<RunId> listed = new HashSet<>();
@@ -162,13 +178,14 @@
     /** Handles a run that a report doesn't list. */
     private void missing(PoolTarget target, Run run, long clockMs, long sentNanos, long now) {
         boolean reportIsLater = clockMs > run.confirmedClockMs() && sentNanos >= run.stateSince();
+        // A target that reports under a raised token refuses the start from then on.
+        boolean neverStarts = !run.seen() && run.orderedBefore(target.fence());
         boolean over =
                 switch (run.state()) {
                     case STARTING -> false;
-                    // After its lease an order that arrives late is rejected.
-                    case UNKNOWN -> clockMs > run.deadlineMs();
+                    case UNKNOWN -> neverStarts;
                     case RUNNING -> clockMs > run.confirmedClockMs();
-                    case STOPPING -> run.stopConfirmed() && clockMs > run.confirmedClockMs();
+                    case STOPPING -> neverStarts || (run.stopConfirmed() && clockMs > run.confirmedClockMs());
                 };
         if (over) {
             remove(target, run, "not listed by the target while " + run.state());
@@ -263,13 +280,33 @@
         actions.targetChanged(target.entry(), "paused", why);
     }
 
-    /** Ends every run of a target whose leases have certainly expired or whose life is over. */
-    void expireAll(PoolTarget target) {
-        if (target.runs().isEmpty()) {
+    /** Ends every run of a target that is gone. */
+    void dropAll(PoolTarget target) {
+        expire(target, new ArrayList<>(target.runs()));
+    }
+
+    /**
+     * Ends the runs of a target whose leases have certainly expired or whose life is over. Starts without an answer may
+     * still be carried out, and stay until the target reports under a higher token.
+     */
+    void expireAll(PoolTarget target, long now) {
+        List<Run> over = new ArrayList<>();
+        for (Run run : target.runs()) {
+            if (run.seen()) {
+                over.add(run);
+            } else {
+                run.doubt(now);
+            }
+        }
+        expire(target, over);
+    }
+
+    private void expire(PoolTarget target, List<Run> over) {
+        if (over.isEmpty()) {
             return;
         }
-        actions.targetChanged(target.entry(), "expired", target.runs().size() + " runs are over with their lease");
-        for (Run run : new ArrayList<>(target.runs())) {
+        actions.targetChanged(target.entry(), "expired", over.size() + " runs are over with their lease");
+        for (Run run : over) {
             run.task().ifPresent(task -> task.avoid(target.entry().id()));
             remove(target, run, "the lease is over");
         }
@@ -286,10 +323,15 @@
         if (clockMs > 0) {
             target.hear(clockMs, now);
         }
+        Run run = target.run(id).orElse(null);
+        if (run == null || run.state() != Run.State.STOPPING) {
+            // The run is over, or the answer was given before the token was raised.
+            return false;
+        }
         if (verdict != OrderVerdict.DONE) {
             return false;
         }
-        target.run(id).ifPresent(run -> run.confirmStop(clockMs));
+        run.confirmStop(clockMs);
         return true;
     }
 
--- a/src/test/java/org/mustardlink/pool/LateOrderTest.java
+++ b/src/test/java/org/mustardlink/pool/LateOrderTest.java
@@ -85,6 +85,50 @@
         answerHold("t", report(1_000), ms(1));
     }
 
+    /** Guards against a second run: whether the lease in a late order still counts is the target's to judge. */
+    @Test
+    void a_start_without_an_answer_is_stopped_even_after_the_lease_that_it_carried() {
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.UNKNOWN, 0, ms(122));
+
+        answerHold("t", report(2_400), ms(1_401));
+
+        assertThat(recorder.starts).containsExactly(first);
+        assertThat(recorder.stops).containsExactly(first);
+    }
+
+    /** Guards against an order of before the lease's end that the target carries out once it is reachable again. */
+    @Test
+    void a_target_whose_runs_were_taken_for_over_is_taken_over_anew_with_a_higher_token() {
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.DONE, 1_003, ms(3));
+        long fence = recorder.lastHold("t").fence();
+
+        silence("t", 10, 3_000);
+
+        assertThat(recorder.lastHold("t").fence()).isGreaterThan(fence);
+    }
+
+    /** Guards against a second run beside a start that a target which can't be asked may still carry out. */
+    @Test
+    void a_start_without_an_answer_stays_until_the_target_reports_under_the_higher_token() {
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.UNKNOWN, 0, ms(122));
+        master.targetsListed(ImmutableList.of(target("t", 0), target("u", 0)), ms(130));
+        master.tick(ms(130));
+        answerHold("u", report(7_000), ms(131));
+
+        silence("t", 150, 2_500);
+        answerHold("u", report(9_500), ms(2_500));
+        master.submit(JobOrders.of(2, "job", ONE_TASK, false), ms(2_510));
+        master.tick(ms(2_510));
+        assertThat(recorder.starts).containsExactly(first);
+
+        master.tick(ms(2_600));
+        answerHold("t", report(3_600), ms(2_601));
+        assertThat(recorder.starts).hasSize(2);
+    }
+
     /** Guards against targets that are gone and keep their rows, and against tasks that wait for them without end. */
     @Test
     void the_lease_of_a_silent_target_runs_out_although_its_report_is_asked_for_again() {
@@ -106,4 +150,20 @@
         master.tick(ms(6_000));
         assertThat(recorder.holdsOf("t")).isEqualTo(holds);
     }
+
+    /** Guards against a start that the earlier life got and the next one carries out before it knows the raised token. */
+    @Test
+    void a_start_without_an_answer_outlasts_the_restart_of_its_target_until_the_next_report() {
+        master.targetsListed(ImmutableList.of(target("t", 100)), ms(2));
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.UNKNOWN, 0, ms(122));
+
+        master.targetsListed(ImmutableList.of(target("t", 200), target("u", 0)), ms(130));
+        master.tick(ms(130));
+        answerHold("u", report(7_000), ms(131));
+        assertThat(recorder.starts).containsExactly(first);
+
+        answerHold("t", new HoldReport(20, 200, ImmutableList.of(), ImmutableList.of()), ms(140));
+        assertThat(recorder.starts).hasSize(2);
+    }
 }
