Claim a pool anew when a target has used up its tokens

A claim has 256 tokens for each target, and each restart or lapse takes one. FencingToken.next returned the last one again without a word, so that orders of before a restart would have carried the newest token. It takes 255 restarts of one target under one claim, so callers of a master that lives for weeks would have seen it, if any.

Such a target now gets no orders, neither starts nor requests for reports, and the claim counts as fenced: the host claims the pool in a higher round, whose tokens are above all of before, and open jobs are handed on as after any claim.

LateOrderTest (no token left) failed before: no renewal was asked for.

--- a/src/main/java/org/mustardlink/pool/FencingToken.java
+++ b/src/main/java/org/mustardlink/pool/FencingToken.java
@@ -32,9 +32,14 @@
         return new FencingToken(round, 0, (int) (incarnation & ((1 << HOLDER_BITS) - 1)));
     }
 
+    /** Returns whether the round has no higher token left; a higher one needs another claim of the pool. */
+    public boolean isLast() {
+        return step == MAX_STEP;
+    }
+
     /** Returns the next token of the same round, or this one if the round has none left. */
     public FencingToken next() {
-        return step == MAX_STEP ? this : new FencingToken(round, step + 1, holder);
+        return isLast() ? this : new FencingToken(round, step + 1, holder);
     }
 
     /** Returns the number that targets compare. */
--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -47,7 +47,11 @@
             if (wait) {
                 continue;
             }
-            if (target.openHolds() == 0) {
+            if (target.exhausted()) {
+                // Asked again, because a renewed claim may lose against another one that isn't written in the end.
+                target.miss(now);
+                actions.fenced(target.entry());
+            } else if (target.openHolds() == 0) {
                 hold(target, target.taken() && target.misses() == 0 ? WAIT_MS : 0, now);
             }
         }
@@ -64,7 +68,9 @@
 
     /** Asks a target for an immediate report. */
     void requestReport(PoolTarget target, long now) {
-        hold(target, 0, now);
+        if (!target.exhausted()) {
+            hold(target, 0, now);
+        }
     }
 
     private void hold(PoolTarget target, int waitMs, long now) {
--- a/src/main/java/org/mustardlink/pool/PoolTarget.java
+++ b/src/main/java/org/mustardlink/pool/PoolTarget.java
@@ -31,6 +31,7 @@
     private FencingToken fence;
     private boolean taken;
     private boolean fencedOut;
+    private boolean exhausted;
     private long clockMs;
     private long clockAtNanos;
     private long maxDeadlineMs;
@@ -194,11 +195,17 @@
      * away until it has. Reports that were asked for under the earlier token count no more.
      */
     void raiseFence() {
+        exhausted = fence.isLast();
         fence = fence.next();
         taken = false;
         openHolds.clear();
     }
 
+    /** Returns whether the claim has no higher token left for the target, so that only a new claim can take it over. */
+    boolean exhausted() {
+        return exhausted;
+    }
+
     int misses() {
         return misses;
     }
--- a/src/test/java/org/mustardlink/pool/LateOrderTest.java
+++ b/src/test/java/org/mustardlink/pool/LateOrderTest.java
@@ -166,4 +166,24 @@
         answerHold("t", new HoldReport(20, 200, ImmutableList.of(), ImmutableList.of()), ms(140));
         assertThat(recorder.starts).hasSize(2);
     }
+
+    /** Guards against orders of before a restart that carry the newest token, because the claim has no higher one left. */
+    @Test
+    void a_target_for_which_the_claim_has_no_token_left_gets_no_orders_and_the_claim_is_renewed() {
+        for (int life = 1; life <= FencingToken.MAX_STEP + 1; life++) {
+            master.targetsListed(ImmutableList.of(target("t", life * 100L)), ms(10 * life));
+            master.tick(ms(10 * life));
+        }
+        assertThat(recorder.fenced).isEmpty();
+        int holds = recorder.holdsOf("t");
+
+        master.targetsListed(ImmutableList.of(target("t", 1_000_000)), ms(5_000));
+        master.tick(ms(5_000));
+
+        assertThat(recorder.fenced).containsExactly("t");
+        assertThat(recorder.holdsOf("t")).isEqualTo(holds);
+        master.tick(ms(5_200));
+        assertThat(recorder.fenced).hasSize(2);
+        assertThat(recorder.holdsOf("t")).isEqualTo(holds);
+    }
 }
