Keep the clock of a target's earlier life out of the next one

The answer to a start or a stop set the target's clock before the run was looked up. An answer of the life before a restart, which is handled after it, brought the earlier life's clock, which is ahead. Then no report of the new life counted as the newest, so runs that weren't listed never ended, and leases were computed from the wrong clock.

The run is looked up first: a run of the earlier life isn't there any more, and one whose start is still in doubt after the token was raised leaves the clock to the next report.

LateOrderTest (answer of an earlier life) failed before: the next request for a report carried a deadline of 501,004 ms for a target that was 20 ms old.

--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -51,16 +51,17 @@
 
     /** Takes the answer to a start, or its lack; returns whether the target should be asked for a report. */
     boolean startAnswered(PoolTarget target, RunId id, OrderVerdict verdict, long clockMs, long now) {
-        if (clockMs > 0) {
-            target.hear(clockMs, now);
-        }
         Run run = target.run(id).orElse(null);
         if (run == null) {
+            // The answer may come from an earlier life of the target, whose clock says nothing about this one.
             return false;
         }
         if (run.orderedBefore(target.fence())) {
             return supersededStartAnswered(target, run, verdict);
         }
+        if (clockMs > 0) {
+            target.hear(clockMs, now);
+        }
         if (verdict == OrderVerdict.DONE) {
             run.confirm(clockMs, now);
             return false;
@@ -320,14 +321,14 @@
 
     /** Takes the answer to a stop; returns whether the target should be asked for a report. */
     boolean stopAnswered(PoolTarget target, RunId id, OrderVerdict verdict, long clockMs, long now) {
-        if (clockMs > 0) {
-            target.hear(clockMs, now);
-        }
         Run run = target.run(id).orElse(null);
         if (run == null || run.state() != Run.State.STOPPING) {
             // The run is over, or the answer was given before the token was raised.
             return false;
         }
+        if (clockMs > 0) {
+            target.hear(clockMs, now);
+        }
         if (verdict != OrderVerdict.DONE) {
             return false;
         }
--- a/src/test/java/org/mustardlink/pool/LateOrderTest.java
+++ b/src/test/java/org/mustardlink/pool/LateOrderTest.java
@@ -167,6 +167,23 @@
         assertThat(recorder.starts).hasSize(2);
     }
 
+    /** Guards against a clock of the earlier life, after which no report of the next one counts as the newest. */
+    @Test
+    void an_answer_of_an_earlier_life_does_not_set_the_clock_of_the_next_one() {
+        master.targetsListed(ImmutableList.of(target("t", 100)), ms(2));
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.DONE, 500_000, ms(3));
+        master.withdraw(new RequestId("east-1", 1, 1), "job", ms(4));
+        master.targetsListed(ImmutableList.of(target("t", 200)), ms(5));
+        master.tick(ms(5));
+
+        master.stopAnswered("t", first, OrderVerdict.DONE, 500_004, ms(6));
+        answerHold("t", new HoldReport(20, 200, ImmutableList.of(), ImmutableList.of()), ms(7));
+        master.tick(ms(8));
+
+        assertThat(recorder.lastHold("t").deadlineMs().getAsLong()).isLessThan(2_000L);
+    }
+
     /** Guards against orders of before a restart that carry the newest token, because the claim has no higher one left. */
     @Test
     void a_target_for_which_the_claim_has_no_token_left_gets_no_orders_and_the_claim_is_renewed() {
