Let resumed jobs wait for the leases while the list of targets may lack some

A new master starts tasks of resumed jobs as soon as every target that it knows has reported. A host that has just started knows only the entries that are listed then. Entries lapse while the store is away and come back within two seconds; one of a target that was draining vanishes while the target runs on for seconds. A task that runs on such a target under the earlier master's lease got a second run.

Resumed jobs go early only when the list has been known, with the store there, for longer than the entry of any target is kept after it vanished (TargetDirectory.DRAINED_NANOS, 12 s, which covers the 3 s of targets that weren't draining). Before that they wait for the lease time, 1.05 s after the claim; running tasks are adopted at once as before. The cost: tasks of resumed jobs that hadn't started wait that long at a takeover by a host in its first 12 s.

ResentJobTest (list that may lack targets) fails with the guard taken out: the start was ordered at the first report. TargetDirectoryTest covers the time, also with the store away.

--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -122,6 +122,7 @@
                 bounds,
                 new Orders(pool, claim.round(), ownership),
                 order -> otherPool.find(pool, order),
+                targets::complete,
                 now);
         masters.put(pool, master);
         master.targetsListed(targets.targets(pool), now);
--- a/src/main/java/org/mustardlink/host/TargetDirectory.java
+++ b/src/main/java/org/mustardlink/host/TargetDirectory.java
@@ -37,6 +37,8 @@
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private final Map<String, Long> vanished = new HashMap<>();
     private boolean known;
+    /** Since when the list has been known and the store there; fixed once the list is complete. */
+    private long knownSinceNanos;
 
     TargetDirectory(EventLog log) {
         this.log = log;
@@ -47,6 +49,14 @@
         return known;
     }
 
+    /**
+     * Returns whether the list names every target that may still run something: it has been known for as long as the entry
+     * of any target is kept after it vanished. Entries that had lapsed before the list was read are back within that time.
+     */
+    boolean complete(long now) {
+        return known && now - knownSinceNanos > DRAINED_NANOS;
+    }
+
     /**
      * Takes records of the list; returns whether any of them says something new.
      *
@@ -55,7 +65,10 @@
     @CanIgnoreReturnValue
     boolean take(ImmutableList<KeyedRecord> records, boolean whole, long now) {
         boolean changed = !known;
-        known = true;
+        if (!known) {
+            known = true;
+            knownSinceNanos = now;
+        }
         Set<String> seen = new HashSet<>();
         for (KeyedRecord record : records) {
             Optional<TargetEntry> entry = record.value().isEmpty() ? Optional.empty() : decode(record);
@@ -87,6 +100,9 @@
     /** Drops the targets whose entries vanished long ago, unless the store is away and can't tell. */
     boolean expire(boolean storeReachable, long now) {
         if (!storeReachable) {
+            if (!complete(now)) {
+                knownSinceNanos = now;
+            }
             vanished.replaceAll((_id, _since) -> now);
             return false;
         }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
 
 /**
  * The master of one pool: takes jobs from fronts, starts their tasks on the pool's targets, and reports how they end.
@@ -34,6 +35,7 @@
     private final RunSystem runs;
     private final LeaseSystem leases;
     private final PoolBounds bounds;
+    private final LongPredicate listComplete;
     private final PlacementSystem placement;
     private final ProgressSystem progress;
     private final long resumeNanos;
@@ -49,6 +51,7 @@
      * @param bounds times that the platform guarantees
      * @param actions carries orders out
      * @param otherPool returns another pool that can start a whole job now
+     * @param listComplete returns whether the list of targets lacks none at a time that may still run something
      * @param now the time
      */
     public PoolMaster(
@@ -57,6 +60,7 @@
             PoolBounds bounds,
             PoolActions actions,
             Function<JobOrder, Optional<PoolId>> otherPool,
+            LongPredicate listComplete,
             long now) {
         this.id = checkNotNull(id, "id");
         this.fence = checkNotNull(fence, "fence");
@@ -66,6 +70,7 @@
         this.runs = new RunSystem(tables, actions, jobs);
         this.leases = new LeaseSystem(tables, actions, runs);
         this.bounds = checkNotNull(bounds, "bounds");
+        this.listComplete = checkNotNull(listComplete, "listComplete");
         this.placement = new PlacementSystem(tables, runs);
         this.progress = new ProgressSystem(tables, runs, leases, placement);
         // Every lease that an earlier master granted is over by then; a target's clock may be 2% slow.
@@ -217,11 +222,15 @@
     }
 
     private void place(long now) {
-        boolean allTaken = tables.targets().stream().allMatch(PoolTarget::taken);
-        placement.tick(now, allTaken || now > resumeNanos);
+        placement.tick(now, now > resumeNanos || allTaken(now));
         placedNanos = tables.queue().isEmpty() ? now - PLACE_NANOS : now;
     }
 
+    /** Returns whether every target that may run something for an earlier master has reported. */
+    private boolean allTaken(long now) {
+        return listComplete.test(now) && tables.targets().stream().allMatch(PoolTarget::taken);
+    }
+
     private void checkRuns(long now) {
         runs.tick(now);
         progress.tick(now);
--- a/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
+++ b/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
@@ -74,4 +74,29 @@
 
         assertThat(directory.targets(EAST)).hasSize(2);
     }
+
+    /** Guards against a new host that takes what it has just read for all targets that may still run something. */
+    @Test
+    void a_list_is_complete_when_no_entry_that_vanished_before_it_was_read_can_still_be_that_of_a_live_target() {
+        assertThat(directory.complete(seconds(100))).isFalse();
+        take(entry("t", "ready"), seconds(100));
+
+        directory.expire(true, seconds(111));
+        assertThat(directory.complete(seconds(111))).isFalse();
+        directory.expire(true, seconds(113));
+        assertThat(directory.complete(seconds(113))).isTrue();
+    }
+
+    @Test
+    void a_list_is_not_complete_before_the_store_has_been_there_for_long_enough_to_get_lapsed_entries_back() {
+        take(entry("t", "ready"), 0);
+        directory.expire(false, seconds(11));
+        assertThat(directory.complete(seconds(13))).isFalse();
+        directory.expire(true, seconds(14));
+        assertThat(directory.complete(seconds(22))).isFalse();
+        assertThat(directory.complete(seconds(24))).isTrue();
+
+        directory.expire(false, seconds(25));
+        assertThat(directory.complete(seconds(26))).isTrue();
+    }
 }
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -145,6 +145,7 @@
                 new PoolBounds(Duration.ofSeconds(1)),
                 actions,
                 order -> otherPool(pool, order),
+                _now -> true,
                 now);
         actions.master.targetsListed(entriesOf.get(pool), now);
         masters.put(pool, actions.master);
--- a/src/test/java/org/mustardlink/pool/RecordedOrders.java
+++ b/src/test/java/org/mustardlink/pool/RecordedOrders.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
+import java.util.function.LongPredicate;
 
 /** Keeps what a master orders, in order. */
 final class RecordedOrders implements PoolActions {
@@ -28,7 +29,13 @@
 
     /** Returns the first master of a pool beside other pools that may have room. */
     PoolMaster masterOf(PoolId pool, Function<JobOrder, Optional<PoolId>> otherPool) {
-        return new PoolMaster(pool, FencingToken.of(1, 1), new PoolBounds(Duration.ofSeconds(1)), this, otherPool, 0);
+        return masterOf(pool, otherPool, _now -> true);
+    }
+
+    /** Returns the first master of a pool whose list of targets may be incomplete. */
+    PoolMaster masterOf(PoolId pool, Function<JobOrder, Optional<PoolId>> otherPool, LongPredicate listComplete) {
+        return new PoolMaster(
+                pool, FencingToken.of(1, 1), new PoolBounds(Duration.ofSeconds(1)), this, otherPool, listComplete, 0);
     }
 
     @Override
--- a/src/test/java/org/mustardlink/pool/ResentJobTest.java
+++ b/src/test/java/org/mustardlink/pool/ResentJobTest.java
@@ -177,4 +177,22 @@
         master.tick(ms(60));
         assertThat(recorder.stops).isEmpty();
     }
+
+    /** Guards against a second run beside one on a target that has only vanished from the list while the store was away. */
+    @Test
+    void a_resumed_job_waits_for_the_lease_time_while_the_list_of_targets_may_lack_some() {
+        PoolMaster master = recorder.masterOf(POOL, _order -> Optional.empty(), _now -> false);
+        master.targetsListed(ImmutableList.of(target("t")), 0);
+        master.tick(0);
+        master.reported("t", recorder.takeHold(), report(1_001), ms(1));
+        master.submit(resumed(1, "job"), ms(2));
+        master.tick(ms(2));
+        master.tick(ms(1_000));
+        assertThat(recorder.starts).isEmpty();
+
+        master.reported("t", recorder.takeHold(), report(2_060), ms(1_060));
+        master.tick(ms(1_070));
+
+        assertThat(recorder.starts).hasSize(1);
+    }
 }
