Count the time for handing jobs over from the claim, not from each target's report

Inherited runs that no front hands over were stopped 0.7 s after the report that listed them. A target that reports 0.6 s after the claim kept such a run until 1.3 s after it, and beyond the 1.3 s after which callers whose connections had broken send their jobs again, through any host and so to any pool. There it started beside the inherited run.

The bound is now 0.7 s after the claim: 1.3 s less 0.5 s in which a silent master is noticed and its pool claimed, less 0.1 s for the stop. A job that has been handed over adopts its runs whenever they are reported, as before. A takeover that takes longer than 0.5 s isn't covered by the bound; what runs then has at most the rest of the earlier master's lease.

ResentJobTest (run that a target reports late) failed before: no stop 0.71 s after the claim.

--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -67,7 +67,7 @@
         this.actions = checkNotNull(actions, "actions");
         this.tables = new PoolTables();
         this.jobs = new JobSystem(tables, actions, otherPool);
-        this.runs = new RunSystem(tables, actions, jobs);
+        this.runs = new RunSystem(tables, actions, jobs, now);
         this.leases = new LeaseSystem(tables, actions, runs);
         this.bounds = checkNotNull(bounds, "bounds");
         this.listComplete = checkNotNull(listComplete, "listComplete");
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -17,21 +17,32 @@
     private static final long OVERDUE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Pause between stop orders for one run; a target takes at most 50 ms to carry one out. */
     private static final long STOP_RETRY_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
-    /** Time for the fronts of an earlier master to hand their jobs to this one before inherited runs are stopped. */
-    private static final long ADOPTION_NANOS = TimeUnit.MILLISECONDS.toNanos(700);
+    /**
+     * Time after the claim for the fronts of an earlier master to hand their jobs over before inherited runs are stopped.
+     * Callers whose connections broke with that master send their jobs again after 1.3 s; a silent master is noticed and its
+     * pool claimed after 0.5 s, and a stop and its report take up to 0.1 s.
+     */
+    private static final long ADOPTION_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300 - 500 - 100);
     /** How long ends that no open job waits for are remembered for a job that is handed over. */
     private static final long ORPHAN_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final PoolTables tables;
     private final PoolActions actions;
     private final JobSystem jobs;
+    private final long adoptionEndNanos;
     private final Map<TaskName, Long> orphanDone = new HashMap<>();
     private boolean handoverEnded;
 
-    RunSystem(PoolTables tables, PoolActions actions, JobSystem jobs) {
+    /**
+     * Creates the system.
+     *
+     * @param claimedNanos when this host became the master
+     */
+    RunSystem(PoolTables tables, PoolActions actions, JobSystem jobs, long claimedNanos) {
         this.tables = tables;
         this.actions = actions;
         this.jobs = jobs;
+        this.adoptionEndNanos = claimedNanos + ADOPTION_NANOS;
     }
 
     /** Orders a start. */
@@ -376,7 +387,7 @@
             return;
         }
         if (run.task().isEmpty()) {
-            if (handoverEnded || now - run.stateSince() > ADOPTION_NANOS) {
+            if (handoverEnded || now > adoptionEndNanos) {
                 actions.jobChanged(
                         run.id().task().job(),
                         "inherited run stopped",
--- a/src/test/java/org/mustardlink/pool/ResentJobTest.java
+++ b/src/test/java/org/mustardlink/pool/ResentJobTest.java
@@ -195,4 +195,19 @@
 
         assertThat(recorder.starts).hasSize(1);
     }
+
+    /** Guards against inherited runs that outlive the pause of 1.3 s after which callers send their jobs again. */
+    @Test
+    void an_inherited_run_that_a_target_reports_late_is_stopped_as_soon_after_the_claim_as_any_other() {
+        PoolMaster master = recorder.masterOf(POOL);
+        master.targetsListed(ImmutableList.of(target("t")), 0);
+        master.tick(0);
+        master.reported("t", recorder.takeHold(), report(1_600, firstRunOf("job")), ms(600));
+        master.tick(ms(690));
+        assertThat(recorder.stops).isEmpty();
+
+        master.tick(ms(710));
+
+        assertThat(recorder.stops).containsExactly(firstRunOf("job"));
+    }
 }
