--- a/src/main/java/org/mustardlink/observe/StandardOutputLogs.java
+++ b/src/main/java/org/mustardlink/observe/StandardOutputLogs.java
@@ -69,6 +69,8 @@
                     .setName(CONSOLE)
                     .setLayout(new JsonLineLayout())
                     .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
+                    // Lines that wait together leave with one system call; the last line of a queue is never held back.
+                    .setImmediateFlush(false)
                     .setConfiguration(this)
                     .build();
             console.start();
--- /dev/null
+++ b/src/test/java/org/mustardlink/observe/JsonLineLayoutTest.java
@@ -0,0 +1,36 @@
+package org.mustardlink.observe;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Instant;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
+import java.util.Random;
+import org.apache.logging.log4j.message.AsynchronouslyFormattable;
+import org.junit.jupiter.api.Test;
+
+class JsonLineLayoutTest {
+    private static final DateTimeFormatter WHOLE =
+            DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
+
+    /** Guards against a second that is kept for a line of another one, also where the time of day jumps back. */
+    @Test
+    void the_time_of_a_line_is_that_of_a_formatter_without_memory() {
+        JsonLineLayout layout = new JsonLineLayout();
+        Random random = new Random(7);
+        long millis = Instant.parse("2026-12-31T23:59:58.998Z").toEpochMilli();
+        for (int i = 0; i < 20_000; i++) {
+            millis += random.nextInt(100) == 0 ? random.nextInt(10_000) - 5_000 : random.nextInt(3);
+            StringBuilder line = new StringBuilder();
+            layout.appendTime(line, millis);
+            assertThat(line.toString()).isEqualTo(WHOLE.format(Instant.ofEpochMilli(millis)));
+        }
+    }
+
+    /** Guards against a text that is formed for nothing on the thread that logs, which is the one that decides. */
+    @Test
+    void the_fields_of_a_line_are_formatted_by_the_thread_that_writes_it() {
+        assertThat(EventMessage.class.isAnnotationPresent(AsynchronouslyFormattable.class))
+                .isTrue();
+    }
+}
