Write the equality of targets, hosts and amounts by hand, keep expected times, and count rooms in one step

Cause: cost that follows looks instead of work. Without the second compiler a record's generated methods are chains of method handles that are linked in each new process and never inlined; a target's kind was found through a stream for each task and target; the expected time of a task took two logarithms and two exponentials for each target it was compared with; rooms were counted by taking a need away up to a thousand times.

Change: equality by hand as for the keys of tables, the kind through the label itself, one answer kept for each queue's expected time and one work factor for each job, rooms by division.

--- a/src/main/java/org/mustardlink/observe/EntryMetrics.java
+++ b/src/main/java/org/mustardlink/observe/EntryMetrics.java
@@ -33,10 +33,12 @@
 
     private static final long LOWEST_NANOS = 1_000;
     private static final long HIGHEST_NANOS = TimeUnit.HOURS.toNanos(1);
-    private static final CharMatcher LABEL = CharMatcher.inRange('a', 'z')
+    private static final CharMatcher NOT_IN_LABEL = CharMatcher.inRange('a', 'z')
             .or(CharMatcher.inRange('A', 'Z'))
             .or(CharMatcher.inRange('0', '9'))
-            .or(CharMatcher.anyOf("_-"));
+            .or(CharMatcher.anyOf("_-"))
+            .negate()
+            .precomputed();
 
     private final MetricRegistry registry = new MetricRegistry();
     private final Map<Series, Timer> series = new ConcurrentHashMap<>();
@@ -59,7 +61,18 @@
         gauge("heap_max_bytes", () -> heap().getMax());
     }
 
-    private record Series(String team, String jobClass) {}
+    private record Series(String team, String jobClass) {
+        // Looked up for each answer: generated methods of records are several times slower without the second compiler.
+        @Override
+        public boolean equals(Object object) {
+            return object instanceof Series other && team.equals(other.team) && jobClass.equals(other.jobClass);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * team.hashCode() + jobClass.hashCode();
+        }
+    }
 
     /**
      * Creates empty metrics.
@@ -147,7 +160,7 @@
 
     /** A dot would split the name of a metric, so it and other characters become underscores. */
     private static String label(String text) {
-        String cleaned = LABEL.negate().replaceFrom(text, '_');
+        String cleaned = NOT_IN_LABEL.replaceFrom(text, '_');
         return cleaned.isEmpty() ? "none" : cleaned;
     }
 
--- a/src/main/java/org/mustardlink/ownership/HostInfo.java
+++ b/src/main/java/org/mustardlink/ownership/HostInfo.java
@@ -17,4 +17,23 @@
         checkNotNull(domain, "domain");
         checkNotNull(address, "address");
     }
+
+    // Compared at each look at who comes first for a pool: generated methods of records are several times slower
+    // without the
+    // second compiler.
+    @Override
+    public boolean equals(Object object) {
+        return this == object
+                || (object instanceof HostInfo other
+                        && incarnation == other.incarnation
+                        && cpuMillis == other.cpuMillis
+                        && id.equals(other.id)
+                        && domain.equals(other.domain)
+                        && address.equals(other.address));
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * id.hashCode() + Long.hashCode(incarnation);
+    }
 }
--- a/src/main/java/org/mustardlink/pool/Capacity.java
+++ b/src/main/java/org/mustardlink/pool/Capacity.java
@@ -29,11 +29,12 @@
 
     /** Returns how many times this amount holds another one, {@link #MAX_ROOMS} at most. */
     public int rooms(Capacity other) {
-        int rooms = 0;
-        for (Capacity left = this; rooms < MAX_ROOMS && left.holds(other); left = left.minus(other)) {
-            rooms++;
-        }
-        return rooms;
+        return Math.min(
+                rooms(cpuMillis, other.cpuMillis), Math.min(rooms(memoryMb, other.memoryMb), rooms(gpus, other.gpus)));
+    }
+
+    private static int rooms(int amount, int need) {
+        return need == 0 ? MAX_ROOMS : Math.min(MAX_ROOMS, amount / need);
     }
 
     /** Returns the sum. */
@@ -48,4 +49,20 @@
                 Math.max(0, memoryMb - other.memoryMb),
                 Math.max(0, gpus - other.gpus));
     }
+
+    // Compared with each entry of a target: generated methods of records are several times slower without the second
+    // compiler.
+    @Override
+    public boolean equals(Object object) {
+        return this == object
+                || (object instanceof Capacity other
+                        && cpuMillis == other.cpuMillis
+                        && memoryMb == other.memoryMb
+                        && gpus == other.gpus);
+    }
+
+    @Override
+    public int hashCode() {
+        return (31 * cpuMillis + memoryMb) * 31 + gpus;
+    }
 }
--- a/src/main/java/org/mustardlink/pool/PoolJob.java
+++ b/src/main/java/org/mustardlink/pool/PoolJob.java
@@ -41,6 +41,9 @@
     private boolean closed;
     private double observedLog;
     private int observed;
+    /** Kept, because placement asks for it once for each waiting task and target. */
+    private double workFactor = 1;
+
     private Optional<String> lost = Optional.empty();
 
     /**
@@ -144,11 +147,12 @@
     void observe(double factor) {
         observedLog += Math.log(factor);
         observed++;
+        workFactor = Math.exp(observedLog / (observed + EXPECTED_WEIGHT));
     }
 
     /** Returns the work of its tasks relative to what was expected at first; tasks of a job are much alike. */
     double workFactor() {
-        return Math.exp(observedLog / (observed + EXPECTED_WEIGHT));
+        return workFactor;
     }
 
     /** Returns why the job can't end before its caller's deadline any more, if that is known. */
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -103,8 +103,7 @@
             checkArgument(entry.pool().equals(id.whole()), "not a target of the pool: %s", entry);
             tables.target(entry.id()).ifPresentOrElse(target -> update(target, entry, now), () -> {
                 long lease = bounds.lease().toMillis();
-                String kind = entry.labels().stream().findFirst().orElse("");
-                tables.add(new PoolTarget(entry, fence, lease, tables.slowness().of(kind), now));
+                tables.add(new PoolTarget(entry, fence, lease, tables.slowness().of(entry.kind()), now));
             });
         }
     }
--- a/src/main/java/org/mustardlink/pool/PoolTables.java
+++ b/src/main/java/org/mustardlink/pool/PoolTables.java
@@ -25,7 +25,19 @@
     private long jobSequence;
 
     /** A run and the target on which it may be. */
-    record Present(PoolTarget target, Run run) {}
+    record Present(PoolTarget target, Run run) {
+        // Part of a set for each run: generated methods of records are several times slower without the second
+        // compiler.
+        @Override
+        public boolean equals(Object object) {
+            return object instanceof Present other && target.equals(other.target) && run.equals(other.run);
+        }
+
+        @Override
+        public int hashCode() {
+            return 31 * target.hashCode() + run.hashCode();
+        }
+    }
 
     Collection<PoolTarget> targets() {
         return targets.values();
--- a/src/main/java/org/mustardlink/pool/PoolTarget.java
+++ b/src/main/java/org/mustardlink/pool/PoolTarget.java
@@ -81,7 +81,7 @@
     }
 
     String kind() {
-        return entry.labels().stream().findFirst().orElse("");
+        return entry.kind();
     }
 
     FencingToken fence() {
--- a/src/main/java/org/mustardlink/pool/RunningTimes.java
+++ b/src/main/java/org/mustardlink/pool/RunningTimes.java
@@ -23,6 +23,11 @@
     private static final class Usual {
         private double logNanos;
         private int samples;
+        /** The last answer and what it depends on; placement asks for one task's time once for each target. */
+        private long answeredDeclaredNanos;
+
+        private int answeredSamples;
+        private long answeredNanos;
     }
 
     /** Takes the running time of a task as it would have been on a target of usual speed. */
@@ -39,7 +44,13 @@
         if (usual == null || usual.samples < MIN_SAMPLES || declared.isZero()) {
             return declared.toNanos();
         }
-        double log = DECLARED_WEIGHT * Math.log((double) declared.toNanos()) + (1 - DECLARED_WEIGHT) * usual.logNanos;
-        return (long) Math.exp(log);
+        long declaredNanos = declared.toNanos();
+        if (usual.answeredSamples != usual.samples || usual.answeredDeclaredNanos != declaredNanos) {
+            double log = DECLARED_WEIGHT * Math.log((double) declaredNanos) + (1 - DECLARED_WEIGHT) * usual.logNanos;
+            usual.answeredNanos = (long) Math.exp(log);
+            usual.answeredSamples = usual.samples;
+            usual.answeredDeclaredNanos = declaredNanos;
+        }
+        return usual.answeredNanos;
     }
 }
--- a/src/main/java/org/mustardlink/pool/TargetEntry.java
+++ b/src/main/java/org/mustardlink/pool/TargetEntry.java
@@ -31,4 +31,30 @@
         checkNotNull(capacity, "capacity");
         checkNotNull(labels, "labels");
     }
+
+    /** Returns the kind of target, empty if the platform lists no labels. */
+    public String kind() {
+        return labels.isEmpty() ? "" : labels.asList().get(0);
+    }
+
+    // Compared for each target whenever the list is read: generated methods of records are several times slower without
+    // the
+    // second compiler, and linking them takes a part of a host's start.
+    @Override
+    public boolean equals(Object object) {
+        return this == object
+                || (object instanceof TargetEntry other
+                        && bornMs == other.bornMs
+                        && draining == other.draining
+                        && id.equals(other.id)
+                        && address.equals(other.address)
+                        && pool.equals(other.pool)
+                        && capacity.equals(other.capacity)
+                        && labels.equals(other.labels));
+    }
+
+    @Override
+    public int hashCode() {
+        return 31 * id.hashCode() + Long.hashCode(bornMs);
+    }
 }
--- a/src/test/java/org/mustardlink/pool/KeyEqualityTest.java
+++ b/src/test/java/org/mustardlink/pool/KeyEqualityTest.java
@@ -3,17 +3,30 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.google.common.collect.ImmutableSet;
 import java.lang.reflect.RecordComponent;
+import java.net.InetSocketAddress;
 import java.util.Arrays;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardlink.ownership.Claim;
+import org.mustardlink.ownership.HostInfo;
 
 /** Tests the equality of records that is written by hand. */
 final class KeyEqualityTest {
     /** Guards against a component that equality leaves out: two keys would share one row of a table. */
     @ParameterizedTest
-    @ValueSource(classes = {PoolId.class, TaskName.class, RunId.class, RequestId.class, Claim.class})
+    @ValueSource(
+            classes = {
+                PoolId.class,
+                TaskName.class,
+                RunId.class,
+                RequestId.class,
+                Claim.class,
+                Capacity.class,
+                TargetEntry.class,
+                HostInfo.class
+            })
     void keys_are_equal_when_all_their_components_are(Class<? extends Record> type)
             throws ReflectiveOperationException {
         RecordComponent[] components = type.getRecordComponents();
@@ -55,6 +68,18 @@
         if (type == TaskName.class) {
             return new TaskName("job", 0, 0, number);
         }
+        if (type == boolean.class) {
+            return number % 2 == 0;
+        }
+        if (type == Capacity.class) {
+            return new Capacity(number, number, number);
+        }
+        if (type == InetSocketAddress.class) {
+            return InetSocketAddress.createUnresolved("target", number);
+        }
+        if (type == ImmutableSet.class) {
+            return ImmutableSet.of("label-" + number);
+        }
         assertThat(type).isEqualTo(PoolId.class);
         return new PoolId("yard", "east", number, 9);
     }
