--- a/src/test/java/org/mustardlink/pool/LateOrderTest.java
+++ b/src/test/java/org/mustardlink/pool/LateOrderTest.java
@@ -188,8 +188,8 @@
     @Test
     void a_target_for_which_the_claim_has_no_token_left_gets_no_orders_and_the_claim_is_renewed() {
         for (int life = 1; life <= FencingToken.MAX_STEP + 1; life++) {
-            master.targetsListed(ImmutableList.of(target("t", life * 100L)), ms(10 * life));
-            master.tick(ms(10 * life));
+            master.targetsListed(ImmutableList.of(target("t", life * 100L)), ms(10L * life));
+            master.tick(ms(10L * life));
         }
         assertThat(recorder.fenced).isEmpty();
         int holds = recorder.holdsOf("t");
