Count leases as over only once every earlier master has certainly ended

Callers could see: a task that ran twice at once after a host had been cut off and had claimed a pool without the store, while the pool's master went on to work.

Cause: a new master started tasks of handed-over jobs when a lease's time had passed since its claim. That holds only if the earlier master stopped to extend leases at the claim. Here it lived for 2.2 s more, and then handed its jobs over. Class: safety that rests on timing, namely on a silent process being dead.

Change: the time runs from when each other host has confirmed the claim, refuses connections or has started again. Until then resumed jobs start tasks only when all targets have reported. A host without power that doesn't come back leaves it at that.

Evidence: ResentJobTest.a_resumed_job_waits_for_silent_targets_until_the_earlier_masters_have_ended failed with the time counted from the claim: the start was ordered at once.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -324,6 +324,7 @@
             targetsChanged(now);
         }
         pools.endHandovers(announcement -> peers.allHaveSeen(announcement, now), now);
+        pools.endEarlierMasters(peers::allHaveSeenOrEnded, now);
         // A host hands its jobs over before it confirms the heartbeat that brought a claim.
         front.tick(now);
         peers.tick(() -> status(now), front::mastersInUse, this::hostLost, now);
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -283,11 +283,22 @@
                         peer.number, peer.seen, next, status.stopping(), ownership.ownClaims(), status.loads()));
     }
 
-    /** Returns whether every host that may live has got an announcement. */
+    /** Returns whether every host that may live has got an announcement; one that is silent is taken for dead. */
     boolean allHaveSeen(Announcement announcement, long now) {
         return peers.values().stream()
-                .allMatch(peer -> peer.seenOurs >= announcement.numbers().getOrDefault(peer.info.id(), 1L)
-                        || ownership.gone(peer.info.id(), peer.info.incarnation(), now));
+                .allMatch(peer ->
+                        hasSeen(peer, announcement) || ownership.gone(peer.info.id(), peer.info.incarnation(), now));
+    }
+
+    /** Returns whether every host has got an announcement or has certainly ended. */
+    boolean allHaveSeenOrEnded(Announcement announcement) {
+        return peers.values().stream()
+                .allMatch(peer ->
+                        hasSeen(peer, announcement) || ownership.ended(peer.info.id(), peer.info.incarnation()));
+    }
+
+    private static boolean hasSeen(Peer peer, Announcement announcement) {
+        return peer.seenOurs >= announcement.numbers().getOrDefault(peer.info.id(), 1L);
     }
 
     long nextHeartbeat() {
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -46,6 +46,9 @@
     private final OtherPool otherPool;
     private final Map<PoolId, PoolMaster> masters = new LinkedHashMap<>();
     private final Map<PoolId, Announced> announcements = new HashMap<>();
+    /** Announcements of claims beside which an earlier master of the pool may still act. */
+    private final Map<PoolId, PeerMonitor.Announcement> unconfirmed = new HashMap<>();
+
     private final Map<RequestId, Long> arrivals = new HashMap<>();
     private final Map<Answered, Kept> recent = new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
@@ -59,7 +62,7 @@
     /** The heartbeats that told the other hosts of a new claim. */
     private record Announced(PeerMonitor.Announcement announcement, long sentNanos) {}
 
-    /** Tells whether every host that may live has got an announcement. */
+    /** Tells whether every host that matters has got an announcement. */
     @FunctionalInterface
     interface SeenByAll {
         boolean test(PeerMonitor.Announcement announcement);
@@ -131,6 +134,19 @@
     /** Notes the heartbeats that tell the other hosts of a new claim. */
     void announced(PoolId pool, PeerMonitor.Announcement announcement, long now) {
         announcements.put(pool, new Announced(announcement, now));
+        unconfirmed.put(pool, announcement);
+    }
+
+    /** Notes for each pool whether its earlier masters have ended; every other host may have been one. */
+    void endEarlierMasters(SeenByAll seenByAllOrEnded, long now) {
+        unconfirmed.entrySet().removeIf(entry -> {
+            PoolMaster master = masters.get(entry.getKey());
+            boolean ended = seenByAllOrEnded.test(entry.getValue());
+            if (ended && master != null) {
+                master.earlierMastersEnded(now);
+            }
+            return ended || master == null;
+        });
     }
 
     /**
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -294,6 +294,12 @@
         return peer != null && peer.info.incarnation() == incarnation && peer.alive(now);
     }
 
+    /** Returns whether a process life has certainly ended: its host refuses connections or has another life. */
+    public boolean ended(String host, long incarnation) {
+        Peer peer = peers.get(host);
+        return peer == null || peer.info.incarnation() != incarnation || peer.refused;
+    }
+
     /** Returns whether a process life is over: its host refuses connections, has been silent or has a later life. */
     public boolean gone(String host, long incarnation, long now) {
         Peer peer = peers.get(host);
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -38,7 +38,9 @@
     private final LongPredicate listComplete;
     private final PlacementSystem placement;
     private final ProgressSystem progress;
-    private final long resumeNanos;
+    /** When every lease that an earlier master may have granted is over; not known before they have all ended. */
+    private long resumeNanos = Long.MAX_VALUE;
+
     private long scannedNanos;
     private long placedNanos;
     private boolean released;
@@ -73,10 +75,8 @@
         this.listComplete = checkNotNull(listComplete, "listComplete");
         this.placement = new PlacementSystem(tables, runs);
         this.progress = new ProgressSystem(tables, runs, leases, placement);
-        // Every lease that an earlier master granted is over by then; a target's clock may be 2% slow.
         this.scannedNanos = now - SCAN_NANOS;
         this.placedNanos = now - PLACE_NANOS;
-        this.resumeNanos = now + bounds.lease().toNanos() * 21 / 20;
     }
 
     /** Returns the pool. */
@@ -135,6 +135,17 @@
         runs.endHandover();
     }
 
+    /**
+     * Notes that no earlier master of the pool acts any more: its process has ended, or it knows of this master's claim. One
+     * that is only silent may go on to extend the leases of targets that this master can't reach.
+     */
+    public void earlierMastersEnded(long now) {
+        if (resumeNanos == Long.MAX_VALUE) {
+            // A target's clock may be 2% slow.
+            resumeNanos = now + bounds.lease().toNanos() * 21 / 20;
+        }
+    }
+
     /** Stops a job because its caller is gone, unless other requests wait for it. */
     public void withdraw(RequestId request, String jobId, long now) {
         tables.job(jobId).ifPresent(job -> {
--- a/src/test/java/org/mustardlink/pool/ResentJobTest.java
+++ b/src/test/java/org/mustardlink/pool/ResentJobTest.java
@@ -183,6 +183,7 @@
     void a_resumed_job_waits_for_the_lease_time_while_the_list_of_targets_may_lack_some() {
         PoolMaster master = recorder.masterOf(POOL, _order -> Optional.empty(), _now -> false);
         master.targetsListed(ImmutableList.of(target("t")), 0);
+        master.earlierMastersEnded(0);
         master.tick(0);
         master.reported("t", recorder.takeHold(), report(1_001), ms(1));
         master.submit(resumed(1, "job"), ms(2));
@@ -196,6 +197,30 @@
         assertThat(recorder.starts).hasSize(1);
     }
 
+    /**
+     * Guards against a second run beside one that an earlier master still keeps alive: it was cut off from other hosts and not
+     * from its targets, one of which this master can't reach.
+     */
+    @Test
+    void a_resumed_job_waits_for_silent_targets_until_the_earlier_masters_have_ended() {
+        PoolMaster master = recorder.masterOf(POOL);
+        master.targetsListed(ImmutableList.of(target("t"), target("u")), 0);
+        master.tick(0);
+        master.reportFailed("u", recorder.lastHold("u").number(), OrderVerdict.UNKNOWN, ms(300));
+        master.reported("t", recorder.lastHold("t").number(), report(3_000), ms(2_000));
+        master.submit(resumed(1, "job"), ms(2_001));
+        master.tick(ms(2_001));
+        assertThat(recorder.starts).isEmpty();
+
+        master.earlierMastersEnded(ms(2_010));
+        master.reported("t", recorder.lastHold("t").number(), report(4_055), ms(3_055));
+        master.tick(ms(3_055));
+        assertThat(recorder.starts).isEmpty();
+        master.tick(ms(3_070));
+
+        assertThat(recorder.starts).hasSize(1);
+    }
+
     /** Guards against inherited runs that outlive the pause of 1.3 s after which callers send their jobs again. */
     @Test
     void an_inherited_run_that_a_target_reports_late_is_stopped_as_soon_after_the_claim_as_any_other() {
