Withdraw from the last master, stop late runs of ended jobs, and keep tokens of targets that were dropped

The withdrawal now goes to the master that got the request last. - A run whose stop was lost, together with its start's answer, counted as wanted after the restart of its target. Runs of jobs that have ended are now stopped wherever a report lists them. - A target that left the list after its token was raised got the claim's first token when it was listed again, refused it, and the whole pool was claimed anew. The token is kept. The token of a target that is given up is raised first, so that it refuses a start that is still on its way if it comes back. - An order that was repeated to the same claim over a new link made a queued job one that is never refused, and it was held to its deadline. A request that the master has already says nothing new.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -112,7 +112,7 @@
         endNanos = now;
         for (OpenRequest request : new ArrayList<>(requests.values())) {
             if (request.bound) {
-                withdraw(request, now);
+                withdraw(request);
                 end(request, Answer.of(Answer.Kind.MAY_HAVE_RUN, "the host ends"));
             } else {
                 end(request, Answer.notRun("the host ends", ENDING_RETRY));
@@ -191,7 +191,7 @@
         if (!request.sentTo.equals(Optional.of(claim))) {
             actions.superseded(claim, number, result);
             if (result instanceof JobResult.Complete && request.pool.equals(Optional.of(claim.pool()))) {
-                withdraw(request, now);
+                withdraw(request);
                 end(request, Answer.of(Answer.Kind.COMPLETE, "complete"));
             }
             return;
@@ -252,31 +252,30 @@
     }
 
     /** Takes the departure of a caller. */
-    public void callerGone(long number, long now) {
+    public void callerGone(long number) {
         OpenRequest request = requests.remove(number);
         if (request != null) {
-            withdraw(request, now);
+            withdraw(request);
         }
     }
 
     /** Withdraws the requests for a job that its caller cancels; returns whether there is any. */
-    public boolean cancel(String job, long now) {
+    public boolean cancel(String job) {
         boolean found = false;
         for (OpenRequest request : new ArrayList<>(requests.values())) {
             if (request.order.job().equals(job)) {
                 found = true;
-                withdraw(request, now);
+                withdraw(request);
                 end(request, Answer.of(Answer.Kind.MAY_HAVE_RUN, "canceled"));
             }
         }
         return found;
     }
 
-    private void withdraw(OpenRequest request, long now) {
-        if (request.bound && request.pool.isPresent()) {
-            Optional<Claim> master =
-                    request.master.isPresent() ? request.master : directory.master(request.pool.get(), now);
-            master.ifPresent(claim -> actions.withdraw(claim, request.order.request(), request.order.job()));
+    /** Withdraws a request from the master that got it last; one that is silent now may go on with it later. */
+    private void withdraw(OpenRequest request) {
+        if (request.bound) {
+            request.sentTo.ifPresent(claim -> actions.withdraw(claim, request.order.request(), request.order.job()));
         }
     }
 
@@ -305,7 +304,7 @@
     public void tick(long now) {
         for (OpenRequest request : new ArrayList<>(requests.values())) {
             if (now >= request.deadlineNanos - LAST_ANSWER_NANOS) {
-                expire(request, now);
+                expire(request);
             } else if (request.bound) {
                 follow(request, now);
             } else {
@@ -326,12 +325,12 @@
         }
     }
 
-    private void expire(OpenRequest request, long now) {
+    private void expire(OpenRequest request) {
         if (!request.bound) {
             end(request, Answer.notRun("the deadline passed before a master was found", NO_MASTER_RETRY));
             return;
         }
-        withdraw(request, now);
+        withdraw(request);
         end(request, Answer.of(Answer.Kind.TIMED_OUT, "the deadline passed"));
     }
 }
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -410,7 +410,7 @@
     @Override
     public void callerGone(long request) {
         loop.post(now -> {
-            front.callerGone(request, now);
+            front.callerGone(request);
             requests.callerGone(request, now);
         });
     }
@@ -570,7 +570,7 @@
     }
 
     private boolean cancelHere(String job, long now) {
-        boolean waited = front.cancel(job, now);
+        boolean waited = front.cancel(job);
         boolean ran = pools.cancel(job, now);
         return waited || ran;
     }
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -41,9 +41,11 @@
         if (known.isPresent()) {
             // The caller sent the job again through another host, or the front repeats an order.
             PoolJob job = known.get();
-            if (!job.requests().contains(order.request())) {
-                job.requests().add(order.request());
+            if (job.requests().contains(order.request())) {
+                // The order came over a new link, and this master knows what it has started of the job.
+                return Optional.empty();
             }
+            job.requests().add(order.request());
             if (!order.resumed() || job.order().resumed()) {
                 return Optional.empty();
             }
@@ -58,9 +60,7 @@
                 tables.runningTimes().expectedNanos(order.route(), order.longestChain()),
                 tables.slowness());
         if (tables.mayRun(job)) {
-            // An earlier try left runs here. In another pool, or after an answer that nothing has run, the job would
-            // start
-            // beside them.
+            // An earlier try left runs here, beside which the job would start in another pool or after a refusal.
             job.resume();
         }
         if (!job.order().resumed()) {
--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -60,6 +60,8 @@
     private void expire(PoolTarget target, long now) {
         if (!target.listed()) {
             runs.dropAll(target);
+            // It may be listed again, and then refuses a start that is still on its way.
+            target.raiseFence();
         } else if (target.runs().stream().anyMatch(run -> run.seen() || !run.orderedBefore(target.fence()))) {
             runs.expireAll(target, now);
             target.raiseFence();
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -103,7 +103,8 @@
             checkArgument(entry.pool().equals(id.whole()), "not a target of the pool: %s", entry);
             tables.target(entry.id()).ifPresentOrElse(target -> update(target, entry, now), () -> {
                 long lease = bounds.lease().toMillis();
-                tables.add(new PoolTarget(entry, fence, lease, tables.slowness().of(entry.kind()), now));
+                FencingToken token = tables.tokenFor(entry.id(), fence);
+                tables.add(new PoolTarget(entry, token, lease, tables.slowness().of(entry.kind()), now));
             });
         }
     }
--- a/src/main/java/org/mustardlink/pool/PoolTables.java
+++ b/src/main/java/org/mustardlink/pool/PoolTables.java
@@ -20,6 +20,9 @@
             new TreeSet<>(Comparator.comparingLong(PoolJob::latestStartNanos).thenComparingLong(PoolJob::sequence));
 
     private final Map<TaskName, Set<Present>> present = new HashMap<>();
+    /** Tokens of targets that were dropped after theirs was raised; a claim's first token would be refused. */
+    private final Map<String, FencingToken> raisedTokens = new HashMap<>();
+
     private final Slowness slowness = new Slowness();
     private final RunningTimes runningTimes = new RunningTimes();
     private long jobSequence;
@@ -51,8 +54,17 @@
         targets.put(target.entry().id(), target);
     }
 
+    /** Forgets a target but for the token that it has seen, below which it refuses orders when it is listed again. */
     void drop(PoolTarget target) {
         targets.remove(target.entry().id());
+        if (target.fence().step() > 0) {
+            raisedTokens.put(target.entry().id(), target.fence());
+        }
+    }
+
+    /** Returns the token for a target that is listed; the first one of the claim unless it had a raised one before. */
+    FencingToken tokenFor(String targetId, FencingToken first) {
+        return raisedTokens.getOrDefault(targetId, first);
     }
 
     Collection<PoolJob> jobs() {
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -157,8 +157,7 @@
     /** Takes inherited runs of a job over, and ends of its tasks that an earlier master didn't see. */
     void adopt(PoolJob job, long now) {
         for (PoolTask task : job.tasks()) {
-            // A run of the same number would be rejected by the target, and an answer to the first taken for its
-            // answer.
+            // A run of the same number would be rejected, and an answer to the first run taken for its answer.
             tables.presentRun(task.name())
                     .ifPresent(present -> task.skipTo(present.run().id().run()));
             if (task.state() != PoolTask.State.WAITING) {
@@ -398,6 +397,11 @@
             }
             return;
         }
+        if (run.task().get().job().closed()) {
+            // A start whose stop was lost with an earlier life of the target, or with an earlier token.
+            stop(target, run, now);
+            return;
+        }
         long allowed = (long) (OVERDUE_FACTOR * run.expectedNanos()) + OVERDUE_NANOS;
         if (now - run.orderedNanos() > allowed) {
             standsStill(target, run, now);
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -341,7 +341,7 @@
         masters.put(EAST, EAST_MASTER);
         submit(1, 0);
 
-        front.callerGone(1, ms(10));
+        front.callerGone(1);
 
         assertThat(withdrawn).containsExactly(EAST_MASTER);
         assertThat(front.openRequests()).isEqualTo(0);
@@ -380,4 +380,17 @@
         }
         assertThat(sent.stream().map(Sent::master).distinct().count()).isEqualTo(4);
     }
+
+    /** Guards against a job that runs on beside its second try: its master was silent when the caller left. */
+    @Test
+    void a_caller_that_leaves_while_no_master_is_known_withdraws_its_job_from_the_last_one() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+        masters.remove(EAST);
+        front.tick(ms(600));
+
+        front.callerGone(1);
+
+        assertThat(withdrawn).containsExactly(EAST_MASTER);
+    }
 }
