Let the next report tell which runs a restarted target has

When a target's restart was noticed, all its runs were taken for those of the earlier life and their tasks started elsewhere. No hint in the start or its answer tells the two lives apart.

All runs of a restarted target now stay in doubt until its report under the raised token: one that it lists goes on, one that it doesn't list starts elsewhere.

LateOrderTest (confirmed run, restart) failed before: a second start 1 ms after the restart was noticed.

--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -113,12 +113,12 @@
         }
     }
 
-    /** Forgets an earlier life of a target: what ran there is gone. */
+    /** Forgets an earlier life of a target; which of its runs are there is told by the next report. */
     void restarted(PoolTarget target, long bornMs, long now) {
         TargetEntry old = target.entry();
         target.update(new TargetEntry(
                 old.id(), bornMs, old.address(), old.pool(), old.draining(), old.capacity(), old.labels()));
-        runs.expireAll(target, now);
+        runs.doubtAll(target, now);
         target.restart();
         actions.targetChanged(target.entry(), "restarted", "another life under the same id");
     }
--- a/src/main/java/org/mustardlink/pool/Run.java
+++ b/src/main/java/org/mustardlink/pool/Run.java
@@ -116,9 +116,12 @@
         return fence < token.value();
     }
 
-    /** Notes that the token was raised while the start had no answer; only a report under the raised one tells more. */
+    /** Notes that the token was raised while the run may still come or be there; only a report under it tells more. */
     void doubt(long now) {
-        become(State.UNKNOWN, now);
+        if (state != State.STOPPING) {
+            become(State.UNKNOWN, now);
+        }
+        seen = false;
         stopConfirmed = false;
         confirmedClockMs = 0;
     }
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -297,8 +297,8 @@
     }
 
     /**
-     * Ends the runs of a target whose leases have certainly expired or whose life is over. Starts without an answer may
-     * still be carried out, and stay until the target reports under a higher token.
+     * Ends the runs of a target whose leases have certainly expired. Starts without an answer may still be carried out, and
+     * stay until the target reports under a higher token.
      */
     void expireAll(PoolTarget target, long now) {
         List<Run> over = new ArrayList<>();
@@ -312,6 +312,14 @@
         expire(target, over);
     }
 
+    /**
+     * Keeps every run of a target that has started again in doubt until its next report: the new life may have carried
+     * orders out before its restart was noticed.
+     */
+    void doubtAll(PoolTarget target, long now) {
+        target.runs().forEach(run -> run.doubt(now));
+    }
+
     private void expire(PoolTarget target, List<Run> over) {
         if (over.isEmpty()) {
             return;
@@ -332,8 +340,8 @@
     /** Takes the answer to a stop; returns whether the target should be asked for a report. */
     boolean stopAnswered(PoolTarget target, RunId id, OrderVerdict verdict, long clockMs, long now) {
         Run run = target.run(id).orElse(null);
-        if (run == null || run.state() != Run.State.STOPPING) {
-            // The run is over, or the answer was given before the token was raised.
+        if (run == null || (!run.seen() && run.orderedBefore(target.fence()))) {
+            // The run is over, or the answer may have been given by an earlier life.
             return false;
         }
         if (clockMs > 0) {
--- a/src/test/java/org/mustardlink/pool/LateOrderTest.java
+++ b/src/test/java/org/mustardlink/pool/LateOrderTest.java
@@ -42,11 +42,15 @@
     }
 
     private static HoldReport report(long clockMs, RunId... running) {
+        return report(clockMs, 0, running);
+    }
+
+    private static HoldReport report(long clockMs, long bornMs, RunId... running) {
         ImmutableList.Builder<HoldReport.RunProgress> listed = ImmutableList.builder();
         for (RunId run : running) {
             listed.add(new HoldReport.RunProgress(run, 0));
         }
-        return new HoldReport(clockMs, 0, listed.build(), ImmutableList.of());
+        return new HoldReport(clockMs, bornMs, listed.build(), ImmutableList.of());
     }
 
     private void answerHold(String target, HoldReport report, long now) {
@@ -167,6 +171,24 @@
         assertThat(recorder.starts).hasSize(2);
     }
 
+    /** Guards against a second run beside one that the next life has started before its restart was noticed. */
+    @Test
+    void a_confirmed_run_outlasts_the_restart_of_its_target_until_the_next_report() {
+        master.targetsListed(ImmutableList.of(target("t", 100)), ms(2));
+        RunId first = submitOneTask(ms(2));
+        master.startAnswered("t", first, OrderVerdict.DONE, 20, ms(3));
+
+        master.targetsListed(ImmutableList.of(target("t", 200), target("u", 0)), ms(30));
+        master.tick(ms(30));
+        answerHold("u", report(7_000), ms(31));
+        assertThat(recorder.starts).containsExactly(first);
+
+        answerHold("t", report(48, 200, first), ms(32));
+        master.tick(ms(40));
+        assertThat(recorder.starts).containsExactly(first);
+        assertThat(recorder.stops).isEmpty();
+    }
+
     /** Guards against a clock of the earlier life, after which no report of the next one counts as the newest. */
     @Test
     void an_answer_of_an_earlier_life_does_not_set_the_clock_of_the_next_one() {
