Offer a refused job to two other pools for room only, also when their load is old

Cause: a front that is no master hears masters of other domains each 2 s (half of its requests to them went out on heartbeats older than 0.89 s) and offers a job only to a pool whose last load shows room, and to nobody after a second refusal of the same kind.

Change: a refused job is offered to at most two other pools, unless they have told within 10 ms that they have no room. An offered job is taken only if all of it can start at once, so that it doesn't queue where it isn't at home. The caller gets the first pool's reason and time to come back. The simulation of load patterns plays the fronts of three hosts a domain, with the loads that each of them knows, and draws faults apart from arrivals, so that each code gets the same jobs.

Front.java: refused, mostRoom (new), send and two fields of OpenRequest.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -16,7 +16,6 @@
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.PoolId;
-import org.mustardlink.pool.StepSpec;
 
 /**
  * The open requests of one entry host.
@@ -30,6 +29,11 @@
     private static final Duration NO_MASTER_RETRY = Duration.ofSeconds(1);
     /** Time that a caller is told to stay away when the pools pass its job on; their load figures are 0.1 s old. */
     private static final Duration DECLINED_RETRY = Duration.ofSeconds(1);
+    /**
+     * Other pools that are asked for room for a job which one has refused. An answer takes 3 ms between domains, a fiftieth of
+     * the shortest objective for each.
+     */
+    private static final int MAX_OFFERS = 2;
     /** A request whose pool has lost its master is given up this long before its deadline, so that the answer arrives. */
     private static final long LAST_ANSWER_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Pause before a host that has denied to be the master is asked again; a write of a claim is answered within it. */
@@ -65,6 +69,10 @@
         private boolean bound;
         /** Pools whose masters have refused or redirected the job; they would give the same answer again. */
         private final Set<PoolId> declinedBy = new HashSet<>();
+        /** The refusal of the pool that would have queued the job; the others were asked for room only. */
+        private Optional<JobResult.Refused> refusal = Optional.empty();
+
+        private int offers;
 
         private OpenRequest(JobOrder order, String service, long now) {
             this.order = order;
@@ -155,7 +163,9 @@
         request.bound = true;
         Duration left = Duration.ofNanos(Math.max(0, request.deadlineNanos - now));
         boolean home = pool.domain().equals(domain);
-        actions.submit(master, request.order.with(left, resumed, home && !resumed));
+        boolean offered = request.refusal.isPresent() && !resumed;
+        JobOrder order = request.order.with(left, resumed, home && !resumed && !offered);
+        actions.submit(master, offered ? order.offered() : order);
     }
 
     /**
@@ -228,24 +238,32 @@
         }
     }
 
-    /** Asks another pool that has room, or tells the caller; the pool that refuses has started nothing. */
+    /**
+     * Offers the job to another pool that may have room, or tells the caller; a pool that refuses has started nothing. What is
+     * known of other domains' loads is up to 2 s old, so the pool itself says whether it has room.
+     */
     private void refused(OpenRequest request, JobResult.Refused refused, long now) {
         request.declinedBy.add(request.pool.orElseThrow());
-        StepSpec first = request.order.steps().get(0);
-        long wanted = (long) first.count() * first.need().cpuMillis();
-        Optional<PoolId> other = directory.pools(request.service).stream()
-                .filter(pool -> !request.declinedBy.contains(pool)
-                        && directory.master(pool, now).isPresent()
-                        && directory.load(pool).freeCpuMillis() >= wanted)
-                .max(Comparator.comparingInt(pool -> directory.load(pool).freeCpuMillis()));
+        JobResult.Refused first = request.refusal.orElse(refused);
+        request.refusal = Optional.of(first);
+        Optional<PoolId> other = request.offers == MAX_OFFERS ? Optional.empty() : mostRoom(request, now);
         if (other.isEmpty()) {
-            end(request, Answer.notRun(refused.why(), refused.retryAfter()));
+            end(request, Answer.notRun(first.why(), first.retryAfter()));
             return;
         }
+        request.offers++;
         request.bound = false;
         send(request, other.get(), directory.master(other.get(), now).orElseThrow(), now);
     }
 
+    private Optional<PoolId> mostRoom(OpenRequest request, long now) {
+        return directory.pools(request.service).stream()
+                .filter(pool -> !request.declinedBy.contains(pool)
+                        && directory.master(pool, now).isPresent()
+                        && directory.mayHaveRoom(pool, request.order, now))
+                .max(Comparator.comparingInt(pool -> directory.load(pool).freeCpuMillis()));
+    }
+
     private void end(OpenRequest request, Answer answer) {
         requests.remove(request.number());
         actions.answer(request.number(), answer);
--- a/src/main/java/org/mustardlink/front/PoolDirectory.java
+++ b/src/main/java/org/mustardlink/front/PoolDirectory.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Optional;
 import org.mustardlink.ownership.Claim;
+import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
 
@@ -16,4 +17,9 @@
 
     /** Returns the last load that a pool's master told. */
     PoolLoad load(PoolId pool);
+
+    /** Returns whether a pool may be able to start the whole first step of a job now, as far as is known. */
+    default boolean mayHaveRoom(PoolId pool, JobOrder order, long now) {
+        return load(pool).holds(order);
+    }
 }
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -399,7 +399,8 @@
                 route.stretch(),
                 timeout,
                 false,
-                true);
+                true,
+                false);
         loop.post(now -> {
             requests.add(order, configVersion, onAnswer, now);
             front.submit(order, route.service(), now);
--- a/src/main/java/org/mustardlink/host/KnownPools.java
+++ b/src/main/java/org/mustardlink/host/KnownPools.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.Comparator;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import org.mustardlink.front.PoolDirectory;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.PoolOwnership;
@@ -12,6 +13,12 @@
 
 /** What a host knows of pools: their masters, and the loads of its own and, from heartbeats, of others. */
 final class KnownPools implements PoolDirectory {
+    /**
+     * Age from which a load says nothing about room: a task of a busy pool ends each few milliseconds, the shortest kinds
+     * run for 60 ms.
+     */
+    private static final long TELLING_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+
     private final PoolOwnership ownership;
     private final PoolRunner own;
     private final PeerMonitor peers;
@@ -39,6 +46,12 @@
         return own.load(pool, System.nanoTime()).orElseGet(() -> peers.load(pool));
     }
 
+    @Override
+    public boolean mayHaveRoom(PoolId pool, JobOrder order, long now) {
+        return load(pool).holds(order)
+                || (own.load(pool, now).isEmpty() && now - peers.loadToldNanos(pool) > TELLING_NANOS);
+    }
+
     /** Returns another pool of the service that has room for a whole job, and counts the job against that room. */
     Optional<PoolId> withRoom(PoolId pool, JobOrder order) {
         long now = System.nanoTime();
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -47,6 +47,7 @@
     private final EventLog log;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<PoolId, PoolLoad> loads = new HashMap<>();
+    private final Map<PoolId, Long> loadsToldNanos = new HashMap<>();
     private ImmutableSet<String> watchers = ImmutableSet.of();
     private long watchersNanos;
     private PeerLinks links;
@@ -165,6 +166,7 @@
             reviewWatchers(now);
         }
         loads.putAll(heartbeat.loads());
+        heartbeat.loads().keySet().forEach(pool -> loadsToldNanos.put(pool, now));
         peer.givenUp = false;
         if (!peer.alive) {
             peer.alive = true;
@@ -310,6 +312,11 @@
         return loads.getOrDefault(pool, PoolLoad.NONE);
     }
 
+    /** Returns when a pool's load was told last, 0 if never. */
+    long loadToldNanos(PoolId pool) {
+        return loadsToldNanos.getOrDefault(pool, 0L);
+    }
+
     /** Counts a job that was pointed to a pool against its room until its master tells its load again. */
     void reserve(PoolId pool, int cpuMillis) {
         loads.computeIfPresent(
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -237,6 +237,7 @@
         out.writeI64(order.remaining().toNanos());
         out.writeBool(order.resumed());
         out.writeBool(order.mayMove());
+        out.writeBool(order.onlyNow());
     }
 
     private static JobOrder readOrder(TCompactProtocol in) throws TException {
@@ -259,6 +260,7 @@
                 in.readDouble(),
                 Duration.ofNanos(in.readI64()),
                 in.readBool(),
+                in.readBool(),
                 in.readBool());
     }
 
--- a/src/main/java/org/mustardlink/pool/JobOrder.java
+++ b/src/main/java/org/mustardlink/pool/JobOrder.java
@@ -20,6 +20,7 @@
  * @param remaining time from now to the caller's deadline
  * @param resumed whether an earlier master of the pool may have started tasks of the job
  * @param mayMove whether the master may point the front to another pool
+ * @param onlyNow whether the master takes the job only if it can start all of it at once, because another pool has it first
  */
 public record JobOrder(
         RequestId request,
@@ -32,7 +33,8 @@
         double stretch,
         Duration remaining,
         boolean resumed,
-        boolean mayMove) {
+        boolean mayMove,
+        boolean onlyNow) {
     public JobOrder {
         checkNotNull(request, "request");
         checkNotNull(job, "job");
@@ -81,6 +83,12 @@
     /** Returns the same order with less time, as resumed work, or bound to the pool that it is sent to. */
     public JobOrder with(Duration left, boolean isResumed, boolean canMove) {
         return new JobOrder(
-                request, job, route, payload, steps, maxAttempts, objective, stretch, left, isResumed, canMove);
+                request, job, route, payload, steps, maxAttempts, objective, stretch, left, isResumed, canMove, false);
+    }
+
+    /** Returns the same order for a pool that takes the job only if it can start all of it at once. */
+    public JobOrder offered() {
+        return new JobOrder(
+                request, job, route, payload, steps, maxAttempts, objective, stretch, remaining, resumed, false, true);
     }
 }
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -76,6 +76,9 @@
 
     private Optional<JobResult> refusal(PoolJob job, long now) {
         JobOrder order = job.order();
+        if (order.onlyNow()) {
+            return offer(job, now);
+        }
         shedding.offered(order.route(), job.work(), now);
         boolean roomNow = tables.queue().isEmpty() && hasRoomNow(order, now);
         if (!roomNow && order.mayMove()) {
@@ -102,7 +105,8 @@
         if (throughput == 0) {
             return Optional.of(new JobResult.Refused("no target of the pool takes tasks", MIN_RETRY_AFTER));
         }
-        double backlog = tables.queue().stream().mapToDouble(PoolJob::work).sum();
+        double backlog =
+                tables.queue().stream().mapToDouble(PoolJob::work).sum();
         if (backlog > throughput * BACKLOG_NANOS && shedding.shed(order.route(), throughput, now)) {
             return Optional.of(new JobResult.Refused("more work arrives than the pool can do", MIN_RETRY_AFTER));
         }
@@ -113,6 +117,15 @@
         return Optional.empty();
     }
 
+    /** Judges a job that another pool has refused: it is taken if it can start, and counts as work of this pool only then. */
+    private Optional<JobResult> offer(PoolJob job, long now) {
+        if (!canStartNow(job.order(), now)) {
+            return Optional.of(new JobResult.Refused("no room for a job of another pool", MIN_RETRY_AFTER));
+        }
+        shedding.offered(job.order().route(), job.work(), now);
+        return Optional.empty();
+    }
+
     private static Duration retryAfter(long waitNanos) {
         Duration wait = Duration.ofSeconds(TimeUnit.NANOSECONDS.toSeconds(waitNanos) + 1);
         return wait.compareTo(MIN_RETRY_AFTER) < 0 ? MIN_RETRY_AFTER : wait;
@@ -149,7 +162,24 @@
 
     /** Returns the work of queued jobs that come before a job, in thousandths of a core times nanoseconds. */
     private double workAhead(PoolJob job) {
-        return tables.queue().headSet(job).stream().mapToDouble(PoolJob::work).sum();
+        return tables.queue().headSet(job).stream()
+                .mapToDouble(PoolJob::work)
+                .sum();
+    }
+
+    /** Returns whether nothing waits and a whole job could start now on targets that end it before its deadline. */
+    boolean canStartNow(JobOrder order, long now) {
+        long chain = tables.runningTimes().expectedNanos(order.route(), order.longestChain());
+        long deadline = now + order.remaining().toNanos();
+        Capacity need = order.steps().get(0).need();
+        int room = 0;
+        for (PoolTarget target : tables.targets()) {
+            if (PlacementSystem.usable(target, now)
+                    && !PlacementSystem.missesDeadline((long) (chain * target.slowness()), deadline, now)) {
+                room += target.free().rooms(need);
+            }
+        }
+        return tables.queue().isEmpty() && room >= order.steps().get(0).count();
     }
 
     private boolean hasRoomNow(JobOrder order, long now) {
--- a/src/main/java/org/mustardlink/pool/PoolLoad.java
+++ b/src/main/java/org/mustardlink/pool/PoolLoad.java
@@ -10,4 +10,10 @@
 public record PoolLoad(int freeCpuMillis, int widestCpuMillis, int openJobs) {
     /** Nothing is free. */
     public static final PoolLoad NONE = new PoolLoad(0, 0, 0);
+
+    /** Returns whether the free processors hold the whole first step of a job, if its tasks can be packed. */
+    public boolean holds(JobOrder order) {
+        StepSpec first = order.steps().get(0);
+        return freeCpuMillis >= (long) first.count() * first.need().cpuMillis();
+    }
 }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -282,6 +282,11 @@
         }
     }
 
+    /** Returns whether a whole job could start at once and end before its caller's deadline. */
+    boolean canStartNow(JobOrder order, long now) {
+        return !released && jobs.canStartNow(order, now);
+    }
+
     /** Returns the load that other masters decide by. */
     public PoolLoad load(long now) {
         int freeCpu = 0;
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -28,6 +28,10 @@
     private static final Claim EAST_MASTER = new Claim(EAST, "east-1", 1, 1);
     private static final Claim EAST_NEXT = new Claim(EAST, "east-2", 2, 2);
     private static final Claim WEST_MASTER = new Claim(WEST, "west-1", 3, 1);
+    private static final PoolId NORTH = new PoolId("yard", "north");
+    private static final Claim NORTH_MASTER = new Claim(NORTH, "north-1", 4, 1);
+    private static final PoolId SOUTH = new PoolId("yard", "south");
+    private static final Claim SOUTH_MASTER = new Claim(SOUTH, "south-1", 5, 1);
 
     private ImmutableList<PoolId> pools = ImmutableList.of(EAST, WEST);
     private final Map<PoolId, Claim> masters = new HashMap<>();
@@ -170,6 +174,68 @@
         assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
     }
 
+    private void letEveryPoolHaveRoom() {
+        pools = ImmutableList.of(EAST, WEST, NORTH, SOUTH);
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        masters.put(NORTH, NORTH_MASTER);
+        masters.put(SOUTH, SOUTH_MASTER);
+        for (PoolId pool : pools) {
+            loads.put(pool, new PoolLoad(1_000, 1_000, 0));
+        }
+        loads.put(WEST, new PoolLoad(2_000, 1_000, 0));
+        loads.put(NORTH, new PoolLoad(1_500, 1_000, 0));
+    }
+
+    /** Guards against callers that are sent away while a third pool has room, because the load of the second one was old. */
+    @Test
+    void a_refused_job_is_offered_to_two_other_pools_for_room_only() {
+        letEveryPoolHaveRoom();
+        submit(1, 0);
+
+        front.answered(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
+        front.answered(1, WEST_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(4));
+
+        assertThat(sent).hasSize(3);
+        assertThat(sent.get(0).order().onlyNow()).isFalse();
+        assertThat(sent.get(1).master()).isEqualTo(WEST_MASTER);
+        assertThat(sent.get(1).order().onlyNow()).isTrue();
+        assertThat(sent.get(2).master()).isEqualTo(NORTH_MASTER);
+        assertThat(sent.get(2).order().onlyNow()).isTrue();
+        assertThat(answers).isEmpty();
+    }
+
+    /** Guards against a job that goes round while its caller waits, and against a time to come back from a pool of others. */
+    @Test
+    void a_job_that_two_other_pools_have_no_room_for_is_refused_with_the_first_reason() {
+        letEveryPoolHaveRoom();
+        submit(1, 0);
+        front.answered(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
+        front.answered(1, WEST_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(4));
+
+        front.answered(1, NORTH_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(6));
+
+        assertThat(sent).hasSize(3);
+        assertThat(answers.get(1L).kind()).isEqualTo(Answer.Kind.NOT_RUN);
+        assertThat(answers.get(1L).why()).isEqualTo("full");
+        assertThat(answers.get(1L).retryAfter()).hasValue(Duration.ofSeconds(2));
+    }
+
+    /** Guards against a second run: an offer that was lost with its master may have been taken. */
+    @Test
+    void an_offer_whose_master_is_lost_follows_to_the_next_one_as_a_job_that_may_have_started() {
+        letEveryPoolHaveRoom();
+        submit(1, 0);
+        front.answered(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
+
+        masters.put(WEST, new Claim(WEST, "west-2", 7, 2));
+        front.tick(ms(100));
+
+        assertThat(sent).hasSize(3);
+        assertThat(sent.get(2).order().resumed()).isTrue();
+        assertThat(sent.get(2).order().onlyNow()).isFalse();
+    }
+
     @Test
     void a_job_goes_to_the_pool_of_its_own_domain() {
         masters.put(EAST, EAST_MASTER);
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -58,6 +58,7 @@
                             1.6,
                             Duration.ofMillis(1_500),
                             true,
+                            false,
                             false)),
             new PeerMessage.Withdraw(POOL, REQUEST, "0123456789abcdef"),
             new PeerMessage.Result(POOL, 7, REQUEST, new JobResult.Complete()),
--- a/src/test/java/org/mustardlink/pool/JobOrders.java
+++ b/src/test/java/org/mustardlink/pool/JobOrders.java
@@ -27,6 +27,7 @@
                 1.6,
                 Duration.ofMillis(1_500),
                 false,
-                mayMove);
+                mayMove,
+                false);
     }
 }
--- a/src/test/java/org/mustardlink/pool/LoadPatternTest.java
+++ b/src/test/java/org/mustardlink/pool/LoadPatternTest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -137,6 +139,51 @@
         assertThat(simulation.target("west-1").started()).isLessThan(20);
     }
 
+    /**
+     * Plays rpo-herstel's day of high load: three domains of 16 targets with 16 cores, a third of them half as large again and
+     * twice as fast, the sheet's kinds at 1.2 times their usual rates, a burst of all kinds, one of the long kind, and targets
+     * that are cut off, hang and fail.
+     */
+    private static PoolSimulation playSmallTargets(long seed) {
+        PoolSimulation simulation = new PoolSimulation(seed);
+        // Requests a second and domain; of 140.65 requests 34.4 are short, 6.25 long and 100 medium.
+        Map<String, Double> perSecond = ImmutableMap.of("east", 61.0, "north", 54.8, "west", 52.9);
+        perSecond.forEach((domain, rate) -> {
+            PoolId pool = simulation.addPool(domain, 11, 5, 0.55, 1.2, 16_000);
+            for (PoolSimulation.Kind kind : List.of(
+                    new PoolSimulation.Kind("short", rate * 34.4 / 140.65, 8, 60, 6_800),
+                    new PoolSimulation.Kind("long", rate * 6.25 / 140.65, 4, 900, 6_800),
+                    new PoolSimulation.Kind("medium", rate * 100 / 140.65, 2, 200, 6_800))) {
+                simulation.traffic(pool, kind, Duration.ofMillis(500), LENGTH);
+                simulation.traffic(pool, kind.times(0.3), Duration.ofMillis(7_890), Duration.ofMillis(11_890));
+                if (kind.name().equals("long")) {
+                    simulation.traffic(pool, kind.times(0.8), Duration.ofMillis(9_390), Duration.ofMillis(13_290));
+                }
+            }
+            PoolSimulation.SimulatedTarget cut = simulation.target(domain + "-3");
+            simulation.after(Duration.ofMillis(830), () -> cut.setSilent(true));
+            simulation.after(Duration.ofMillis(3_890), () -> cut.setSilent(false));
+            PoolSimulation.SimulatedTarget hanging = simulation.target(domain + "-1");
+            simulation.after(Duration.ofMillis(13_300), () -> hanging.setHangs(true));
+            simulation.after(Duration.ofMillis(18_100), () -> hanging.setHangs(false));
+            PoolSimulation.SimulatedTarget failing = simulation.target(domain + "-2");
+            simulation.after(Duration.ofMillis(15_400), () -> failing.setFailing(1));
+            simulation.after(Duration.ofSeconds(22), () -> failing.setFailing(0));
+        });
+        simulation.run(LENGTH.plusSeconds(3));
+        return simulation;
+    }
+
+    /** Guards against callers that are sent away because a front or a master decides on an old load of another pool. */
+    @Test
+    void no_job_is_refused_while_a_pool_that_was_not_asked_could_start_it_at_once() {
+        PoolSimulation simulation = playSmallTargets(1);
+
+        assertThat(simulation.violations()).isEmpty();
+        assertThat(simulation.refusals().stream().filter(PoolSimulation.Refusal::roomElsewhere))
+                .isEmpty();
+    }
+
     /** Plays the usual mix of a domain of 51 targets that is divided into equal pools. */
     private static double shareOfLargeDomain(int pools, double factor) {
         Duration length = Duration.ofSeconds(12);
--- a/src/test/java/org/mustardlink/pool/PoolMasterTest.java
+++ b/src/test/java/org/mustardlink/pool/PoolMasterTest.java
@@ -49,15 +49,18 @@
         return submitOneTask("job", now);
     }
 
-    private RunId submitOneTask(String job, long now) {
-        StepSpec step = new StepSpec(
+    private static StepSpec halfOfTheTarget() {
+        return new StepSpec(
                 1,
                 new Capacity(1_000, 1, 0),
                 Duration.ofMillis(50),
                 ImmutableList.of(),
                 Optional.empty(),
                 Integer.MAX_VALUE);
-        master.submit(JobOrders.of(1, job, step, false), now);
+    }
+
+    private RunId submitOneTask(String job, long now) {
+        master.submit(JobOrders.of(1, job, halfOfTheTarget(), false), now);
         master.tick(now);
         return recorder.starts.get(recorder.starts.size() - 1);
     }
@@ -91,6 +94,27 @@
         assertThat(recorder.starts.get(1).run()).isGreaterThan(first.run());
     }
 
+    /** Guards against jobs of other pools that wait here although their own pool could have queued them as well. */
+    @Test
+    void a_job_that_is_offered_for_room_only_is_refused_while_the_pool_is_full_and_taken_when_it_has_room() {
+        RunId first = submitOneTask("first", ms(2));
+        submitOneTask("second", ms(2));
+        JobOrder offered = JobOrders.of(2, "offered", halfOfTheTarget(), false).offered();
+
+        master.submit(offered, ms(3));
+
+        assertThat(recorder.results).hasSize(1);
+        assertThat(recorder.results.get(0)).isInstanceOf(JobResult.Refused.class);
+        report(
+                1_010,
+                ms(10),
+                ImmutableList.of(),
+                ImmutableList.of(new HoldReport.RunEnd(1, first, HoldReport.How.DONE)));
+        master.submit(JobOrders.of(3, "offered again", halfOfTheTarget(), false).offered(), ms(11));
+        master.tick(ms(11));
+        assertThat(recorder.starts).hasSize(3);
+    }
+
     @Test
     void a_start_whose_answer_was_lost_goes_on_if_the_target_lists_it() {
         RunId first = submitOneTask(ms(2));
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -1,7 +1,9 @@
 package org.mustardlink.pool;
 
+import com.google.common.collect.HashMultimap;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.SetMultimap;
 import com.google.common.primitives.Longs;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -17,27 +19,45 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import org.mustardlink.front.Answer;
+import org.mustardlink.front.Front;
+import org.mustardlink.front.FrontActions;
+import org.mustardlink.front.PoolDirectory;
+import org.mustardlink.ownership.Claim;
 
 /**
- * Plays a load pattern on the masters of several pools and on targets with leases, in simulated time and without a
- * network. Every run with the same seed gives the same result.
+ * Plays a load pattern on the fronts of three hosts a domain, on the masters of several pools and on targets with leases,
+ * in simulated time and without a network. The first host of a domain is the master of its pool; the others know its load
+ * from heartbeats. Every run with the same seed gives the same result.
  */
 final class PoolSimulation {
     private static final long WAY_NANOS = TimeUnit.MICROSECONDS.toNanos(300);
     private static final long FAR_WAY_NANOS = TimeUnit.MICROSECONDS.toNanos(1_700);
     private static final long CALLER_WAY_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
     private static final long LOAD_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
+    /** Age from which a load says nothing about room, as on a host. */
+    private static final long TELLING_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    /** Interval of heartbeats to a host that is no watcher of the master. */
+    private static final long SELDOM_NANOS = TimeUnit.SECONDS.toNanos(2);
+
     private static final long DEADLINE_NANOS = TimeUnit.MILLISECONDS.toNanos(1_500);
     private static final double STRETCH = 1.6;
+    private static final int HOSTS_A_DOMAIN = 3;
     private static final long OBJECTIVE_NANOS = TimeUnit.MILLISECONDS.toNanos(60);
 
+    /** Draws arrivals and jobs; faults have their own, so that all code that is compared gets the same jobs. */
     private final SplittableRandom random;
+
+    private final SplittableRandom faults;
     private final PriorityQueue<Timed> events =
             new PriorityQueue<>(Comparator.comparingLong(Timed::at).thenComparingLong(Timed::sequence));
     private final Map<PoolId, PoolMaster> masters = new LinkedHashMap<>();
-    private final Map<PoolId, PoolLoad> loads = new HashMap<>();
+    private final Map<PoolId, Claim> claims = new LinkedHashMap<>();
+    private final Map<String, SimulatedHost> hosts = new LinkedHashMap<>();
     private final Map<PoolId, ImmutableList<TargetEntry>> entriesOf = new HashMap<>();
     private final Map<RequestId, PoolId> placed = new HashMap<>();
+    private final SetMultimap<RequestId, PoolId> asked = HashMultimap.create();
+    private final List<Refusal> refusals = new ArrayList<>();
     private double lateOrders;
     private final Map<String, SimulatedTarget> targets = new LinkedHashMap<>();
     private final Map<RequestId, Request> requests = new HashMap<>();
@@ -50,10 +70,27 @@
     private record Timed(long at, long sequence, Runnable action) {}
 
     /** A kind of job. */
-    record Kind(String name, double perSecond, int tasks, double taskMs, int cpuMillis) {}
+    record Kind(String name, double perSecond, int tasks, double taskMs, int cpuMillis) {
+        /** Returns the same kind at a multiple of its rate. */
+        Kind times(double factor) {
+            return new Kind(name, perSecond * factor, tasks, taskMs, cpuMillis);
+        }
+    }
+
+    /**
+     * An answer that a job has not run.
+     *
+     * @param why the reason that the caller is told
+     * @param roomElsewhere whether a pool that wasn't asked could have started the whole job at that moment
+     */
+    record Refusal(String kind, String why, boolean roomElsewhere) {}
+
+    /** How one job ended. */
+    private record Ended(double work, boolean served) {}
 
     /** How the jobs of a kind ended. */
     static final class Outcome {
+        private final List<Ended> ended = new ArrayList<>();
         private int asked;
         private int inTime;
         private int late;
@@ -69,6 +106,22 @@
             return asked;
         }
 
+        /** Returns the share of the jobs that ended before their deadline. */
+        double servedShare() {
+            return share(ended);
+        }
+
+        /** Returns the same of the tenth of the jobs with most work. */
+        double largestTenthServedShare() {
+            List<Ended> largestFirst = new ArrayList<>(ended);
+            largestFirst.sort(Comparator.comparingDouble(job -> -job.work()));
+            return share(largestFirst.subList(0, largestFirst.size() / 10));
+        }
+
+        private static double share(List<Ended> jobs) {
+            return jobs.stream().filter(Ended::served).count() / (double) Math.max(1, jobs.size());
+        }
+
         int refusedLate() {
             return refusedLate;
         }
@@ -76,15 +129,119 @@
         @Override
         public String toString() {
             return "asked %d, in time %.3f, late %d, refused %d (late %d), failed %d"
-                    .formatted(asked, inTimeShare(), late, refused, refusedLate, failed);
+                            .formatted(asked, inTimeShare(), late, refused, refusedLate, failed)
+                    + ", served %.3f, of the largest tenth %.3f".formatted(servedShare(), largestTenthServedShare());
         }
     }
 
     private record Request(
-            Kind kind, JobOrder order, PoolId home, long arrived, long chainNanos, ImmutableList<Long> workNanos) {}
+            Kind kind,
+            JobOrder order,
+            SimulatedHost host,
+            long arrived,
+            long chainNanos,
+            ImmutableList<Long> workNanos) {
+        private double work() {
+            return order.steps().get(0).need().cpuMillis()
+                    * workNanos.stream().mapToDouble(Long::doubleValue).sum();
+        }
+    }
+
+    /** An entry host: its front, and what it knows of the pools from heartbeats. */
+    private final class SimulatedHost implements PoolDirectory, FrontActions {
+        private final String id;
+        private final String domain;
+        private final Map<PoolId, PoolLoad> told = new HashMap<>();
+        private final Map<PoolId, Long> toldNanos = new HashMap<>();
+        private final Front front;
+
+        private SimulatedHost(String id, String domain) {
+            this.id = id;
+            this.domain = domain;
+            this.front = new Front(domain, this, this);
+        }
+
+        private boolean isMaster(PoolId pool) {
+            return claims.get(pool).host().equals(id);
+        }
+
+        @Override
+        public ImmutableList<PoolId> pools(String _service) {
+            return ImmutableList.copyOf(masters.keySet());
+        }
+
+        @Override
+        public Optional<Claim> master(PoolId pool, long _now) {
+            return Optional.ofNullable(claims.get(pool));
+        }
+
+        @Override
+        public PoolLoad load(PoolId pool) {
+            return isMaster(pool) ? masters.get(pool).load(now) : told.getOrDefault(pool, PoolLoad.NONE);
+        }
+
+        @Override
+        public boolean mayHaveRoom(PoolId pool, JobOrder order, long _now) {
+            return load(pool).holds(order)
+                    || (!isMaster(pool) && now - toldNanos.getOrDefault(pool, 0L) > TELLING_NANOS);
+        }
+
+        /** Returns another pool with room for a whole job, as a host does that is asked by its own master. */
+        private Optional<PoolId> withRoom(PoolId pool, JobOrder order) {
+            int wanted =
+                    order.steps().get(0).count() * order.steps().get(0).need().cpuMillis();
+            Optional<PoolId> other = masters.keySet().stream()
+                    .filter(candidate -> !candidate.equals(pool)
+                            && load(candidate).freeCpuMillis() >= wanted
+                            && load(candidate).widestCpuMillis()
+                                    >= order.steps().get(0).need().cpuMillis())
+                    .max(Comparator.comparingInt(candidate -> load(candidate).freeCpuMillis()));
+            other.ifPresent(chosen -> told.computeIfPresent(
+                    chosen,
+                    (_pool, load) ->
+                            new PoolLoad(load.freeCpuMillis() - wanted, load.widestCpuMillis(), load.openJobs())));
+            return other;
+        }
+
+        private long way(PoolId pool) {
+            if (isMaster(pool)) {
+                return 0;
+            }
+            return pool.domain().equals(domain) ? WAY_NANOS : FAR_WAY_NANOS;
+        }
+
+        @Override
+        public void submit(Claim master, JobOrder order) {
+            PoolId pool = master.pool();
+            placed.put(order.request(), pool);
+            asked.put(order.request(), pool);
+            at(now + way(pool), () -> {
+                masters.get(pool).submit(order, now);
+                tick(pool);
+            });
+        }
+
+        @Override
+        public void withdraw(Claim master, RequestId request, String job) {
+            PoolId pool = master.pool();
+            at(now + way(pool), () -> {
+                masters.get(pool).withdraw(request, job, now);
+                tick(pool);
+            });
+        }
+
+        @Override
+        public void superseded(Claim _claim, long _request, JobResult _result) {}
+
+        @Override
+        public void answer(long request, Answer answer) {
+            answered(new RequestId(id, 1, request), answer);
+        }
+    }
 
     PoolSimulation(long seed) {
         random = new SplittableRandom(seed);
+        faults = random.split();
     }
 
     long now() {
@@ -130,21 +287,25 @@
             targets.put(id, new SimulatedTarget(entry, isFast ? fastSpeed : plainSpeed));
         }
         entriesOf.put(pool, ImmutableList.copyOf(entries));
+        for (int i = 0; i < HOSTS_A_DOMAIN; i++) {
+            hosts.put(domain + "-host-" + i, new SimulatedHost(domain + "-host-" + i, domain));
+        }
         newMaster(pool, 1);
-        loads.put(pool, PoolLoad.NONE);
         at(now, () -> tick(pool));
         at(now, () -> refreshLoad(pool));
         return pool;
     }
 
     private void newMaster(PoolId pool, int round) {
-        Actions actions = new Actions();
+        Claim claim = new Claim(pool, masterHost(pool.domain()), 1, round);
+        Actions actions = new Actions(claim);
+        claims.put(pool, claim);
         actions.master = new PoolMaster(
                 pool,
                 FencingToken.of(round, round * 31L + pool.hashCode()),
                 new PoolBounds(Duration.ofSeconds(1)),
                 actions,
-                order -> otherPool(pool, order),
+                order -> hosts.get(masterHost(pool.domain())).withRoom(pool, order),
                 _now -> true,
                 now);
         actions.master.targetsListed(entriesOf.get(pool), now);
@@ -167,22 +328,21 @@
         tick(pool);
     }
 
-    private void refreshLoad(PoolId pool) {
-        loads.put(pool, masters.get(pool).load(now));
-        at(now + LOAD_AGE_NANOS, () -> refreshLoad(pool));
+    private static String masterHost(String domain) {
+        return domain + "-host-0";
     }
 
-    private Optional<PoolId> otherPool(PoolId pool, JobOrder order) {
-        int wanted = order.steps().get(0).count() * order.steps().get(0).need().cpuMillis();
-        Optional<PoolId> best = loads.entrySet().stream()
-                .filter(entry ->
-                        !entry.getKey().equals(pool) && entry.getValue().freeCpuMillis() >= wanted)
-                .max(Comparator.comparingInt(entry -> entry.getValue().freeCpuMillis()))
-                .map(Map.Entry::getKey);
-        best.ifPresent(chosen -> loads.computeIfPresent(
-                chosen,
-                (_pool, load) -> new PoolLoad(load.freeCpuMillis() - wanted, load.widestCpuMillis(), load.openJobs())));
-        return best;
+    private void refreshLoad(PoolId pool) {
+        PoolLoad load = masters.get(pool).load(now);
+        for (SimulatedHost host : hosts.values()) {
+            // Masters and the hosts of the own domain hear a master often, the others seldom.
+            boolean watches = host.domain.equals(pool.domain()) || host.id.equals(masterHost(host.domain));
+            if (watches || now - host.toldNanos.getOrDefault(pool, 0L) >= SELDOM_NANOS) {
+                host.told.put(pool, load);
+                host.toldNanos.put(pool, now);
+            }
+        }
+        at(now + LOAD_AGE_NANOS, () -> refreshLoad(pool));
     }
 
     private void tick(PoolId pool) {
@@ -219,7 +379,11 @@
             chain = Math.max(chain, work[i]);
         }
         Duration estimate = Duration.ofNanos((long) (lognormal(jobMs, 0.4) * 1e6));
-        RequestId id = new RequestId("front", 1, ++requestNumber);
+        List<SimulatedHost> ofDomain = hosts.values().stream()
+                .filter(host -> host.domain.equals(pool.domain()))
+                .toList();
+        SimulatedHost host = ofDomain.get((int) (++requestNumber % ofDomain.size()));
+        RequestId id = new RequestId(host.id, 1, requestNumber);
         StepSpec step = new StepSpec(
                 count, new Capacity(cpu, 64, 0), estimate, ImmutableList.of(), Optional.empty(), Integer.MAX_VALUE);
         JobOrder order = new JobOrder(
@@ -233,25 +397,26 @@
                 STRETCH,
                 Duration.ofNanos(DEADLINE_NANOS),
                 false,
-                true);
+                true,
+                false);
         requests.put(
                 id,
                 new Request(
                         kind,
                         order,
-                        pool,
+                        host,
                         now,
                         chain,
                         Longs.asList(work).stream().collect(ImmutableList.toImmutableList())));
         outcomes.computeIfAbsent(kind.name(), _name -> new Outcome()).asked++;
-        at(now + CALLER_WAY_NANOS, () -> submit(pool, order));
+        at(now + CALLER_WAY_NANOS, () -> host.front.submit(order, pool.service(), now));
         at(now + DEADLINE_NANOS, () -> {
-            if (requests.remove(id) != null) {
-                outcomes.get(kind.name()).failed++;
-                masters.forEach((_pool, master) -> {
-                    master.withdraw(id, order.job(), now);
-                    master.tickDue(now);
-                });
+            Request open = requests.remove(id);
+            if (open != null) {
+                Outcome outcome = outcomes.get(kind.name());
+                outcome.failed++;
+                outcome.ended.add(new Ended(open.work(), false));
+                host.front.callerGone(id.number(), now);
             }
         });
     }
@@ -261,27 +426,16 @@
         lateOrders = share;
     }
 
-    private void submit(PoolId pool, JobOrder order) {
-        placed.put(order.request(), pool);
-        masters.get(pool).submit(order, now);
-        tick(pool);
-    }
-
-    private void finished(RequestId id, JobResult result) {
-        Request request = requests.get(id);
+    private void answered(RequestId id, Answer answer) {
+        Request request = requests.remove(id);
         if (request == null) {
             return;
         }
-        if (result instanceof JobResult.Redirected redirected) {
-            JobOrder moved = request.order().with(request.order().remaining(), false, false);
-            at(now + FAR_WAY_NANOS, () -> submit(redirected.pool(), moved));
-            return;
-        }
-        requests.remove(id);
         Outcome outcome = outcomes.get(request.kind().name());
         long took = now + CALLER_WAY_NANOS - request.arrived();
         long objective = (long) (STRETCH * request.chainNanos()) + OBJECTIVE_NANOS;
-        if (result instanceof JobResult.Complete) {
+        outcome.ended.add(new Ended(request.work(), answer.kind() == Answer.Kind.COMPLETE));
+        if (answer.kind() == Answer.Kind.COMPLETE) {
             if (took <= objective) {
                 outcome.inTime++;
             } else if (took <= 3 * objective) {
@@ -289,14 +443,24 @@
             } else {
                 outcome.failed++;
             }
-        } else if (result instanceof JobResult.Refused) {
+        } else if (answer.kind() == Answer.Kind.NOT_RUN) {
             outcome.refused++;
             outcome.refusedLate += took > objective / 4 + 2 * CALLER_WAY_NANOS ? 1 : 0;
+            Duration left = Duration.ofNanos(request.arrived() + DEADLINE_NANOS - now);
+            boolean roomElsewhere = masters.entrySet().stream()
+                    .filter(entry -> !asked.containsEntry(id, entry.getKey()))
+                    .anyMatch(entry ->
+                            entry.getValue().canStartNow(request.order().with(left, false, false), now));
+            refusals.add(new Refusal(request.kind().name(), answer.why(), roomElsewhere));
         } else {
             outcome.failed++;
         }
     }
 
+    ImmutableList<Refusal> refusals() {
+        return ImmutableList.copyOf(refusals);
+    }
+
     /** Plays until a time. */
     void run(Duration until) {
         long end = TimeUnit.SECONDS.toNanos(1) + until.toNanos();
@@ -309,8 +473,13 @@
     }
 
     private final class Actions implements PoolActions {
+        private final Claim claim;
         private PoolMaster master;
 
+        private Actions(Claim claim) {
+            this.claim = claim;
+        }
+
         private void onMaster(Consumer<PoolMaster> event) {
             event.accept(master);
             master.tickDue(now);
@@ -321,8 +490,8 @@
         @Override
         public void start(TargetEntry entry, RunId run, String _payload, long deadlineMs, long fence) {
             SimulatedTarget target = targets.get(entry.id());
-            if (random.nextDouble() < lateOrders) {
-                long late = TimeUnit.SECONDS.toNanos(2) + (long) (random.nextDouble() * 10e9);
+            if (faults.nextDouble() < lateOrders) {
+                long late = TimeUnit.SECONDS.toNanos(2) + (long) (faults.nextDouble() * 10e9);
                 at(now + late, () -> target.start(run, deadlineMs, fence));
                 at(
                         now + TimeUnit.MILLISECONDS.toNanos(120),
@@ -377,7 +546,8 @@
 
         @Override
         public void finished(RequestId request, String _job, JobResult result) {
-            at(now + WAY_NANOS, () -> PoolSimulation.this.finished(request, result));
+            SimulatedHost host = hosts.get(request.host());
+            at(now + host.way(claim.pool()), () -> host.front.answered(request.number(), claim, result, now));
         }
 
         @Override
@@ -485,7 +655,7 @@
                     .orElse(0L);
             cpus.put(run, need);
             running.put(run, new Progress(now, hangs ? 0 : (long) (work / speed)));
-            if (random.nextDouble() < failing) {
+            if (faults.nextDouble() < failing) {
                 end(run, HoldReport.How.FAILED);
             } else if (!hangs) {
                 at(now + (long) (work / speed), () -> end(run, HoldReport.How.DONE));
