Don't count a job that is pointed to another pool as work of this one

What callers saw: jobs refused as "more work arrives than the pool can do" in the seconds after a pool had handed many jobs over.

Cause: JobSystem counted the work of every arriving job for load shedding before it decided whether another pool does it.

Change: a job counts where it is queued, started or refused.

No test of its own: it fails no bound that is stated.

--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -79,7 +79,6 @@
         if (order.onlyNow()) {
             return offer(job, now);
         }
-        shedding.offered(order.route(), job.work(), now);
         boolean roomNow = tables.queue().isEmpty() && hasRoomNow(order, now);
         if (!roomNow && order.mayMove()) {
             Optional<PoolId> other = otherPool.apply(order);
@@ -87,6 +86,8 @@
                 return Optional.of(new JobResult.Redirected(other.get()));
             }
         }
+        // What another pool does is no work of this one.
+        shedding.offered(order.route(), job.work(), now);
         if (roomNow) {
             return Optional.empty();
         }
