--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -106,8 +106,7 @@
         if (throughput == 0) {
             return Optional.of(new JobResult.Refused("no target of the pool takes tasks", MIN_RETRY_AFTER));
         }
-        double backlog =
-                tables.queue().stream().mapToDouble(PoolJob::work).sum();
+        double backlog = tables.queue().stream().mapToDouble(PoolJob::work).sum();
         if (backlog > throughput * BACKLOG_NANOS && shedding.shed(order.route(), throughput, now)) {
             return Optional.of(new JobResult.Refused("more work arrives than the pool can do", MIN_RETRY_AFTER));
         }
@@ -163,9 +162,7 @@
 
     /** Returns the work of queued jobs that come before a job, in thousandths of a core times nanoseconds. */
     private double workAhead(PoolJob job) {
-        return tables.queue().headSet(job).stream()
-                .mapToDouble(PoolJob::work)
-                .sum();
+        return tables.queue().headSet(job).stream().mapToDouble(PoolJob::work).sum();
     }
 
     /** Returns whether nothing waits and a whole job could start now on targets that end it before its deadline. */
