Find a target's connections by its address, and read headers and task names in one pass

Cause: cost that follows calls to targets instead of work. Each call formed a text of the target's address as the key of its connections, twice through linked string concatenation; each answer's headers were searched by name for each of its names; each name of a task in a report went through a general splitter.

Change: the address itself is the key; headers are read by their number, the first of two values counts as before; names of tasks are read by the positions of their dots.

Conclusion: no decision changes.

--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -5,6 +5,7 @@
 import java.net.SocketAddress;
 import java.nio.charset.Charset;
 import java.time.Duration;
+import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -32,6 +33,7 @@
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
 import org.glassfish.grizzly.nio.transport.TCPNIOTransport;
@@ -173,7 +175,7 @@
 
     private void take(InetSocketAddress address, HttpCall call, Exchange exchange, int takesLeft) {
         CompletableFuture<HttpReply> reply = exchange.reply();
-        pool.take(Endpoint.Factory.<SocketAddress>create(address, connector), new EmptyCompletionHandler<>() {
+        pool.take(endpoint(address), new EmptyCompletionHandler<>() {
             @Override
             @SuppressWarnings({"unchecked", "RawTypes"})
             public void completed(Connection connection) {
@@ -203,6 +205,11 @@
         });
     }
 
+    /** Returns the key of an address in the pool: the address itself, because Grizzly would form a text of it for each call. */
+    private Endpoint<SocketAddress> endpoint(InetSocketAddress address) {
+        return Endpoint.Factory.create(address, address, null, connector);
+    }
+
     private boolean isFresh(Connection<?> connection, InetSocketAddress address, HttpCall call) {
         Long since = UNUSED_SINCE.get(connection);
         if (since == null) {
@@ -271,7 +278,7 @@
 
     /** Closes the connections to an address that no call uses; calls in flight go on. */
     public void closeIdle(InetSocketAddress address) {
-        pool.close(Endpoint.Factory.<SocketAddress>create(address, connector));
+        pool.close(endpoint(address));
     }
 
     /** Closes every connection and stops the I/O threads. */
@@ -348,7 +355,7 @@
             if (!expected) {
                 unexpectedAnswers.incrementAndGet();
             }
-            if (!expected || "close".equalsIgnoreCase(response.getHeader("Connection"))) {
+            if (!expected || "close".equalsIgnoreCase(reply.headers().get("connection"))) {
                 connection.terminateSilently();
             } else {
                 UNUSED_SINCE.set(connection, System.nanoTime());
@@ -373,12 +380,15 @@
         }
 
         private HttpReply toReply(HttpResponsePacket response, HttpContent content, Charset charset) {
-            ImmutableMap.Builder<String, String> headers = ImmutableMap.builder();
-            for (String name : response.getHeaders().names()) {
-                headers.put(name.toLowerCase(Locale.ROOT), response.getHeader(name));
+            MimeHeaders fields = response.getHeaders();
+            Map<String, String> headers = new LinkedHashMap<>();
+            for (int i = 0; i < fields.size(); i++) {
+                // Looked at by their number: a search by name compares each name with all before it.
+                String name = fields.getName(i).toString().toLowerCase(Locale.ROOT);
+                headers.putIfAbsent(name, fields.getValue(i).toString());
             }
             String body = content.getContent().toStringContent(charset);
-            return new HttpReply(response.getStatus(), headers.buildKeepingLast(), body);
+            return new HttpReply(response.getStatus(), ImmutableMap.copyOf(headers), body);
         }
     }
 }
--- a/src/main/java/org/mustardlink/platform/TargetOrders.java
+++ b/src/main/java/org/mustardlink/platform/TargetOrders.java
@@ -3,11 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -39,7 +37,6 @@
     private static final int END_TASK = 1;
     private static final int END_RUN = 2;
     private static final int END_HOW = 3;
-    private static final Splitter DOT = Splitter.on('.');
 
     private final HttpRequester requester;
 
@@ -222,15 +219,18 @@
         return name.job() + '.' + name.occurrence() + '.' + name.step() + '.' + name.index();
     }
 
-    private static TaskName parse(String text) {
-        List<String> parts = DOT.splitToList(text);
-        if (parts.size() != 4) {
+    /** Reads the name of a task; searched by hand, because each report lists a name for every run and end. */
+    static TaskName parse(String text) {
+        int first = text.indexOf('.');
+        int second = text.indexOf('.', first + 1);
+        int third = text.indexOf('.', second + 1);
+        if (first < 0 || second < 0 || third < 0 || text.indexOf('.', third + 1) >= 0) {
             throw new IllegalArgumentException("not the name of a task: " + text);
         }
         return new TaskName(
-                parts.get(0),
-                Integer.parseInt(parts.get(1)),
-                Integer.parseInt(parts.get(2)),
-                Integer.parseInt(parts.get(3)));
+                text.substring(0, first),
+                Integer.parseInt(text, first + 1, second, 10),
+                Integer.parseInt(text, second + 1, third, 10),
+                Integer.parseInt(text, third + 1, text.length(), 10));
     }
 }
--- /dev/null
+++ b/src/test/java/org/mustardlink/http/HttpReplyHeadersTest.java
@@ -0,0 +1,56 @@
+package org.mustardlink.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.io.ByteStreams;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import org.junit.jupiter.api.Test;
+
+final class HttpReplyHeadersTest {
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nX-Twice: first\r\ncontent-length: 2\r\nx-TWICE: second\r\n"
+            + "Connection: close\r\nX-Empty:\r\n\r\nok";
+
+    /** Guards against headers that are lost, mixed up or found by one spelling of their names only. */
+    @Test
+    void the_headers_of_an_answer_have_lower_case_names_and_the_first_of_two_values() throws IOException {
+        try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                HttpRequester requester = HttpRequester.start(HttpRequester.Limits.small())) {
+            Thread answering = new Thread(() -> answerOnce(server));
+            answering.setDaemon(true);
+            answering.start();
+
+            HttpReply reply = requester
+                    .send(
+                            new InetSocketAddress(server.getInetAddress(), server.getLocalPort()),
+                            HttpCall.get("/", Duration.ofSeconds(10)))
+                    .join();
+
+            assertThat(reply.body()).isEqualTo("ok");
+            assertThat(reply.headers())
+                    .containsExactly("x-twice", "first", "content-length", "2", "connection", "close", "x-empty", "");
+            assertThat(reply.header("X-TWICE")).hasValue("first");
+        }
+    }
+
+    private static void answerOnce(ServerSocket server) {
+        try (Socket socket = server.accept();
+                InputStream in = socket.getInputStream()) {
+            int seen = 0;
+            // The request has no body: it ends with its first empty line.
+            for (int last = 0; last < 4 && seen >= 0; last = (seen == '\r' || seen == '\n') ? last + 1 : 0) {
+                seen = in.read();
+            }
+            socket.getOutputStream().write(ANSWER.getBytes(StandardCharsets.US_ASCII));
+            long _rest = ByteStreams.exhaust(in);
+        } catch (IOException e) {
+            throw new AssertionError("the stand-in of a server failed", e);
+        }
+    }
+}
