Start a host without a look for its terminal's width and annotations of the console, and record a burst's classes

Cause: cost of the start of the process. The parser of arguments tried to start another process to learn the width of a terminal; Log4j's appender for the console checked its settings through annotations, for which the virtual machine generates nine classes; the archive of classes held nothing that only a loaded host runs (refusals, redirections, waiting jobs), so these classes and lambdas were built in each process.

Change: no detection of the width; a plain appender on standard output; the exercise that the build runs also sends a burst of jobs.

--- a/src/main/java/org/mustardlink/cli/ExerciseCommand.java
+++ b/src/main/java/org/mustardlink/cli/ExerciseCommand.java
@@ -7,6 +7,9 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
@@ -23,6 +26,11 @@
     private static final int JOBS = 200;
     private static final int TASKS = 3;
     private static final int TASK_MS = 5;
+    /** Jobs at once, several times what the targets have room for, so that some wait and others are refused or redirected. */
+    private static final int BURST_JOBS = 60;
+
+    private static final int BURST_TASKS = 6;
+    private static final int BURST_TASK_MS = 80;
     private static final int OK = 200;
     private static final String SETTINGS = """
             [host]
@@ -53,7 +61,8 @@
                 .help("serve jobs on stand-ins of the platform in one process")
                 .description(
                         "Starts a store, four targets and two dispatch hosts on loopback, sends 200 jobs of 3 tasks,"
-                                + " and checks that each is complete. The build runs it to record which classes a host loads.")
+                                + " checks that each is complete, and sends a burst of jobs for which there is no room."
+                                + " The build runs it to record which classes a host loads.")
                 .epilog("example: mustardlink exercise");
         parser.setDefault(Main.COMMAND, this);
     }
@@ -77,6 +86,19 @@
         }
     }
 
+    /** Sends more jobs at once than there is room for, whatever becomes of them: a host under load runs that code too. */
+    private static void burst(StandInDeployment deployment) {
+        List<CompletableFuture<HttpReply>> answers = new ArrayList<>();
+        for (int i = JOBS; i < JOBS + BURST_JOBS; i++) {
+            String host = i % 2 == 0 ? "east-1" : "west-1";
+            answers.add(deployment.submit(host, "%016x".formatted(i), BURST_TASKS, BURST_TASK_MS));
+        }
+        CompletableFuture<?>[] all = answers.toArray(CompletableFuture<?>[]::new);
+        // A job that isn't answered in time is one of the outcomes that a burst may have.
+        CompletableFuture<Boolean> ended = CompletableFuture.allOf(all).handle((_done, failure) -> failure == null);
+        boolean _allAnswered = ended.join();
+    }
+
     @Override
     public int run(Namespace _arguments) {
         readSettings();
@@ -100,6 +122,7 @@
                         .join();
                 complete += reply.status() == OK ? 1 : 0;
             }
+            burst(deployment);
             System.out.println(complete + " of " + JOBS + " jobs are complete");
             return complete == JOBS ? ExitCode.OK : ExitCode.FAILED;
         }
--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -64,6 +64,8 @@
     static int run(String[] args) {
         ArgumentParser parser = ArgumentParsers.newFor("mustardlink")
                 .defaultFormatWidth(WIDTH)
+                // It would start another process at each start of a host, which the platform refuses.
+                .terminalWidthDetection(false)
                 .build()
                 .description("Dispatches sub-second tasks to targets that are drained every week.")
                 .epilog("Exit codes: 0 done, 1 failed, 2 wrong arguments or settings, 3 the job did not run,"
--- a/src/main/java/org/mustardlink/observe/StandardOutputLogs.java
+++ b/src/main/java/org/mustardlink/observe/StandardOutputLogs.java
@@ -6,7 +6,7 @@
 import org.apache.logging.log4j.core.Appender;
 import org.apache.logging.log4j.core.LoggerContext;
 import org.apache.logging.log4j.core.appender.AsyncAppender;
-import org.apache.logging.log4j.core.appender.ConsoleAppender;
+import org.apache.logging.log4j.core.appender.OutputStreamAppender;
 import org.apache.logging.log4j.core.config.AbstractConfiguration;
 import org.apache.logging.log4j.core.config.AppenderRef;
 import org.apache.logging.log4j.core.config.ConfigurationSource;
@@ -65,10 +65,12 @@
         @Override
         public void initialize() {
             setState(State.INITIALIZING);
-            Appender console = ConsoleAppender.newBuilder()
+            // Log4j's own appender for the console checks its settings through annotations, which costs a tenth of the
+            // processor time until a host's first line.
+            Appender console = OutputStreamAppender.newBuilder()
                     .setName(CONSOLE)
                     .setLayout(new JsonLineLayout())
-                    .setTarget(ConsoleAppender.Target.SYSTEM_OUT)
+                    .setTarget(System.out)
                     // Lines that wait together leave with one system call; the last line of a queue is never held back.
                     .setImmediateFlush(false)
                     .setConfiguration(this)
