--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -416,7 +416,7 @@
                 Outcome outcome = outcomes.get(kind.name());
                 outcome.failed++;
                 outcome.ended.add(new Ended(open.work(), false));
-                host.front.callerGone(id.number(), now);
+                host.front.callerGone(id.number());
             }
         });
     }
