Listen only to the newest connection of another host

What callers could see: two runs of one task. A host replaces a connection on which its heartbeats aren't seen; the receiver kept the replaced one and went on to handle what the network delivered on it, seconds late and after newer messages. An order of a job that had been withdrawn, and that its caller had sent again elsewhere, was started.

Cause: each connection was judged by itself; nothing said which of a sender's connections is the newest. Class: messages of one sender taken in another order than they were sent.

Change: a host numbers the connections that it opens and says the number in the introduction. The receiver keeps the newest connection of each life of a host, closes those that it replaces and those of earlier lives, and drops what arrives on any other. Arrival alone doesn't tell the newest, because an introduction may be late as well.

--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -74,6 +74,7 @@
         if (message instanceof PeerMessage.Hello hello) {
             out.writeByte(HELLO);
             write(out, hello.sender());
+            out.writeI64(hello.number());
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
             out.writeByte(HEARTBEAT);
             write(out, heartbeat);
@@ -111,7 +112,7 @@
     private static PeerMessage read(TCompactProtocol in) throws TException {
         byte type = in.readByte();
         return switch (type) {
-            case HELLO -> new PeerMessage.Hello(readHost(in));
+            case HELLO -> new PeerMessage.Hello(readHost(in), in.readI64());
             case HEARTBEAT -> readHeartbeat(in);
             case SUBMIT -> new PeerMessage.Submit(readPool(in), in.readI32(), readOrder(in));
             case WITHDRAW -> new PeerMessage.Withdraw(readPool(in), readRequest(in), in.readString());
--- a/src/main/java/org/mustardlink/link/PeerLinks.java
+++ b/src/main/java/org/mustardlink/link/PeerLinks.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.glassfish.grizzly.Buffer;
 import org.glassfish.grizzly.Connection;
 import org.glassfish.grizzly.EmptyCompletionHandler;
@@ -34,7 +35,7 @@
  * The links to all other entry hosts. Thread-safe.
  *
  * <p>Each host sends on connections that it has opened and only receives on those of others. A message to a host without
- * an open connection is dropped.
+ * an open connection is dropped, and so is what arrives on a connection that its sender has replaced.
  */
 public final class PeerLinks implements AutoCloseable {
     /** Largest frame: a job's payload is at most 256 KiB, and its steps fit beside it. */
@@ -55,6 +56,8 @@
     private final TCPNIOTransport transport;
     private final TCPNIOConnectorHandler connector;
     private final Map<String, Outbound> outbound = new ConcurrentHashMap<>();
+    private final AtomicLong connectionNumbers = new AtomicLong();
+    private final InboundConnections inbound = new InboundConnections();
 
     private static final class Outbound {
         private final HostInfo host;
@@ -160,7 +163,7 @@
                     return;
                 }
                 link.connecting = false;
-                write(connection, new PeerMessage.Hello(self));
+                write(connection, new PeerMessage.Hello(self, connectionNumbers.incrementAndGet()));
                 link.connection = connection;
                 listener.connected(link.host.id());
             }
@@ -246,12 +249,18 @@
             }
             if (message instanceof PeerMessage.Hello hello) {
                 SENDER.set(connection, hello.sender());
+                if (!inbound.introduced(connection, hello)) {
+                    return false;
+                }
             }
             HostInfo sender = SENDER.get(connection);
             if (sender == null) {
                 listener.malformed("a message before the sender has introduced itself");
                 return false;
             }
+            if (!inbound.isNewest(connection, sender)) {
+                return false;
+            }
             listener.received(sender, message);
             return true;
         }
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -19,8 +19,9 @@
      * First message of each connection.
      *
      * @param sender the host that opened the connection
+     * @param number number of the connection, above those of all that the sender's incarnation has opened before
      */
-    record Hello(HostInfo sender) implements PeerMessage {
+    record Hello(HostInfo sender, long number) implements PeerMessage {
         public Hello {
             checkNotNull(sender, "sender");
         }
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -35,7 +35,7 @@
     private static final StepSpec NEXT =
             new StepSpec(1, new Capacity(1, 0, 0), Duration.ZERO, ImmutableList.of(0), Optional.empty(), 2);
     private static final ImmutableList<PeerMessage> MESSAGES = ImmutableList.of(
-            new PeerMessage.Hello(new HostInfo("east-1", "east", 9, "127.0.0.1:1", 750)),
+            new PeerMessage.Hello(new HostInfo("east-1", "east", 9, "127.0.0.1:1", 750), 3),
             new PeerMessage.Heartbeat(
                     4,
                     3,
