Answer late orders of withdrawn requests and of lost fronts without starting anything

What callers could see: two runs of one task. An order that arrived after the withdrawal of its request, or after the loss of its front, started a job for which nobody waited there and which its caller had sent again. So did an order that was repeated after the withdrawal had ended its job.

Cause: a withdrawal of an unknown request left no trace, and a job that a withdrawal ends has no request left under which its result could be kept. Class: an end that is forgotten before everything that it ends has arrived.

Change: the last 1,000 withdrawn requests are kept by their id, whatever pool they were withdrawn from, with those that were open when their front was lost. All other orders of a lost front are late too until its next heartbeat. Such an order is answered as abandoned.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -535,6 +535,9 @@
                 layOutPools();
                 timersNanos = now;
             }
+            if (ownership.alive(sender.id(), sender.incarnation(), now)) {
+                pools.frontHeard(sender.id(), sender.incarnation());
+            }
         } else if (message instanceof PeerMessage.Submit submit) {
             pools.submit(submit.pool(), submit.round(), submit.order(), now);
         } else if (message instanceof PeerMessage.Withdraw withdraw) {
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -3,11 +3,13 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.mustardlink.observe.EventLog;
@@ -34,6 +36,10 @@
 final class PoolRunner {
     /** Results kept for fronts that repeat an order after a lost link; a link is replaced within a second. */
     private static final int MAX_RESULTS = 1_000;
+    /** Withdrawn requests kept for orders that arrive late; as many as results. */
+    private static final int MAX_WITHDRAWN = 1_000;
+    /** Lost process lives kept for orders that arrive late; each end of a host adds one. */
+    private static final int MAX_LOST_FRONTS = 1_000;
     /** Within this time this host's own front hands its jobs over; it does so with the next event or timer. */
     private static final long OWN_HANDOVER_NANOS = TimeUnit.MILLISECONDS.toNanos(50);
 
@@ -59,6 +65,14 @@
         }
     };
 
+    /** Requests that nobody waits for any more; their orders may be repeated or may not have arrived yet. */
+    private final Set<RequestId> withdrawn = newBoundedSet(MAX_WITHDRAWN);
+    /** Process lives of other hosts that were lost and haven't been heard of since. */
+    private final Set<FrontLife> lostFronts = newBoundedSet(MAX_LOST_FRONTS);
+
+    /** One process life of a host as a front. */
+    private record FrontLife(String host, long incarnation) {}
+
     /** The heartbeats that told the other hosts of a new claim. */
     private record Announced(PeerMonitor.Announcement announcement, long sentNanos) {}
 
@@ -112,6 +126,18 @@
         this.otherPool = otherPool;
     }
 
+    /** Returns a set that drops its oldest element when it is full. */
+    private static <T> Set<T> newBoundedSet(int bound) {
+        return Collections.newSetFromMap(new LinkedHashMap<>() {
+            private static final long serialVersionUID = 1L;
+
+            @Override
+            protected boolean removeEldestEntry(Map.Entry<T, Boolean> _eldest) {
+                return size() > bound;
+            }
+        });
+    }
+
     /** Becomes the master of a pool. */
     void acquire(Claim claim, PoolOwnership ownership, long now) {
         PoolId pool = claim.pool();
@@ -189,8 +215,9 @@
     }
 
     /**
-     * Takes a job; one that was answered already gets the same answer again. An order that was sent to another claim is
-     * handed back, as its front doesn't know under which claim the job runs.
+     * Takes a job; one that was answered already gets the same answer again. An order of a withdrawn request is answered and
+     * starts nothing: the caller may have sent the job again elsewhere. An order that was sent to another claim is handed
+     * back, as its front doesn't know under which claim the job runs.
      *
      * @param round the round of the claim under which this host is the pool's master as far as the front knows
      */
@@ -199,6 +226,8 @@
         PoolMaster master = masters.get(pool);
         if (earlier != null && earlier.holdsFor(round)) {
             results.finished(pool, round, order.request(), earlier.result());
+        } else if (isWithdrawn(order.request())) {
+            results.finished(pool, round, order.request(), new JobResult.Abandoned("withdrawn"));
         } else if (master == null || master.fence().round() != round) {
             results.finished(pool, round, order.request(), new JobResult.Moved());
         } else {
@@ -207,7 +236,13 @@
         }
     }
 
+    private boolean isWithdrawn(RequestId request) {
+        return withdrawn.contains(request) || lostFronts.contains(new FrontLife(request.host(), request.incarnation()));
+    }
+
+    /** Notes that nobody waits for a request any more, whether its order has arrived or not. */
     void withdraw(PoolId pool, RequestId request, String job, long now) {
+        withdrawn.add(request);
         PoolMaster master = masters.get(pool);
         if (master != null) {
             master.withdraw(request, job, now);
@@ -224,9 +259,24 @@
         return found;
     }
 
+    /** Withdraws every request of a front: those that have arrived, and all others until it is heard of again. */
     void frontLost(String host, long incarnation, long now) {
         masters.values().forEach(master -> master.frontLost(host, incarnation, now));
-        arrivals.keySet().removeIf(request -> request.host().equals(host) && request.incarnation() == incarnation);
+        arrivals.keySet().removeIf(request -> {
+            boolean lost = request.host().equals(host) && request.incarnation() == incarnation;
+            if (lost) {
+                withdrawn.add(request);
+            }
+            return lost;
+        });
+        lostFronts.add(new FrontLife(host, incarnation));
+    }
+
+    /** Notes that a front is heard of: one that was lost was only silent, and its new requests are taken again. */
+    void frontHeard(String host, long incarnation) {
+        if (!lostFronts.isEmpty()) {
+            lostFronts.remove(new FrontLife(host, incarnation));
+        }
     }
 
     void targetsChanged(long now) {
