Count only heartbeats of the present life as seen by another host

What callers could see: after the restart of a host, inherited runs stopped before their fronts had handed the jobs over, so that jobs failed or ran anew.

Cause: a heartbeat says the number of the receiver's last heartbeat that its sender got, and numbers start anew with each life. The first heartbeat that a restarted host gets may carry a number of the earlier life; it confirmed announcements that nobody had got. Class: a number that is compared outside the life that gave it.

Evidence: the test of the earlier life's number in PeerMonitorTest failed before the change; the test beside it states that a number of the present life does confirm.

Change: the heartbeat carries the incarnation of the receiver with the number, and the receiver counts it for its own incarnation only.

--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -149,7 +149,10 @@
             return false;
         }
         peer.seen = heartbeat.number();
-        peer.seenOurs = Math.max(peer.seenOurs, heartbeat.seen());
+        // After this host's restart another one may still tell what it has seen of the earlier life.
+        if (heartbeat.seenIncarnation() == self.incarnation()) {
+            peer.seenOurs = Math.max(peer.seenOurs, heartbeat.seen());
+        }
         if (peer.seenOurs < peer.number && now - peer.unseenSinceNanos > UNSEEN_NANOS) {
             replaceUnseen(peer, now);
         } else if (peer.seenOurs == peer.number) {
@@ -282,7 +285,13 @@
         links.send(
                 peer.info.id(),
                 new PeerMessage.Heartbeat(
-                        peer.number, peer.seen, next, status.stopping(), ownership.ownClaims(), status.loads()));
+                        peer.number,
+                        peer.seen,
+                        peer.info.incarnation(),
+                        next,
+                        status.stopping(),
+                        ownership.ownClaims(),
+                        status.loads()));
     }
 
     /** Returns whether every host that may live has got an announcement; one that is silent is taken for dead. */
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -177,6 +177,7 @@
     private static void write(TCompactProtocol out, PeerMessage.Heartbeat heartbeat) throws TException {
         out.writeI64(heartbeat.number());
         out.writeI64(heartbeat.seen());
+        out.writeI64(heartbeat.seenIncarnation());
         out.writeI64(heartbeat.next().toNanos());
         out.writeBool(heartbeat.stopping());
         writeClaims(out, heartbeat.claims());
@@ -192,6 +193,7 @@
     private static PeerMessage.Heartbeat readHeartbeat(TCompactProtocol in) throws TException {
         long number = in.readI64();
         long seen = in.readI64();
+        long seenIncarnation = in.readI64();
         Duration next = Duration.ofNanos(in.readI64());
         boolean stopping = in.readBool();
         ImmutableList<Claim> claims = readClaims(in);
@@ -199,7 +201,8 @@
         for (int i = readCount(in); i > 0; i--) {
             loads.put(readPool(in), new PoolLoad(in.readI32(), in.readI32(), in.readI32()));
         }
-        return new PeerMessage.Heartbeat(number, seen, next, stopping, claims, loads.buildKeepingLast());
+        return new PeerMessage.Heartbeat(
+                number, seen, seenIncarnation, next, stopping, claims, loads.buildKeepingLast());
     }
 
     private static void write(TCompactProtocol out, PoolId pool) throws TException {
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -32,6 +32,7 @@
      *
      * @param number number of the heartbeat within the sender's incarnation
      * @param seen number of the receiver's last heartbeat that the sender got
+     * @param seenIncarnation incarnation of the receiver that sent that heartbeat; numbers start anew with each
      * @param next time until the sender's next heartbeat to the receiver
      * @param stopping whether the sender is about to end
      * @param claims claims under which the sender is a master
@@ -40,6 +41,7 @@
     record Heartbeat(
             long number,
             long seen,
+            long seenIncarnation,
             Duration next,
             boolean stopping,
             ImmutableList<Claim> claims,
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.List;
@@ -93,6 +94,28 @@
         assertThat(nextHeartbeats()).hasSize(2);
     }
 
+    private boolean seenByAllAfter(long seen, long seenIncarnation) {
+        long now = System.nanoTime();
+        PeerMonitor.Announcement claim = monitor.announce(status(), now);
+        monitor.heard(
+                master,
+                new PeerMessage.Heartbeat(
+                        7, seen, seenIncarnation, Duration.ofMillis(100), false, ImmutableList.of(), ImmutableMap.of()),
+                now);
+        return monitor.allHaveSeen(claim, now);
+    }
+
+    /** Guards against inherited runs that are stopped before their fronts have handed the jobs over to the new master. */
+    @Test
+    void a_number_that_a_host_has_seen_of_an_earlier_life_confirms_no_announcement() {
+        assertThat(seenByAllAfter(500, self.incarnation() - 1)).isFalse();
+    }
+
+    @Test
+    void a_number_that_a_host_has_seen_of_this_life_confirms_an_announcement() {
+        assertThat(seenByAllAfter(1, self.incarnation())).isTrue();
+    }
+
     private static final class NoActions implements OwnershipActions {
         @Override
         public void writeClaim(Claim _claim) {}
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -39,11 +39,12 @@
             new PeerMessage.Heartbeat(
                     4,
                     3,
+                    1L << 52,
                     Duration.ofMillis(100),
                     true,
                     ImmutableList.of(new Claim(POOL, "east-1", 9, 2)),
                     ImmutableMap.of(POOL, new PoolLoad(32_000, 14_000, 5))),
-            new PeerMessage.Heartbeat(0, 0, Duration.ZERO, false, ImmutableList.of(), ImmutableMap.of()),
+            new PeerMessage.Heartbeat(0, 0, 0, Duration.ZERO, false, ImmutableList.of(), ImmutableMap.of()),
             new PeerMessage.Submit(
                     POOL,
                     7,
