Act under a renewed claim as soon as it is read back

What callers could see: jobs that wait although their pool has a master. Every order under the renewed claim was handed back for as long as the write went without an answer, and beyond that if it had counted as failed.

Cause: a claim that is read from the log replaces the known one at once and is named to fronts; the host acted under it only after the answer to its write. Class: a state that is told to others before it is entered.

Evidence: both new tests in PoolOwnershipTest failed before the change: master() named round 2 while round 1 was acted under, in one before the write was answered, in the other after it had timed out.

Change: an own claim that is read back is acquired at once, also after its write has timed out; the answer that comes later changes nothing.

--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -185,9 +185,23 @@
             fencedSince.remove(claim.pool());
             actions.released(claim.pool(), "claimed by " + claim.host() + " in round " + claim.round());
         }
+        if (claim.isOf(self)) {
+            readBack(claim);
+        }
         return true;
     }
 
+    /**
+     * Takes an own claim that the log holds although its write isn't answered yet or counts as failed. From now on it is
+     * named to fronts, whose orders under it are handed back until this host acts under it.
+     */
+    private void readBack(Claim claim) {
+        if (claim.equals(pending.get(claim.pool()))) {
+            pending.remove(claim.pool());
+        }
+        acquire(claim);
+    }
+
     /** Outcome of a write of a claim. */
     public enum ClaimOutcome {
         /** The log holds the claim. */
@@ -231,7 +245,7 @@
 
     private void acquire(Claim claim) {
         Claim known = claims.get(claim.pool());
-        // The claim may have been read back from the log before its write is answered.
+        // Another claim may have been read since this one was written.
         boolean stillHighest = known == null || known.equals(claim) || claim.supersedes(known);
         if (stopping || !stillHighest) {
             return;
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -273,6 +273,46 @@
         assertThat(recorder.written.get(1)).isEqualTo(new Claim(EAST, "east-1", 11, 2));
     }
 
+    /** Guards against orders that are all handed back: the claim is named to fronts before the host acts under it. */
+    @Test
+    void a_renewed_claim_that_is_read_back_before_its_write_is_answered_is_acted_under_at_once() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.tick(ms(1_300));
+        ownership.claimAnswered(recorder.written.get(0), PoolOwnership.ClaimOutcome.WRITTEN, ms(1_310));
+        ownership.fenced(EAST, ms(1_400));
+        ownership.tick(ms(1_800));
+        Claim renewed = recorder.written.get(1);
+
+        ownership.claimed(renewed, ms(1_801));
+        assertThat(ownership.master(EAST, ms(1_802))).hasValue(renewed);
+        assertThat(ownership.ownClaims()).containsExactly(renewed);
+        assertThat(recorder.acquired.get(recorder.acquired.size() - 1)).isEqualTo(renewed);
+
+        ownership.claimAnswered(renewed, PoolOwnership.ClaimOutcome.WRITTEN, ms(1_810));
+        ownership.tick(ms(20_000));
+        assertThat(recorder.acquired).hasSize(2);
+        assertThat(recorder.released).containsExactly(EAST);
+        assertThat(ownership.master(EAST, ms(20_000))).hasValue(renewed);
+    }
+
+    /** Guards against the same when the log answers so late that the write counts as failed. */
+    @Test
+    void a_renewed_claim_that_is_read_back_after_its_write_timed_out_is_acted_under_at_once() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.tick(ms(1_300));
+        ownership.claimAnswered(recorder.written.get(0), PoolOwnership.ClaimOutcome.WRITTEN, ms(1_310));
+        ownership.fenced(EAST, ms(1_400));
+        ownership.tick(ms(1_800));
+        Claim renewed = recorder.written.get(1);
+        ownership.tick(ms(2_300));
+        assertThat(recorder.acquired).hasSize(1);
+
+        ownership.claimed(renewed, ms(2_310));
+
+        assertThat(ownership.master(EAST, ms(2_311))).hasValue(renewed);
+        assertThat(recorder.acquired.get(recorder.acquired.size() - 1)).isEqualTo(renewed);
+    }
+
     /** Guards against two domains that take a pool from each other after a cut, before they hear each other again. */
     @Test
     void a_claim_that_was_just_read_keeps_others_from_claiming_although_its_host_is_not_heard() {
