--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -234,7 +234,8 @@
         } else if (master.isPresent()) {
             send(request, pool, master.get(), now);
         } else {
-            dispatch(request, now);
+            // The pool that redirects gives a repeated order the same answer.
+            refused(request, new JobResult.Refused("the pool with room has no live master", DECLINED_RETRY), now);
         }
     }
 
