--- a/src/test/java/org/mustardlink/faults/FaultBed.java
+++ b/src/test/java/org/mustardlink/faults/FaultBed.java
@@ -18,6 +18,7 @@
 import org.mustardlink.directory.PlatformClient;
 import org.mustardlink.entry.EntryHost;
 import org.mustardlink.entry.Incarnations;
+import org.mustardlink.exercise.Relay;
 import org.mustardlink.http.Addresses;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.http.Json;
--- a/src/test/java/org/mustardlink/faults/FaultSteps.java
+++ b/src/test/java/org/mustardlink/faults/FaultSteps.java
@@ -26,6 +26,7 @@
 import org.mustardlink.api.VerdictDocument;
 import org.mustardlink.caller.CallerClient;
 import org.mustardlink.core.Reason;
+import org.mustardlink.exercise.Relay;
 import org.mustardlink.http.HttpCall;
 import org.mustardlink.http.HttpReply;
 import org.mustardlink.http.Json;
