Stand-ins of store and targets: more of what the platform may do

Purpose: a soak needs the behaviours in which dispatchers go wrong. Change: a target can crash and live again under its id with another time of birth and no fence, carry orders out late, break off instead of answering, run slowly, keep a slow clock and take time for a stop; it tells a listener of each run, a lapsed one with the true end of its lease. A report lists no run whose lease ended while it waited, and a refused start extends no lease. The store can be slow, break off, and show records to each reader with other addresses.

--- a/src/main/java/org/mustardlink/platform/standin/StandInDocuments.java
+++ b/src/main/java/org/mustardlink/platform/standin/StandInDocuments.java
@@ -17,11 +17,16 @@
 
     /** Returns a configuration of one queue. */
     public static String config(long version, String virtualHost, String pathStart, String service) {
+        return config(version, virtualHost, pathStart, service, TIMEOUT_MS);
+    }
+
+    /** Returns a configuration of one queue whose requests time out after some milliseconds. */
+    public static String config(long version, String virtualHost, String pathStart, String service, int timeoutMs) {
         ImmutableMap<String, Object> route = ImmutableMap.<String, Object>builder()
                 .put("name", "queue")
                 .put("host", virtualHost)
                 .put("pathPrefix", pathStart)
-                .put("timeoutMs", TIMEOUT_MS)
+                .put("timeoutMs", timeoutMs)
                 .put("latencySloMs", OBJECTIVE_MS)
                 .put("priority", 0)
                 .put("service", service)
@@ -39,6 +44,22 @@
                 ImmutableMap.of("bodyBytes", MAX_BODY_BYTES)));
     }
 
+    /** Returns the headers of a caller's request to a queue. */
+    public static ImmutableMap<String, String> headers(String virtualHost, long deadlineMs) {
+        return ImmutableMap.of(
+                "Host", virtualHost, "Content-Type", "application/json", "X-Deadline-Ms", Long.toString(deadlineMs));
+    }
+
+    /** Returns where a host is asked whether it is ready. */
+    public static String readyPath() {
+        return "/api/ready";
+    }
+
+    /** Returns the job that a task belongs to. */
+    public static String jobOf(String task) {
+        return task.substring(0, task.indexOf('.'));
+    }
+
     /** Returns a job of equal tasks that need not be stored. */
     public static String job(int tasks, int taskMs) {
         return Json.write(ImmutableMap.of(
--- a/src/main/java/org/mustardlink/platform/standin/StandInRunner.java
+++ b/src/main/java/org/mustardlink/platform/standin/StandInRunner.java
@@ -11,6 +11,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Random;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
@@ -30,23 +31,45 @@
  * happen instead, see {@link #violations}.
  */
 public final class StandInRunner implements AutoCloseable {
-    private static final int THREADS = 8;
+    /** Reports that wait and orders that are carried out late hold a thread each. */
+    private static final int THREADS = 32;
+
     private static final int OK = 200;
     private static final int CONFLICT = 409;
     private static final long MAX_LEASE_MS = 1_000;
     private static final int MAX_BODY_BYTES = 1 << 20;
     private static final long DEFAULT_RUN_MS = 20;
+    private static final long BORN_MS = 1_700_000_000_000L;
+    /** The platform's pages allow 50 ms for a stop. */
+    private static final int LATE_STOP_MS = 50;
+    /** Bounds of the time after which an unanswered order is carried out. */
+    private static final int MIN_LATE_MS = 100;
+
+    private static final int MAX_LATE_MS = 8_000;
+    /** Of the orders to a target that leaves some unanswered, one in this many. */
+    private static final int LATE_SHARE = 3;
+    /** Times by which the tasks of a slow target last longer. */
+    private static final int SLOWNESS = 3;
+    /** The platform's pages allow a target's clock to be slow by 2 percent. */
+    private static final double SLOW_CLOCK = 0.98;
 
     private final String id;
     private final int slots;
     private final HttpServer server;
     private final ScheduledExecutorService timer;
-    private final long startedNanos = System.nanoTime();
+    private final RunListener listener;
+    private final Random random;
+    private long startedNanos = System.nanoTime();
+    private long born = BORN_MS;
+    private long life;
+    private boolean up = true;
+    private volatile boolean lax;
     private final Map<String, Running> running = new HashMap<>();
     private final Map<String, Integer> highestOver = new HashMap<>();
     private final List<Ended> ended = new ArrayList<>();
     private final List<String> violations = new ArrayList<>();
     private long ends;
+    private long entries;
     private long fence;
     private long leaseMs;
     private long starts;
@@ -63,9 +86,32 @@
         /** Starts tasks that never end. */
         HANGS,
         /** Refuses every start as unhealthy. */
-        REFUSES
+        REFUSES,
+        /** Carries orders out and breaks the connection instead of answering. */
+        BREAKS_OFF,
+        /** Leaves some orders unanswered and carries them out up to 8 s later. */
+        LATE,
+        /** Starts tasks that last longer. */
+        SLOW
+    }
+
+    /** Hears of the runs of a target, in order, under the target's lock. */
+    public interface RunListener {
+        /** A run has begun. */
+        void started(String target, String task, int run, long nanos);
+
+        /** A run has ended; {@code how} is as in the target's report, or {@code crashed}. */
+        void ended(String target, String task, int run, String how, long nanos);
     }
 
+    private static final RunListener NOBODY = new RunListener() {
+        @Override
+        public void started(String _target, String _task, int _run, long _nanos) {}
+
+        @Override
+        public void ended(String _target, String _task, int _run, String _how, long _nanos) {}
+    };
+
     private record Running(String task, int run, long token, long sinceMs, long lengthMs) {
         /** Returns the share of the work that is done. */
         private long percent(long clockMs) {
@@ -75,9 +121,11 @@
 
     private record Ended(long number, String task, int run, String how) {}
 
-    private StandInRunner(String id, int slots, InetSocketAddress address) {
+    private StandInRunner(String id, int slots, InetSocketAddress address, RunListener listener, long seed) {
         this.id = id;
         this.slots = slots;
+        this.listener = listener;
+        this.random = new Random(seed);
         this.timer = Executors.newSingleThreadScheduledExecutor(task -> {
             Thread thread = new Thread(task, "runner-" + id);
             thread.setDaemon(true);
@@ -97,11 +145,51 @@
      * @param slots tasks that fit at once, each with one processor
      */
     public static StandInRunner start(String id, int slots, InetSocketAddress address) {
-        return new StandInRunner(id, slots, address);
+        return new StandInRunner(id, slots, address, NOBODY, 0);
+    }
+
+    /**
+     * Starts a target that takes all the liberties that the platform's pages allow it: its clock is slow by 2 percent, and a
+     * stop takes some time.
+     *
+     * @param slots tasks that fit at once, each with one processor
+     * @param listener hears of every run
+     * @param seed of its random choices
+     */
+    public static StandInRunner startLax(
+            String id, int slots, InetSocketAddress address, RunListener listener, long seed) {
+        StandInRunner runner = new StandInRunner(id, slots, address, listener, seed);
+        runner.lax = true;
+        return runner;
+    }
+
+    /** Ends everything that runs and answers nothing from now on. */
+    public synchronized void crash() {
+        up = false;
+        life++;
+        expire();
+        ImmutableList.copyOf(running.values()).forEach(run -> {
+            running.remove(run.task());
+            listener.ended(id, run.task(), run.run(), "crashed", System.nanoTime());
+        });
+        notifyAll();
+    }
+
+    /** Starts a new life under the same id, in which the target holds and knows nothing of before. */
+    public synchronized void revive() {
+        highestOver.clear();
+        ended.clear();
+        ends = 0;
+        fence = 0;
+        leaseMs = 0;
+        startedNanos = System.nanoTime();
+        born += TimeUnit.SECONDS.toMillis(1);
+        mode = Mode.NORMAL;
+        up = true;
     }
 
     /** Returns the target's entry in the platform's list. */
-    public String entry(String service, String domain, String state) {
+    public synchronized String entry(String service, String domain, String state) {
         return Json.write(ImmutableMap.builder()
                 .put("service", service)
                 .put("addr", id.isEmpty() ? "" : format(HttpServers.address(server)))
@@ -113,7 +201,8 @@
                 .put("capacity", ImmutableMap.of("cpu", slots * 1_000, "memMb", 1_024, "gpu", 0))
                 .put("labels", ImmutableList.of("a", "r1-1"))
                 .put("clockMs", clockMs())
-                .put("seq", 1)
+                .put("seq", ++entries)
+                .put("born", born)
                 .buildOrThrow());
     }
 
@@ -121,6 +210,11 @@
         return address.getAddress().getHostAddress() + ':' + address.getPort();
     }
 
+    /** Returns the address that it listens on. */
+    public InetSocketAddress address() {
+        return HttpServers.address(server);
+    }
+
     /** Returns the id of this life. */
     public String id() {
         return id;
@@ -147,7 +241,11 @@
     }
 
     private long clockMs() {
-        return 1 + TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos);
+        return 1 + (long) (TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedNanos) * clockRate());
+    }
+
+    private double clockRate() {
+        return lax ? SLOW_CLOCK : 1;
     }
 
     private void handle(Request request, Response response) throws IOException {
@@ -155,7 +253,15 @@
         Object document;
         int status;
         boolean lost = false;
+        boolean broken;
         synchronized (this) {
+            long begun = life;
+            broken = up && mode == Mode.LATE && random.nextInt(LATE_SHARE) == 0 && awaitLate();
+            broken |= !up || life != begun || mode == Mode.BREAKS_OFF;
+            if (!up || life != begun) {
+                request.getContext().getConnection().terminateSilently();
+                return;
+            }
             expire();
             String refusal = refusal(request, body);
             switch (request.getRequestURI()) {
@@ -177,13 +283,31 @@
             status = refusal.isEmpty() ? OK : refusal.equals("other") ? 421 : refusal.equals("ill") ? 503 : CONFLICT;
             document = refusal.isEmpty() ? report() : ImmutableMap.of("clockMs", clockMs(), "reason", refusal);
         }
-        if (lost) {
+        if (broken) {
+            request.getContext().getConnection().terminateSilently();
+        } else if (lost) {
             HttpServers.write(response, 500, "application/json", "");
         } else {
             HttpServers.write(response, status, "application/json", Json.write(document));
         }
     }
 
+    /** Waits as an order does that is carried out late; others are carried out meanwhile. */
+    private boolean awaitLate() {
+        long until = System.nanoTime()
+                + TimeUnit.MILLISECONDS.toNanos(MIN_LATE_MS + random.nextInt(MAX_LATE_MS - MIN_LATE_MS));
+        long begun = life;
+        while (life == begun && System.nanoTime() < until) {
+            try {
+                TimeUnit.NANOSECONDS.timedWait(this, until - System.nanoTime());
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+                return true;
+            }
+        }
+        return true;
+    }
+
     private String refusal(Request request, JsonNode body) {
         String instance = request.getHeader("X-Expect-Instance");
         if (instance != null && !instance.equals(id)) {
@@ -199,10 +323,10 @@
     private String start(JsonNode body) {
         String task = body.path("task").asText();
         int run = body.path("run").asInt();
-        extendLease(body);
         if (mode == Mode.REFUSES) {
             return "ill";
         }
+        extendLease(body);
         if (body.path("deadlineMs").asLong() < clockMs()) {
             return "late";
         }
@@ -222,24 +346,31 @@
         long token = ++starts;
         long millis =
                 Optional.ofNullable(Longs.tryParse(body.path("spec").asText())).orElse(DEFAULT_RUN_MS);
+        if (mode == Mode.SLOW) {
+            millis *= SLOWNESS;
+        }
         running.put(task, new Running(task, run, token, clockMs(), mode == Mode.HANGS ? 0 : millis));
+        listener.started(id, task, run, System.nanoTime());
         if (mode == Mode.FAILS) {
             end(task, token, "failed");
         } else if (mode != Mode.HANGS) {
-            ScheduledFuture<?> _scheduled = timer.schedule(() -> endLater(task, token), millis, TimeUnit.MILLISECONDS);
+            ScheduledFuture<?> _scheduled =
+                    timer.schedule(() -> endLater(task, token, "done"), millis, TimeUnit.MILLISECONDS);
         }
         return "";
     }
 
-    private synchronized void endLater(String task, long token) {
+    private synchronized void endLater(String task, long token, String how) {
         expire();
-        end(task, token, "done");
+        end(task, token, how);
     }
 
     private void end(String task, long token, String how) {
         Running present = running.get(task);
         if (present != null && present.token() == token) {
             running.remove(task);
+            long now = System.nanoTime();
+            listener.ended(id, task, present.run(), how, how.equals("lapsed") ? Math.min(now, leaseEndNanos()) : now);
             highestOver.merge(task, present.run(), Math::max);
             ended.add(new Ended(++ends, task, present.run(), how));
             notifyAll();
@@ -251,7 +382,14 @@
         int run = body.path("run").asInt();
         Running present = running.get(task);
         if (present != null && present.run() <= run) {
-            end(task, present.token(), "stopped");
+            if (lax) {
+                ScheduledFuture<?> _scheduled = timer.schedule(
+                        () -> endLater(task, present.token(), "stopped"),
+                        random.nextInt(LATE_STOP_MS),
+                        TimeUnit.MILLISECONDS);
+            } else {
+                end(task, present.token(), "stopped");
+            }
         }
         highestOver.merge(task, run, Math::max);
     }
@@ -270,6 +408,12 @@
                 return;
             }
         }
+        expire();
+    }
+
+    /** Notes the ends of runs whose lease is over. */
+    public synchronized void settle() {
+        expire();
     }
 
     private void extendLease(JsonNode body) {
@@ -277,6 +421,10 @@
         leaseMs = Math.max(leaseMs, until);
     }
 
+    private long leaseEndNanos() {
+        return startedNanos + (long) (TimeUnit.MILLISECONDS.toNanos(leaseMs) / clockRate());
+    }
+
     private void expire() {
         if (clockMs() > leaseMs) {
             ImmutableList.copyOf(running.values()).forEach(run -> end(run.task(), run.token(), "lapsed"));
@@ -287,6 +435,8 @@
         return ImmutableMap.of(
                 "clockMs",
                 clockMs(),
+                "born",
+                born,
                 "running",
                 running.values().stream()
                         .map(run -> ImmutableList.of(run.task(), run.run(), "", run.percent(clockMs())))
--- a/src/main/java/org/mustardlink/platform/standin/StandInStore.java
+++ b/src/main/java/org/mustardlink/platform/standin/StandInStore.java
@@ -4,18 +4,22 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.primitives.Ints;
 import com.google.common.primitives.Longs;
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.function.UnaryOperator;
 import org.glassfish.grizzly.http.server.HttpHandler;
 import org.glassfish.grizzly.http.server.HttpServer;
 import org.glassfish.grizzly.http.server.Request;
@@ -28,15 +32,19 @@
 /**
  * A stand-in for the platform's store: keyed topics of one partition, in memory. Thread-safe.
  *
- * <p>{@link #setMode} makes it refuse every call, or store appends without answering them.
+ * <p>{@link #setMode} makes it refuse every call, answer late, or store appends without answering them. {@link #view}
+ * shows the same records under other addresses, so that a test can stand between one reader and what it connects to.
  */
 public final class StandInStore implements AutoCloseable {
     private static final int THREADS = 16;
     private static final int OK = 200;
     private static final int MAX_WAIT_MS = 30_000;
+    /** Longer than a usual answer by two orders of magnitude, shorter than the time-outs of clients. */
+    private static final int SLOW_MS = 400;
 
     private final Map<String, Topic> topics = new HashMap<>();
     private final HttpServer server;
+    private final List<HttpServer> views = new CopyOnWriteArrayList<>();
     private Mode mode = Mode.NORMAL;
 
     /** Failure modes. */
@@ -46,7 +54,11 @@
         /** Answers every call with 503 and does nothing. */
         DOWN,
         /** Stores appends and answers them with 500, as if the answer had been lost. */
-        LOSES_ANSWERS
+        LOSES_ANSWERS,
+        /** Does what it is asked and breaks the connection instead of answering. */
+        BREAKS_OFF,
+        /** Answers everything {@link #SLOW_MS} late. */
+        SLOW
     }
 
     private static final class Stored {
@@ -69,14 +81,29 @@
     }
 
     private StandInStore(InetSocketAddress address) {
-        server = HttpServers.start(address, THREADS, new HttpHandler() {
+        server = serve(address, UnaryOperator.identity());
+    }
+
+    private HttpServer serve(InetSocketAddress address, UnaryOperator<String> rewrite) {
+        return HttpServers.start(address, THREADS, new HttpHandler() {
             @Override
             public void service(Request request, Response response) throws IOException {
-                handle(request, response);
+                handle(request, response, rewrite);
             }
         });
     }
 
+    /**
+     * Opens another address at which the same records are read, each value rewritten.
+     *
+     * @param rewrite applied to each value that is read
+     */
+    public InetSocketAddress view(UnaryOperator<String> rewrite) {
+        HttpServer view = serve(new InetSocketAddress(address().getAddress(), 0), rewrite);
+        views.add(view);
+        return HttpServers.address(view);
+    }
+
     /** Starts a store; port 0 takes a free one. */
     public static StandInStore start(InetSocketAddress address) {
         return new StandInStore(address);
@@ -127,7 +154,7 @@
         return newest;
     }
 
-    private void handle(Request request, Response response) throws IOException {
+    private void handle(Request request, Response response, UnaryOperator<String> rewrite) throws IOException {
         Mode now;
         synchronized (this) {
             now = mode;
@@ -136,10 +163,13 @@
             write(response, 503, new byte[0]);
             return;
         }
+        if (now == Mode.SLOW) {
+            Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(SLOW_MS));
+        }
         switch (request.getRequestURI()) {
             case "/api/log-append" -> append(request, response, now);
-            case "/api/log-read" -> read(request, response);
-            case "/api/log-newest" -> newest(request, response);
+            case "/api/log-read" -> read(request, response, rewrite);
+            case "/api/log-newest" -> newest(request, response, rewrite);
             default -> write(response, 404, new byte[0]);
         }
     }
@@ -171,12 +201,14 @@
         }
         if (now == Mode.LOSES_ANSWERS) {
             write(response, 500, new byte[0]);
+        } else if (now == Mode.BREAKS_OFF) {
+            request.getContext().getConnection().terminateSilently();
         } else {
             json(response, stored ? OK : 412, ImmutableMap.of("offset", offset, "end", end));
         }
     }
 
-    private void read(Request request, Response response) throws IOException {
+    private void read(Request request, Response response, UnaryOperator<String> rewrite) throws IOException {
         long from = Long.parseLong(request.getParameter("from"));
         long waitMs = Math.min(MAX_WAIT_MS, Long.parseLong(request.getParameter("waitMs")));
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(waitMs);
@@ -200,16 +232,22 @@
             for (long offset = from; offset < topic.end(); offset++) {
                 Stored record = topic.records.get((int) (offset - topic.first));
                 byte[] key = record.key.getBytes(StandardCharsets.UTF_8);
-                out.writeBytes(Ints.toByteArray(1 + key.length + record.value.length));
+                byte[] value = rewrite(record.value, rewrite);
+                out.writeBytes(Ints.toByteArray(1 + key.length + value.length));
                 out.write(key.length);
                 out.writeBytes(key);
-                out.writeBytes(record.value);
+                out.writeBytes(value);
             }
         }
         write(response, OK, out.toByteArray());
     }
 
-    private void newest(Request request, Response response) throws IOException {
+    private static byte[] rewrite(byte[] value, UnaryOperator<String> rewrite) {
+        // Every byte stands for one character, so that values that aren't text stay as they are.
+        return rewrite.apply(new String(value, StandardCharsets.ISO_8859_1)).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private void newest(Request request, Response response, UnaryOperator<String> rewrite) throws IOException {
         ImmutableList.Builder<Object> items = ImmutableList.builder();
         long end;
         synchronized (this) {
@@ -221,7 +259,7 @@
                             "key",
                             record.key,
                             "value",
-                            Base64.getEncoder().encodeToString(record.value),
+                            Base64.getEncoder().encodeToString(rewrite(record.value, rewrite)),
                             "offset",
                             0)));
         }
@@ -242,6 +280,7 @@
     public void close() {
         try {
             server.shutdownNow();
+            views.forEach(HttpServer::shutdownNow);
         } catch (RuntimeException e) {
             throw new CodedException(ErrorCode.INTERNAL, "cannot stop the store", e);
         }
