Randomized fault soak: mustardlink soak

Change: the command starts host processes on stand-ins with a relay on every way between them, plays the faults that a seed draws, and checks runs, refusals, answers and the return of service from what callers and targets see. docs/testing.md tells how to run, read and replay it. Run: RunCheckerTest, AnswerCheckerTest, ServiceCheckerTest (planted violations), FaultScheduleTest, MainTest, PlatformBoundaryTest: passed. A full verify was not run.

--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -26,6 +26,7 @@
             new EntryCommand(),
             new HostCommand(),
             new ExerciseCommand(),
+            new SoakCommand(),
             new SubmitCommand(),
             new JobCommand(),
             new CancelCommand(),
--- /dev/null
+++ b/src/main/java/org/mustardlink/soak/Journal.java
@@ -0,0 +1,30 @@
+package org.mustardlink.soak;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Instant;
+
+/** Writes what callers and targets saw, one line each with the time of the host's logs. Thread-safe. */
+final class Journal implements AutoCloseable {
+    private final PrintWriter writer;
+
+    private Journal(PrintWriter writer) {
+        this.writer = writer;
+    }
+
+    static Journal open(Path file) throws IOException {
+        return new Journal(new PrintWriter(Files.newBufferedWriter(file, StandardCharsets.UTF_8)));
+    }
+
+    synchronized void line(long atMs, String text) {
+        writer.println(Instant.now() + " " + atMs + " " + text);
+    }
+
+    @Override
+    public synchronized void close() {
+        writer.close();
+    }
+}
