--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -464,7 +464,7 @@
             if (master.isOf(self)) {
                 loop.post(at -> pools.submit(master.pool(), master.round(), order, at));
             } else {
-                peers.watchedFromNowOn(master.host(), () -> status(now), now);
+                peers.announceFrequentHeartbeats(master.host(), () -> status(now), now);
                 links.send(master.host(), new PeerMessage.Submit(master.pool(), master.round(), order));
             }
         }
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -225,7 +225,7 @@
      * ahead of the job: a master that expects the next one in two seconds would let the job run on for that long after the
      * loss of its front, while the caller sends it again after 1.3 s.
      */
-    void watchedFromNowOn(String host, Supplier<Status> status, long now) {
+    void announceFrequentHeartbeats(String host, Supplier<Status> status, long now) {
         Peer peer = peers.get(host);
         if (peer == null || watchers.contains(host)) {
             return;
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -83,12 +83,12 @@
         await().until(() -> nextHeartbeats().size() == 1);
         assertThat(nextHeartbeats()).containsExactly(Duration.ofSeconds(2));
 
-        monitor.watchedFromNowOn(master.id(), PeerMonitorTest::status, now);
+        monitor.announceFrequentHeartbeats(master.id(), PeerMonitorTest::status, now);
         links.send(master.id(), new PeerMessage.Cancel("job"));
 
         await().until(() -> received.stream().anyMatch(PeerMessage.Cancel.class::isInstance));
         assertThat(nextHeartbeats()).containsExactly(Duration.ofSeconds(2), Duration.ofMillis(100));
-        monitor.watchedFromNowOn(master.id(), PeerMonitorTest::status, now);
+        monitor.announceFrequentHeartbeats(master.id(), PeerMonitorTest::status, now);
         links.send(master.id(), new PeerMessage.Cancel("other"));
         await().until(() -> received.contains(new PeerMessage.Cancel("other")));
         assertThat(nextHeartbeats()).hasSize(2);
