--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -194,7 +194,7 @@
 
     /**
      * Takes a master's answer. One under another claim than that to which the order went last is passed over, because the
-     * job may be running under the last one; only that every task is done stays true whoever says it.
+     * job may be running under the last one; only that every task is done stays true, whichever master of the pool says it.
      *
      * @param claim the claim under which the master answers
      */
--- a/src/main/java/org/mustardlink/host/TargetDirectory.java
+++ b/src/main/java/org/mustardlink/host/TargetDirectory.java
@@ -50,8 +50,9 @@
     }
 
     /**
-     * Returns whether the list names every target that may still run something: it has been known for as long as the entry
-     * of any target is kept after it vanished. Entries that had lapsed before the list was read are back within that time.
+     * Returns whether the list names every target that may have run something when it was read: it has been known, with the
+     * store there, for as long as the entry of any target is kept after it vanished. Entries that had lapsed before are back
+     * within that time. It stays true while the store is away, when targets that register meanwhile aren't known.
      */
     boolean complete(long now) {
         return known && now - knownSinceNanos > DRAINED_NANOS;
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -14,15 +14,13 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.mustardlink.exercise.FreePorts;
+import org.mustardlink.link.IgnoringPeerListener;
 import org.mustardlink.link.PeerLinks;
-import org.mustardlink.link.PeerListener;
 import org.mustardlink.link.PeerMessage;
 import org.mustardlink.observe.EventLog;
-import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
-import org.mustardlink.ownership.OwnershipActions;
+import org.mustardlink.ownership.NoOwnershipActions;
 import org.mustardlink.ownership.PoolOwnership;
-import org.mustardlink.pool.PoolId;
 
 /** Tests which heartbeats a host sends, over real links. */
 final class PeerMonitorTest {
@@ -43,14 +41,14 @@
     @BeforeEach
     void open() {
         long now = System.nanoTime();
-        links = PeerLinks.start(self, new Ignoring() {
+        links = PeerLinks.start(self, new IgnoringPeerListener() {
             @Override
             public void connected(String _host) {
                 connected.set(true);
             }
         });
         mastersLinks = PeerLinks.start(master, new Recording());
-        PoolOwnership ownership = new PoolOwnership(self, new NoActions(), now);
+        PoolOwnership ownership = new PoolOwnership(self, new NoOwnershipActions(), now);
         monitor = new PeerMonitor(self, ownership, EventLog.create("east-1", "east", LINES_PER_SECOND), now);
         monitor.use(links);
         monitor.introduced(master, true, (_host, _now) -> {}, now);
@@ -111,43 +109,13 @@
         assertThat(seenByAllAfter(500, self.incarnation() - 1)).isFalse();
     }
 
+    /** Guards against announcements that nothing ever confirms, so that inherited runs wait for their whole time. */
     @Test
     void a_number_that_a_host_has_seen_of_this_life_confirms_an_announcement() {
         assertThat(seenByAllAfter(1, self.incarnation())).isTrue();
     }
 
-    private static final class NoActions implements OwnershipActions {
-        @Override
-        public void writeClaim(Claim _claim) {}
-
-        @Override
-        public void probe(PoolId _pool) {}
-
-        @Override
-        public void acquired(Claim _claim) {}
-
-        @Override
-        public void released(PoolId _pool, String _why) {}
-    }
-
-    private static class Ignoring implements PeerListener {
-        @Override
-        public void received(HostInfo _sender, PeerMessage _message) {}
-
-        @Override
-        public void closed(HostInfo _sender) {}
-
-        @Override
-        public void malformed(String _why) {}
-
-        @Override
-        public void connected(String _host) {}
-
-        @Override
-        public void refused(String _host) {}
-    }
-
-    private final class Recording extends Ignoring {
+    private final class Recording extends IgnoringPeerListener {
         @Override
         public void received(HostInfo _sender, PeerMessage message) {
             received.add(message);
--- a/src/test/java/org/mustardlink/host/PoolRunnerTest.java
+++ b/src/test/java/org/mustardlink/host/PoolRunnerTest.java
@@ -14,7 +14,7 @@
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
-import org.mustardlink.ownership.OwnershipActions;
+import org.mustardlink.ownership.NoOwnershipActions;
 import org.mustardlink.ownership.PoolOwnership;
 import org.mustardlink.platform.TargetOrders;
 import org.mustardlink.pool.Capacity;
@@ -56,7 +56,7 @@
 
     @BeforeEach
     void becomeTheMasterOfBothPools() {
-        PoolOwnership ownership = new PoolOwnership(SELF, new NoActions(), 0);
+        PoolOwnership ownership = new PoolOwnership(SELF, new NoOwnershipActions(), 0);
         runner.acquire(new Claim(EAST, SELF.id(), SELF.incarnation(), ROUND), ownership, 0);
         runner.acquire(new Claim(WEST, SELF.id(), SELF.incarnation(), ROUND), ownership, 0);
     }
@@ -100,7 +100,7 @@
         runner.release(EAST, "claimed by another host");
         runner.acquire(
                 new Claim(EAST, SELF.id(), SELF.incarnation(), ROUND + 2),
-                new PoolOwnership(SELF, new NoActions(), 0),
+                new PoolOwnership(SELF, new NoOwnershipActions(), 0),
                 2);
         runner.submit(EAST, ROUND + 2, order(1), 3);
 
@@ -175,18 +175,4 @@
         assertThat(results).containsExactly(WITHDRAWN);
         assertThat(openJobs(EAST)).isEqualTo(1);
     }
-
-    private static final class NoActions implements OwnershipActions {
-        @Override
-        public void writeClaim(Claim _claim) {}
-
-        @Override
-        public void probe(PoolId _pool) {}
-
-        @Override
-        public void acquired(Claim _claim) {}
-
-        @Override
-        public void released(PoolId _pool, String _why) {}
-    }
 }
--- a/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
+++ b/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
@@ -87,6 +87,7 @@
         assertThat(directory.complete(seconds(113))).isTrue();
     }
 
+    /** Guards against a list that was read while entries of live targets had lapsed with the store. */
     @Test
     void a_list_is_not_complete_before_the_store_has_been_there_for_long_enough_to_get_lapsed_entries_back() {
         take(entry("t", "ready"), 0);
--- a/src/test/java/org/mustardlink/link/PeerLinksTest.java
+++ b/src/test/java/org/mustardlink/link/PeerLinksTest.java
@@ -143,22 +143,10 @@
         }
     }
 
-    private final class Recording implements PeerListener {
+    private final class Recording extends IgnoringPeerListener {
         @Override
         public void received(HostInfo _sender, PeerMessage message) {
             received.add(message);
         }
-
-        @Override
-        public void closed(HostInfo _sender) {}
-
-        @Override
-        public void malformed(String _why) {}
-
-        @Override
-        public void connected(String _host) {}
-
-        @Override
-        public void refused(String _host) {}
     }
 }
--- a/src/test/java/org/mustardlink/ownership/WatchersTest.java
+++ b/src/test/java/org/mustardlink/ownership/WatchersTest.java
@@ -16,20 +16,6 @@
 final class WatchersTest {
     private static final int DOMAINS = 5;
 
-    private static final OwnershipActions NONE = new OwnershipActions() {
-        @Override
-        public void writeClaim(Claim _claim) {}
-
-        @Override
-        public void probe(PoolId _pool) {}
-
-        @Override
-        public void acquired(Claim _claim) {}
-
-        @Override
-        public void released(PoolId _pool, String _why) {}
-    };
-
     private static List<HostInfo> fleet(int size) {
         List<HostInfo> hosts = new ArrayList<>();
         for (int i = 0; i < size; i++) {
@@ -46,7 +32,7 @@
 
     /** Returns what a host knows of a fleet in which every pool has its master. */
     private static PoolOwnership knowledge(HostInfo self, List<HostInfo> fleet) {
-        PoolOwnership ownership = new PoolOwnership(self, NONE, 0);
+        PoolOwnership ownership = new PoolOwnership(self, new NoOwnershipActions(), 0);
         ImmutableSet.Builder<PoolId> pools = ImmutableSet.builder();
         for (HostInfo host : fleet) {
             ownership.introduced(host, true, 0);
