--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -30,7 +30,9 @@
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
+import org.mustardlink.observe.MessageKind;
 import org.mustardlink.observe.MetricsText;
+import org.mustardlink.observe.WorkLog;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.ownership.OwnershipActions;
@@ -94,6 +96,7 @@
     private final EntryMetrics metrics = EntryMetrics.create(MAX_SERIES, DIGITS);
     private final HostLoop loop;
     private final LoopDelay loopDelay;
+    private final WorkLog workLog;
     private final HttpRequester targetRequester;
     private final HttpRequester storeRequester;
     private final StoreClient store;
@@ -137,6 +140,7 @@
                 settings.cpuMillis());
         this.log = EventLog.create(self.id(), self.domain(), settings.logs().linesPerSecond());
         this.requests = new OpenRequests(self.domain(), metrics, log);
+        this.workLog = new WorkLog(metrics, log, startedNanos);
         this.loop = new HostLoop(this::afterBatch, this::nextDue, this::eventFailed);
         this.loopDelay = new LoopDelay(loop, this::loopDelayed);
         this.targetRequester = HttpRequester.start(
@@ -153,9 +157,10 @@
                 targets,
                 settings.lease(),
                 log,
+                metrics,
                 this::resultOf,
                 (pool, order) -> knownPools().withRoom(pool, order));
-        this.peers = new PeerMonitor(self, ownership, log, startedNanos);
+        this.peers = new PeerMonitor(self, ownership, log, metrics, startedNanos);
         this.knownPools = new KnownPools(ownership, pools, peers);
         this.front = new Front(self.domain(), knownPools, new ToMasters());
         this.links = PeerLinks.start(self, new FromPeers());
@@ -284,6 +289,7 @@
     }
 
     private void afterBatch(long now) {
+        workLog.passed();
         pools.tick(now);
         if (now >= timersNanos || now >= peers.nextHeartbeat()) {
             timers(now);
@@ -334,6 +340,7 @@
         }
         cancellations.expire(now);
         unrouted.tick(routes.isPresent(), now);
+        workLog.tick(now);
         ownsAny = !ownership.ownClaims().isEmpty();
         anyMaster = ownership.pools().stream()
                 .anyMatch(pool -> ownership.master(pool, now).isPresent());
@@ -452,10 +459,15 @@
                 loop.post(now -> front.answered(request.number(), claim, result, now));
             }
         } else {
-            links.send(request.host(), new PeerMessage.Result(pool, round, request, result));
+            send(request.host(), new PeerMessage.Result(pool, round, request, result));
         }
     }
 
+    private void send(String host, PeerMessage message) {
+        metrics.count(MessageKind.PEER);
+        links.send(host, message);
+    }
+
     private final class ToMasters implements FrontActions {
         @Override
         public void submit(Claim master, JobOrder order) {
@@ -465,7 +477,7 @@
                 loop.post(at -> pools.submit(master.pool(), master.round(), order, at));
             } else {
                 peers.announceFrequentHeartbeats(master.host(), () -> status(now), now);
-                links.send(master.host(), new PeerMessage.Submit(master.pool(), master.round(), order));
+                send(master.host(), new PeerMessage.Submit(master.pool(), master.round(), order));
             }
         }
 
@@ -474,7 +486,7 @@
             if (master.isOf(self)) {
                 loop.post(at -> pools.withdraw(master.pool(), request, job, at));
             } else {
-                links.send(master.host(), new PeerMessage.Withdraw(master.pool(), request, job));
+                send(master.host(), new PeerMessage.Withdraw(master.pool(), request, job));
             }
         }
 
@@ -596,6 +608,7 @@
 
         @Override
         public void targets(ImmutableList<KeyedRecord> records, boolean whole, long now) {
+            metrics.count(MessageKind.TARGET_ENTRY, records.size());
             snapshot.targets(records, whole);
             if (targets.take(records, whole, now)) {
                 targetsChanged(now);
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -11,9 +11,11 @@
 import java.util.function.Supplier;
 import org.mustardlink.link.PeerLinks;
 import org.mustardlink.link.PeerMessage;
+import org.mustardlink.observe.EntryMetrics;
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
+import org.mustardlink.observe.MessageKind;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.ownership.PoolOwnership;
@@ -45,6 +47,7 @@
     private final HostInfo self;
     private final PoolOwnership ownership;
     private final EventLog log;
+    private final EntryMetrics metrics;
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<PoolId, PoolLoad> loads = new HashMap<>();
     private final Map<PoolId, Long> loadsToldNanos = new HashMap<>();
@@ -92,10 +95,11 @@
      */
     record Announcement(ImmutableMap<String, Long> numbers) {}
 
-    PeerMonitor(HostInfo self, PoolOwnership ownership, EventLog log, long now) {
+    PeerMonitor(HostInfo self, PoolOwnership ownership, EventLog log, EntryMetrics metrics, long now) {
         this.self = self;
         this.ownership = ownership;
         this.log = log;
+        this.metrics = metrics;
         this.sentNanos = now - URGENT_NANOS;
         this.watchersNanos = now - REVIEW_NANOS;
     }
@@ -148,6 +152,7 @@
         if (peer == null || peer.info.incarnation() != sender.incarnation()) {
             return false;
         }
+        metrics.count(MessageKind.HEARTBEAT_RECEIVED);
         peer.seen = heartbeat.number();
         // After this host's restart another one may still tell what it has seen of the earlier life.
         if (heartbeat.seenIncarnation() == self.incarnation()) {
@@ -281,6 +286,7 @@
         peer.owed = false;
         peer.sentNanos = now;
         peer.number++;
+        metrics.count(MessageKind.HEARTBEAT);
         Duration next = watchers.contains(peer.info.id()) ? URGENT : USUAL;
         links.send(
                 peer.info.id(),
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -12,9 +12,11 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.mustardlink.observe.EntryMetrics;
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
+import org.mustardlink.observe.MessageKind;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.PoolOwnership;
 import org.mustardlink.platform.TargetOrders;
@@ -48,6 +50,7 @@
     private final TargetDirectory targets;
     private final PoolBounds bounds;
     private final EventLog log;
+    private final EntryMetrics metrics;
     private final Results results;
     private final OtherPool otherPool;
     private final Map<PoolId, PoolMaster> masters = new LinkedHashMap<>();
@@ -115,6 +118,7 @@
             TargetDirectory targets,
             Duration lease,
             EventLog log,
+            EntryMetrics metrics,
             Results results,
             OtherPool otherPool) {
         this.loop = loop;
@@ -122,6 +126,7 @@
         this.targets = targets;
         this.bounds = new PoolBounds(lease);
         this.log = log;
+        this.metrics = metrics;
         this.results = results;
         this.otherPool = otherPool;
     }
@@ -343,6 +348,7 @@
 
         @Override
         public void start(TargetEntry target, RunId run, String payload, long deadlineMs, long fence) {
+            metrics.count(MessageKind.START);
             orders.start(
                     target,
                     run,
@@ -355,6 +361,7 @@
 
         @Override
         public void stop(TargetEntry target, RunId run, long fence) {
+            metrics.count(MessageKind.CANCEL);
             orders.stop(
                     target,
                     run,
@@ -365,6 +372,7 @@
 
         @Override
         public void hold(TargetEntry target, HoldOrder order) {
+            metrics.count(MessageKind.REPORT);
             orders.hold(
                     target,
                     order,
--- a/src/main/java/org/mustardlink/observe/EntryMetrics.java
+++ b/src/main/java/org/mustardlink/observe/EntryMetrics.java
@@ -91,6 +91,16 @@
         messages.get(kind).inc();
     }
 
+    /** Returns the number of messages of a kind since the process started. */
+    public long counted(MessageKind kind) {
+        return messages.get(kind).getCount();
+    }
+
+    /** Counts several messages of a kind. */
+    public void count(MessageKind kind, int number) {
+        messages.get(kind).inc(number);
+    }
+
     /** Counts one verdict that was delivered to a requester. */
     public void count(Reason reason) {
         verdicts.get(reason).inc();
--- a/src/main/java/org/mustardlink/observe/LogEvent.java
+++ b/src/main/java/org/mustardlink/observe/LogEvent.java
@@ -75,6 +75,8 @@
     DEPENDENCY_LOST("dependency.lost", StandardLevel.WARN),
     /** Something that the process depends on answers again. */
     DEPENDENCY_BACK("dependency.back", StandardLevel.INFO),
+    /** What this host has done since its start, each ten seconds. */
+    HOST_WORK("host.work", StandardLevel.INFO),
     /** The settings file was read again. */
     SETTINGS_RELOADED("settings.reloaded", StandardLevel.INFO),
     /** The settings file changed and can't be used; the earlier settings stay in force. */
--- a/src/main/java/org/mustardlink/observe/LogField.java
+++ b/src/main/java/org/mustardlink/observe/LogField.java
@@ -85,7 +85,23 @@
     /** Free processors of a pool's targets less what its queue needs, in thousandths of a core. */
     FREE_CPU,
     /** Most free processors on one target of a pool, in thousandths of a core. */
-    WIDEST_CPU;
+    WIDEST_CPU,
+    /** Processor time of the process since its start, in milliseconds. */
+    PROCESSOR_MS,
+    /** Times that the event loop has woken up. */
+    LOOP_PASSES,
+    /** Heartbeats sent to other hosts. */
+    HEARTBEATS_SENT,
+    /** Heartbeats received from other hosts. */
+    HEARTBEATS_RECEIVED,
+    /** Other messages sent to other hosts. */
+    PEER_MESSAGES,
+    /** Starts ordered at targets. */
+    STARTS,
+    /** Reports that targets were asked for. */
+    REPORTS,
+    /** Entries of targets read from the store. */
+    TARGET_ENTRIES;
 
     /** Returns the stable name. */
     public String id() {
--- a/src/main/java/org/mustardlink/observe/MessageKind.java
+++ b/src/main/java/org/mustardlink/observe/MessageKind.java
@@ -15,7 +15,15 @@
     /** A call to another entry host. */
     PEER,
     /** A target was asked to stop a task. */
-    CANCEL;
+    CANCEL,
+    /** A target was asked for a report of what runs there. */
+    REPORT,
+    /** A heartbeat was sent to another entry host. */
+    HEARTBEAT,
+    /** A heartbeat of another entry host was received. */
+    HEARTBEAT_RECEIVED,
+    /** A target's entry was read from the store. */
+    TARGET_ENTRY;
 
     String metric() {
         return "messages." + Ascii.toLowerCase(name());
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -17,6 +17,7 @@
 import org.mustardlink.link.IgnoringPeerListener;
 import org.mustardlink.link.PeerLinks;
 import org.mustardlink.link.PeerMessage;
+import org.mustardlink.observe.EntryMetrics;
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.ownership.NoOwnershipActions;
@@ -49,7 +50,8 @@
         });
         mastersLinks = PeerLinks.start(master, new Recording());
         PoolOwnership ownership = new PoolOwnership(self, new NoOwnershipActions(), now);
-        monitor = new PeerMonitor(self, ownership, EventLog.create("east-1", "east", LINES_PER_SECOND), now);
+        monitor = new PeerMonitor(
+                self, ownership, EventLog.create("east-1", "east", LINES_PER_SECOND), EntryMetrics.create(1, 1), now);
         monitor.use(links);
         monitor.introduced(master, true, (_host, _now) -> {}, now);
         await().untilTrue(connected);
--- a/src/test/java/org/mustardlink/host/PoolRunnerTest.java
+++ b/src/test/java/org/mustardlink/host/PoolRunnerTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.mustardlink.http.HttpRequester;
+import org.mustardlink.observe.EntryMetrics;
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
@@ -51,6 +52,7 @@
             new TargetDirectory(log),
             Duration.ofSeconds(1),
             log,
+            EntryMetrics.create(1, 1),
             (_pool, _round, _request, result) -> results.add(result),
             (_pool, _order) -> Optional.empty());
 
