Keep a link whose newest heartbeat is on its way, and confirm a claim that the store told first

Two faults of the heartbeats between hosts.

A link was replaced when any heartbeat of ours wasn't seen by the other host yet and the first unseen one was 0.5 s old. With ten heartbeats a second to a host that answers each two seconds one of them is nearly always on its way, and the age counted from the first one. Callers saw nothing of it but orders that were sent again, and lost messages on the replaced link. Now the heartbeat that is judged is one that was sent 0.5 s before.

A claim was confirmed at once only if the heartbeat of its master brought the news. The store mostly is faster, so the confirmation came with the next usual heartbeat, up to two seconds later, and a new master waited that long for the end of the handover. Now any heartbeat that tells of other claims than its sender's last one is answered.

--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -1,5 +1,6 @@
 package org.mustardlink.host;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
@@ -27,7 +28,8 @@
  * Heartbeats to and from the other hosts, and what they tell about loads. Runs on the loop thread.
  *
  * <p>Hosts that act on this one's silence at once hear it every {@link #URGENT}, all others every {@link #USUAL}; see
- * {@link Watchers}. A heartbeat that brings news of a claim is answered at once.
+ * {@link Watchers}. A heartbeat that tells of other claims than
+ * the last one is answered at once.
  */
 final class PeerMonitor {
     /** Interval of heartbeats to the hosts that have to notice this one's end at once. */
@@ -65,7 +67,13 @@
         /** Number of our last heartbeat that it has seen. */
         private long seenOurs;
 
+        /** The oldest of our heartbeats that the host hasn't shown to have seen, 0 if there is none. */
+        private long unseenNumber;
+
         private long unseenSinceNanos;
+        /** The claims that its last heartbeat told of. */
+        private ImmutableList<Claim> claims = ImmutableList.of();
+
         private long sentNanos;
         private long connectedNanos;
         private long heardNanos;
@@ -158,10 +166,10 @@
         if (heartbeat.seenIncarnation() == self.incarnation()) {
             peer.seenOurs = Math.max(peer.seenOurs, heartbeat.seen());
         }
-        if (peer.seenOurs < peer.number && now - peer.unseenSinceNanos > UNSEEN_NANOS) {
+        if (peer.seenOurs >= peer.unseenNumber) {
+            peer.unseenNumber = 0;
+        } else if (now - peer.unseenSinceNanos > UNSEEN_NANOS) {
             replaceUnseen(peer, now);
-        } else if (peer.seenOurs == peer.number) {
-            peer.unseenSinceNanos = now;
         }
         peer.heardNanos = now;
         ownership.heard(sender.id(), sender.incarnation(), heartbeat.next(), heartbeat.stopping(), now);
@@ -169,8 +177,12 @@
         for (Claim claim : heartbeat.claims()) {
             news |= ownership.claimed(claim, now);
         }
-        if (news) {
+        // Its sender waits for a confirmation, also if the store has told of the claim before.
+        if (!peer.claims.equals(heartbeat.claims())) {
+            peer.claims = heartbeat.claims();
             peer.owed = true;
+        }
+        if (news) {
             reviewWatchers(now);
         }
         loads.putAll(heartbeat.loads());
@@ -187,7 +199,7 @@
     private void replaceUnseen(Peer peer, long now) {
         if (now - peer.connectedNanos > LINK_AGE_NANOS) {
             peer.connectedNanos = now;
-            peer.unseenSinceNanos = now;
+            peer.unseenNumber = 0;
             links.replace(peer.info.id());
         }
     }
@@ -280,12 +292,13 @@
     }
 
     private void send(Peer peer, Status status, long now) {
-        if (peer.seenOurs == peer.number) {
-            peer.unseenSinceNanos = now;
-        }
         peer.owed = false;
         peer.sentNanos = now;
         peer.number++;
+        if (peer.unseenNumber == 0) {
+            peer.unseenNumber = peer.number;
+            peer.unseenSinceNanos = now;
+        }
         metrics.count(MessageKind.HEARTBEAT);
         Duration next = watchers.contains(peer.info.id()) ? URGENT : USUAL;
         links.send(
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -19,13 +19,16 @@
 import org.mustardlink.link.PeerMessage;
 import org.mustardlink.observe.EntryMetrics;
 import org.mustardlink.observe.EventLog;
+import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.ownership.NoOwnershipActions;
 import org.mustardlink.ownership.PoolOwnership;
+import org.mustardlink.pool.PoolId;
 
 /** Tests which heartbeats a host sends, over real links. */
 final class PeerMonitorTest {
     private static final int LINES_PER_SECOND = 10;
+    private static final long MILLIS = 1_000_000;
 
     private final List<PeerMessage> received = new CopyOnWriteArrayList<>();
     private final HostInfo self = host("east-1", "east", 1);
@@ -33,6 +36,7 @@
     private final AtomicBoolean connected = new AtomicBoolean();
     private PeerLinks links;
     private PeerLinks mastersLinks;
+    private PoolOwnership ownership;
     private PeerMonitor monitor;
 
     private static HostInfo host(String id, String domain, long incarnation) {
@@ -49,7 +53,7 @@
             }
         });
         mastersLinks = PeerLinks.start(master, new Recording());
-        PoolOwnership ownership = new PoolOwnership(self, new NoOwnershipActions(), now);
+        ownership = new PoolOwnership(self, new NoOwnershipActions(), now);
         monitor = new PeerMonitor(
                 self, ownership, EventLog.create("east-1", "east", LINES_PER_SECOND), EntryMetrics.create(1, 1), now);
         monitor.use(links);
@@ -94,14 +98,85 @@
         assertThat(nextHeartbeats()).hasSize(2);
     }
 
+    private static PeerMessage.Heartbeat heartbeat(long number, long seen, long seenIncarnation, Claim... claims) {
+        return new PeerMessage.Heartbeat(
+                number,
+                seen,
+                seenIncarnation,
+                Duration.ofMillis(100),
+                false,
+                ImmutableList.copyOf(claims),
+                ImmutableMap.of());
+    }
+
+    private void tick(long now) {
+        monitor.tick(PeerMonitorTest::status, Set::of, (_host, _now) -> {}, now);
+    }
+
+    private long introductions() {
+        return received.stream().filter(PeerMessage.Hello.class::isInstance).count();
+    }
+
+    /** Guards against a handover that lasts two seconds more because the store was faster than the claim's announcement. */
+    @Test
+    void a_claim_that_was_read_from_the_store_is_confirmed_when_its_master_announces_it() {
+        long now = System.nanoTime();
+        tick(now);
+        await().until(() -> nextHeartbeats().size() == 1);
+        Claim claim = new Claim(new PoolId("yard", "west"), master.id(), master.incarnation(), 1);
+        ownership.claimed(claim, now);
+
+        monitor.heard(master, heartbeat(1, 1, self.incarnation(), claim), now + MILLIS);
+        tick(now + 2 * MILLIS);
+
+        await().until(() -> nextHeartbeats().size() == 2);
+        monitor.heard(master, heartbeat(2, 2, self.incarnation(), claim), now + 3 * MILLIS);
+        tick(now + 4 * MILLIS);
+        links.send(master.id(), new PeerMessage.Cancel("last"));
+        await().until(() -> received.contains(new PeerMessage.Cancel("last")));
+        assertThat(nextHeartbeats()).hasSize(2);
+    }
+
+    /** Guards against links that are replaced, with all orders on them sent again, only because a heartbeat is on its way. */
+    @Test
+    void a_link_whose_last_heartbeat_is_on_its_way_is_kept() {
+        long now = System.nanoTime();
+        monitor.connected(master.id(), now);
+        for (int round = 0; round < 10; round++) {
+            monitor.announce(status(), now + round * 100L * MILLIS);
+        }
+
+        monitor.heard(master, heartbeat(1, 9, self.incarnation()), now + 901 * MILLIS);
+        monitor.announce(status(), now + 902 * MILLIS);
+        monitor.heard(master, heartbeat(2, 10, self.incarnation()), now + 903 * MILLIS);
+
+        links.tick(now + 904 * MILLIS);
+        links.send(master.id(), new PeerMessage.Cancel("last"));
+        await().until(() -> received.contains(new PeerMessage.Cancel("last")));
+        assertThat(introductions()).isEqualTo(1);
+    }
+
+    /** Guards against a link that has lost its way and is kept for ever, because the other direction still carries. */
+    @Test
+    void a_link_whose_heartbeats_are_not_seen_for_half_a_second_is_replaced() {
+        long now = System.nanoTime();
+        monitor.connected(master.id(), now);
+        for (int round = 0; round < 10; round++) {
+            monitor.announce(status(), now + round * 100L * MILLIS);
+        }
+
+        monitor.heard(master, heartbeat(1, 0, self.incarnation()), now + 901 * MILLIS);
+
+        await().until(() -> {
+            links.tick(System.nanoTime());
+            return introductions() == 2;
+        });
+    }
+
     private boolean seenByAllAfter(long seen, long seenIncarnation) {
         long now = System.nanoTime();
         PeerMonitor.Announcement claim = monitor.announce(status(), now);
-        monitor.heard(
-                master,
-                new PeerMessage.Heartbeat(
-                        7, seen, seenIncarnation, Duration.ofMillis(100), false, ImmutableList.of(), ImmutableMap.of()),
-                now);
+        monitor.heard(master, heartbeat(7, seen, seenIncarnation), now);
         return monitor.allHaveSeen(claim, now);
     }
 
