Compare targets' entries without a search, and don't look at open requests after each event

Now the known value is compared around its sequence number. The front looked at every open request after every event of the loop to find the next deadline; now it keeps the first one.

--- a/src/main/java/org/mustardlink/front/Front.java
+++ b/src/main/java/org/mustardlink/front/Front.java
@@ -53,6 +53,10 @@
     private final FrontActions actions;
     private final Map<Long, OpenRequest> requests = new LinkedHashMap<>();
     private long endNanos = Long.MAX_VALUE;
+    /** No later than any open request has to be answered; exact after a tick. */
+    private long firstEndNanos = Long.MAX_VALUE;
+    /** Whether a request may lack a master; exact after a tick. */
+    private boolean masterMissing;
 
     private static final class OpenRequest {
         private final JobOrder order;
@@ -108,6 +112,7 @@
     public void submit(JobOrder order, String service, long now) {
         OpenRequest request = new OpenRequest(order, service, now);
         requests.put(request.number(), request);
+        firstEndNanos = Math.min(firstEndNanos, request.deadlineNanos - LAST_ANSWER_NANOS);
         if (endNanos - now < Math.min(order.remaining().toNanos(), LAST_TAKE_NANOS)) {
             end(request, Answer.notRun("the host is about to end", ENDING_RETRY));
             return;
@@ -149,7 +154,7 @@
         Optional<PoolId> pool = request.bound ? request.pool : request.pointedTo.or(() -> choose(request, now));
         Optional<Claim> master = pool.flatMap(known -> directory.master(known, now));
         if (master.isEmpty() || denied(request, master.get(), now)) {
-            request.master = Optional.empty();
+            loseMaster(request);
             return;
         }
         send(request, pool.get(), master.get(), now);
@@ -222,7 +227,7 @@
         } else if (result instanceof JobResult.Moved) {
             request.deniedNanos = now;
             request.deniedBy = request.master.or(() -> request.deniedBy);
-            request.master = Optional.empty();
+            loseMaster(request);
             dispatch(request, now);
         } else if (result instanceof JobResult.Redirected redirected) {
             redirect(request, redirected.pool(), now);
@@ -311,16 +316,12 @@
         }
     }
 
-    /** Returns when {@link #tick} has to follow: with the next deadline, and soon while a request has no master. */
+    /**
+     * Returns when {@link #tick} has to follow at the latest: with the next deadline, and soon while a request has no master.
+     * Asked after every event, so it doesn't look at the open requests.
+     */
     public long nextDue(long now) {
-        long due = Long.MAX_VALUE;
-        for (OpenRequest request : requests.values()) {
-            due = Math.min(due, request.deadlineNanos - LAST_ANSWER_NANOS);
-            if (request.master.isEmpty()) {
-                due = Math.min(due, now + RETRY_NANOS);
-            }
-        }
-        return due;
+        return masterMissing ? Math.min(firstEndNanos, now + RETRY_NANOS) : firstEndNanos;
     }
 
     /** Goes on with requests whose master has changed, and answers those whose time is over. */
@@ -337,17 +338,28 @@
                 }
             }
         }
+        firstEndNanos = Long.MAX_VALUE;
+        masterMissing = false;
+        for (OpenRequest request : requests.values()) {
+            firstEndNanos = Math.min(firstEndNanos, request.deadlineNanos - LAST_ANSWER_NANOS);
+            masterMissing |= request.master.isEmpty();
+        }
     }
 
     private void follow(OpenRequest request, long now) {
         Optional<Claim> current = directory.master(request.pool.orElseThrow(), now);
         if (current.isEmpty()) {
-            request.master = Optional.empty();
+            loseMaster(request);
         } else if (!current.equals(request.master) && !denied(request, current.get(), now)) {
             send(request, request.pool.get(), current.get(), now);
         }
     }
 
+    private void loseMaster(OpenRequest request) {
+        request.master = Optional.empty();
+        masterMissing = true;
+    }
+
     private void expire(OpenRequest request) {
         if (!request.bound) {
             end(request, Answer.notRun("the deadline passed before a master was found", NO_MASTER_RETRY));
--- a/src/main/java/org/mustardlink/host/TargetDirectory.java
+++ b/src/main/java/org/mustardlink/host/TargetDirectory.java
@@ -88,7 +88,7 @@
     }
 
     private Optional<TargetEntry> decode(KeyedRecord record) {
-        Optional<TargetEntry> entry = record.text().flatMap(text -> reader.read(record.key(), text));
+        Optional<TargetEntry> entry = reader.read(record);
         if (entry.isEmpty()) {
             log.line(LogEvent.RECORD_REJECTED)
                     .with(LogField.KEY, record.key())
--- a/src/main/java/org/mustardlink/platform/TargetEntryReader.java
+++ b/src/main/java/org/mustardlink/platform/TargetEntryReader.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import org.mustardlink.pool.TargetEntry;
 
@@ -12,27 +13,61 @@
  */
 public final class TargetEntryReader {
     /** The number that rises with every writing and says nothing about the target. */
-    private static final Pattern SEQUENCE = Pattern.compile("\"seq\":\\s*\\d+");
+    private static final Pattern SEQUENCE = Pattern.compile("\"seq\":\\s*(\\d+)");
 
     private final Map<String, Known> known = new HashMap<>();
 
-    private record Known(String text, Optional<TargetEntry> entry) {}
+    /**
+     * An entry that was decoded.
+     *
+     * @param value its value, a character a byte
+     * @param sequenceStart where the sequence number starts in the value
+     * @param sequenceEnd the first character after it; the same if there is no number
+     * @param entry what it says
+     */
+    private record Known(String value, int sequenceStart, int sequenceEnd, Optional<TargetEntry> entry) {
+        private static Known of(String value, Optional<TargetEntry> entry) {
+            Matcher sequence = SEQUENCE.matcher(value);
+            return sequence.find()
+                    ? new Known(value, sequence.start(1), sequence.end(1), entry)
+                    : new Known(value, value.length(), value.length(), entry);
+        }
+
+        /** Returns whether another value differs in nothing but the sequence number; without a search, as most do. */
+        private boolean saysTheSameAs(String other) {
+            int end = sequenceStart;
+            while (end < other.length() && isDigit(other.charAt(end))) {
+                end++;
+            }
+            int rest = value.length() - sequenceEnd;
+            return (end > sequenceStart) == (sequenceEnd > sequenceStart)
+                    && other.length() - end == rest
+                    && other.regionMatches(0, value, 0, sequenceStart)
+                    && other.regionMatches(end, value, sequenceEnd, rest);
+        }
+
+        private static boolean isDigit(char character) {
+            return character >= '0' && character <= '9';
+        }
+    }
 
     /**
      * Reads an entry.
      *
-     * @param id key of the entry
-     * @param text the entry
+     * @param record the entry's record, whose key is the target
      * @return empty if it names no target that can be used
      */
-    public Optional<TargetEntry> read(String id, String text) {
-        String lasting = SEQUENCE.matcher(text).replaceFirst("");
-        Known before = known.get(id);
-        if (before != null && before.text().equals(lasting)) {
+    public Optional<TargetEntry> read(KeyedRecord record) {
+        if (record.value().isEmpty()) {
+            return Optional.empty();
+        }
+        String value = record.value().get();
+        Known before = known.get(record.key());
+        if (before != null && before.saysTheSameAs(value)) {
             return before.entry();
         }
-        Optional<TargetEntry> entry = Documents.target(id, text);
-        known.put(id, new Known(lasting, entry));
+        Optional<TargetEntry> entry = record.text().flatMap(text -> Documents.target(record.key(), text));
+        known.put(record.key(), Known.of(value, entry));
         return entry;
     }
 
--- a/src/test/java/org/mustardlink/front/FrontTest.java
+++ b/src/test/java/org/mustardlink/front/FrontTest.java
@@ -102,6 +102,43 @@
         front.submit(JobOrders.of(number, job, step, true), "yard", now);
     }
 
+    /** Guards against answers that come after their callers' deadlines because the timers sleep too long. */
+    @Test
+    void the_next_look_at_the_requests_is_due_before_the_first_deadline() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+        long first = sent.get(0).order().remaining().toNanos() - ms(20);
+        assertThat(front.nextDue(0)).isEqualTo(first);
+        submit(2, ms(100));
+        assertThat(front.nextDue(ms(100))).isEqualTo(first);
+
+        front.answered(1, EAST_MASTER, new JobResult.Complete(), ms(150));
+        front.tick(ms(200));
+
+        assertThat(front.nextDue(ms(200))).isEqualTo(first + ms(100));
+        front.answered(2, EAST_MASTER, new JobResult.Complete(), ms(250));
+        front.tick(ms(300));
+        assertThat(front.nextDue(ms(300))).isEqualTo(Long.MAX_VALUE);
+    }
+
+    /** Guards against requests that wait for the usual timers although their pool has its next master. */
+    @Test
+    void a_master_is_looked_for_soon_while_a_request_lacks_one() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+        front.answered(1, EAST_MASTER, new JobResult.Moved(), ms(10));
+        assertThat(front.nextDue(ms(10))).isAtMost(ms(30));
+        masters.remove(EAST);
+        front.tick(ms(30));
+        assertThat(front.nextDue(ms(30))).isAtMost(ms(50));
+
+        masters.put(EAST, new Claim(EAST, "east-2", 2, 2));
+        front.tick(ms(50));
+
+        assertThat(sent).hasSize(2);
+        assertThat(front.nextDue(ms(50))).isGreaterThan(ms(500));
+    }
+
     /** Guards against callers that are refused by one full pool while another has room: bursts in one domain. */
     @Test
     void a_job_refused_by_a_full_pool_goes_to_one_with_room_before_its_caller_is_refused() {
