Send heartbeats only as often as their receivers need them, and let idle hosts wake up less

A host without a pool was woken 70 times a second by 42 heartbeats, its timers and its readings of the store, and sent 27 heartbeats (host.work), though nobody but the successors of a master acts on silence within half a second. Class: work that follows the number of hosts and not of jobs.

Now a master tells its successors and other masters each 0.1 s, fronts tell the masters of their jobs each 0.3 s (any message counts as a sign of life, and a silence of 1 s gives the jobs up as before), and hosts of two domains without a pool tell each other each 10 s. A host that can't become a master soon runs its timers each 0.3 s and reads the list of targets each second. A pool of another domain is claimed after 2.4 s without a heartbeat of its hosts, whatever they announced, so that a domain without power isn't left alone for longer than before.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -58,8 +58,6 @@
  * and what runs is learned from the targets.
  */
 public final class DispatchHost implements CallerRequests, AutoCloseable {
-    /** Longest interval of timers; that of frequent heartbeats. */
-    private static final long TIMERS_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** A host is up this long before it claims pools without having read the earlier claims. */
     private static final long CLAIMS_UNREAD_NANOS = TimeUnit.SECONDS.toNanos(3);
     /** Pause before a snapshot is asked for again; a reachable store answers within 100 ms and makes it needless. */
@@ -126,6 +124,7 @@
     private volatile boolean anyMaster;
     private volatile boolean stopping;
     private volatile boolean ownsAny;
+    private volatile boolean successor = true;
     private volatile int openRequests;
 
     private DispatchHost(HostSettings settings, long incarnation) {
@@ -165,7 +164,7 @@
         this.front = new Front(self.domain(), knownPools, new ToMasters());
         this.links = PeerLinks.start(self, new FromPeers());
         peers.use(links);
-        this.following = new StoreFollowing(store, timer, log, loop, new FromStore());
+        this.following = new StoreFollowing(store, timer, log, loop, new FromStore(), () -> successor);
         this.claimWriter = new ClaimWriter(store, following, log);
         this.endpoint = CallerEndpoint.start(settings.callers(), settings.readiness(), this);
         this.metricsServer = HttpServers.startNonBlocking(
@@ -293,7 +292,7 @@
         pools.tick(now);
         if (now >= timersNanos || now >= peers.nextHeartbeat()) {
             timers(now);
-            timersNanos = now + (anyMaster && !pools.handingOver() ? TIMERS_NANOS : CHANGING_NANOS);
+            timersNanos = now + (anyMaster && !pools.handingOver() ? peers.roundNanos() : CHANGING_NANOS);
         }
         timersNanos = Math.min(timersNanos, front.nextDue(now));
         openRequests = front.openRequests();
@@ -341,6 +340,7 @@
         cancellations.expire(now);
         unrouted.tick(routes.isPresent(), now);
         workLog.tick(now);
+        successor = peers.isSuccessor();
         ownsAny = !ownership.ownClaims().isEmpty();
         anyMaster = ownership.pools().stream()
                 .anyMatch(pool -> ownership.master(pool, now).isPresent());
@@ -540,6 +540,9 @@
 
     private void take(HostInfo sender, PeerMessage message, long now) {
         peers.introduced(sender, true, this::hostLost, now);
+        if (!(message instanceof PeerMessage.Heartbeat)) {
+            ownership.heardOtherwise(sender.id(), sender.incarnation(), now);
+        }
         if (message instanceof PeerMessage.Hello) {
             front.linkReplaced(sender.id(), now);
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -2,8 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -27,18 +25,32 @@
 /**
  * Heartbeats to and from the other hosts, and what they tell about loads. Runs on the loop thread.
  *
- * <p>Hosts that act on this one's silence at once hear it every {@link #URGENT}, all others every {@link #USUAL}; see
- * {@link Watchers}. A heartbeat that tells of other claims than
- * the last one is answered at once.
+ * <p>Hosts that act on this one's silence at once hear it every {@link #URGENT}, those that act on it within a second every
+ * {@link #FREQUENT}, those whose links are in use every {@link #USUAL}, all others every {@link #RARE}; see {@link Watchers}. A heartbeat that tells of other claims than the
+ * last one is answered at once.
  */
 final class PeerMonitor {
     /** Interval of heartbeats to the hosts that have to notice this one's end at once. */
     private static final Duration URGENT = Duration.ofMillis(100);
-    /** Interval of heartbeats to all others; with it a host sends one message more in two seconds for each further host. */
+    /**
+     * Interval of heartbeats to the hosts that have to notice this one's end within a second, before its callers send their
+     * jobs again: two may be lost.
+     */
+    private static final Duration FREQUENT = Duration.ofMillis(300);
+    /** Interval of heartbeats to the hosts that need a link which is known to work; with it a host sends one message more in two seconds for each further host. */
     private static final Duration USUAL = Duration.ofSeconds(2);
 
     private static final long URGENT_NANOS = URGENT.toNanos();
-    private static final long USUAL_NANOS = USUAL.toNanos();
+    private static final long FREQUENT_NANOS = FREQUENT.toNanos();
+    /**
+     * Interval of heartbeats to all others, which only tell that the host is there. With it a host sends one message more in
+     * ten seconds for each further host.
+     */
+    private static final Duration RARE = Duration.ofSeconds(10);
+
+    private static final long RARE_NANOS = RARE.toNanos();
+    /** Heartbeats that are due within this time go out with the present ones, so that intervals don't grow by a round. */
+    private static final long SLACK_NANOS = URGENT.toNanos() / 2;
     /** Interval at which watchers are chosen anew though nothing is known to have changed; hosts fall silent meanwhile. */
     private static final long REVIEW_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** A heartbeat that the receiver hasn't seen for this long shows that the link to it is dead. */
@@ -53,7 +65,7 @@
     private final Map<String, Peer> peers = new HashMap<>();
     private final Map<PoolId, PoolLoad> loads = new HashMap<>();
     private final Map<PoolId, Long> loadsToldNanos = new HashMap<>();
-    private ImmutableSet<String> watchers = ImmutableSet.of();
+    private Watchers watchers = Watchers.UNKNOWN;
     private long watchersNanos;
     private PeerLinks links;
     private long sentNanos;
@@ -77,6 +89,9 @@
         private long sentNanos;
         private long connectedNanos;
         private long heardNanos;
+        /** The interval that our last heartbeat told. */
+        private Duration toldInterval = RARE;
+
         private boolean alive;
         private boolean owed;
         private boolean givenUp;
@@ -127,7 +142,7 @@
         }
         Peer peer = new Peer();
         peer.info = info;
-        peer.sentNanos = now - USUAL_NANOS;
+        peer.sentNanos = now - RARE_NANOS;
         peer.connectedNanos = now;
         peer.heardNanos = now;
         peers.put(info.id(), peer);
@@ -211,22 +226,19 @@
      * @param mastersInUse hosts that run jobs which this one waits for
      */
     void tick(Supplier<Status> status, Supplier<Set<String>> mastersInUse, LossListener listener, long now) {
-        boolean urgentDue = now - sentNanos >= URGENT_NANOS;
-        if (urgentDue) {
+        boolean roundDue = now - sentNanos >= roundNanos();
+        if (roundDue) {
             sentNanos = now;
             links.tick(now);
             watch(mastersInUse.get(), now);
         }
         Status told = null;
         for (Peer peer : peers.values()) {
-            boolean due = peer.owed
-                    || now - peer.sentNanos >= USUAL_NANOS
-                    || (urgentDue && watchers.contains(peer.info.id()));
-            if (due) {
+            if (peer.owed || (roundDue && now - peer.sentNanos >= interval(peer).toNanos() - SLACK_NANOS)) {
                 told = told == null ? status.get() : told;
                 send(peer, told, now);
             }
-            if (urgentDue) {
+            if (roundDue) {
                 check(peer, listener, now);
             }
         }
@@ -247,7 +259,7 @@
         if (peer == null || watchers.contains(host)) {
             return;
         }
-        watchers = ImmutableSet.<String>builder().addAll(watchers).add(host).build();
+        watchers = watchers.withFrequent(host);
         send(peer, status.get(), now);
     }
 
@@ -257,10 +269,11 @@
             return;
         }
         watchersNanos = now;
-        ImmutableSet<String> before = watchers;
         watchers = Watchers.of(self, ownership, mastersInUse, now);
         // A host that expects the next heartbeat soon must be told that it comes later.
-        Sets.difference(before, watchers).forEach(host -> peers.get(host).owed = true);
+        for (Peer peer : peers.values()) {
+            peer.owed |= peer.toldInterval.compareTo(interval(peer)) < 0;
+        }
     }
 
     private void check(Peer peer, LossListener listener, long now) {
@@ -300,7 +313,8 @@
             peer.unseenSinceNanos = now;
         }
         metrics.count(MessageKind.HEARTBEAT);
-        Duration next = watchers.contains(peer.info.id()) ? URGENT : USUAL;
+        Duration next = interval(peer);
+        peer.toldInterval = next;
         links.send(
                 peer.info.id(),
                 new PeerMessage.Heartbeat(
@@ -313,6 +327,17 @@
                         status.loads()));
     }
 
+    private Duration interval(Peer peer) {
+        String host = peer.info.id();
+        if (watchers.urgent().contains(host)) {
+            return URGENT;
+        }
+        if (watchers.frequent().contains(host)) {
+            return FREQUENT;
+        }
+        return watchers.usual().contains(host) ? USUAL : RARE;
+    }
+
     /** Returns whether every host that may live has got an announcement; one that is silent is taken for dead. */
     boolean allHaveSeen(Announcement announcement, long now) {
         return peers.values().stream()
@@ -331,8 +356,18 @@
         return peer.seenOurs >= announcement.numbers().getOrDefault(peer.info.id(), 1L);
     }
 
+    /** Returns whether this host is the master of a pool or may become one. */
+    boolean isSuccessor() {
+        return watchers.successor();
+    }
+
+    /** Returns the interval at which this host sends heartbeats that are due and looks for hosts that are silent. */
+    long roundNanos() {
+        return watchers.successor() ? URGENT_NANOS : FREQUENT_NANOS;
+    }
+
     long nextHeartbeat() {
-        return sentNanos + URGENT_NANOS;
+        return sentNanos + roundNanos();
     }
 
     /** Returns the last load that a pool's master told. */
--- a/src/main/java/org/mustardlink/host/StoreFollowing.java
+++ b/src/main/java/org/mustardlink/host/StoreFollowing.java
@@ -10,10 +10,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import org.mustardlink.errors.CodedException;
-import org.mustardlink.http.Json;
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
@@ -28,10 +29,22 @@
 
 /** Follows what a host reads from the store: configuration, targets, claims and hosts. */
 final class StoreFollowing implements AutoCloseable {
-    /** A reading waits this long for a record; a connection that went silent is noticed within twice that. */
+    /**
+     * A reading of the configuration waits this long for a record; a connection that went silent is noticed within twice
+     * that, because a new configuration has to be in force within two seconds.
+     */
     private static final Duration WAIT = Duration.ofMillis(800);
+    /** The same for claims, which their hosts announce themselves as well. */
+    private static final Duration CLAIMS_WAIT = Duration.ofSeconds(2);
+    /** The same for hosts, which introduce themselves to all others as well. */
+    private static final Duration HOSTS_WAIT = Duration.ofSeconds(4);
     /** Targets report every second or two, so their topic is read at intervals instead of on each record. */
     private static final Duration TARGETS_PAUSE = Duration.ofMillis(300);
+    /**
+     * The same on a host that orders no starts and isn't about to; half of the shortest time within which a draining target
+     * must get no more of them.
+     */
+    private static final Duration IDLE_TARGETS_PAUSE = Duration.ofSeconds(1);
     /** Hosts change rarely, and introduce themselves on their own. */
     private static final Duration HOSTS_PAUSE = Duration.ofSeconds(1);
     /** Pause before this host's own entry is written again after a failure. */
@@ -42,6 +55,7 @@
     private final EventLog log;
     private final HostLoop loop;
     private final Listener listener;
+    private final BooleanSupplier ordersStarts;
     private final List<TopicFollower> followers = new ArrayList<>();
     private volatile boolean closed;
     private volatile boolean targetsReachable = true;
@@ -60,12 +74,24 @@
         void listed(HostInfo host, long now);
     }
 
-    StoreFollowing(StoreClient store, ScheduledExecutorService timer, EventLog log, HostLoop loop, Listener listener) {
+    /**
+     * Creates the following of one host.
+     *
+     * @param ordersStarts returns whether this host is the master of a pool or may become one soon; called by any thread
+     */
+    StoreFollowing(
+            StoreClient store,
+            ScheduledExecutorService timer,
+            EventLog log,
+            HostLoop loop,
+            Listener listener,
+            BooleanSupplier ordersStarts) {
         this.store = store;
         this.timer = timer;
         this.log = log;
         this.loop = loop;
         this.listener = listener;
+        this.ordersStarts = ordersStarts;
     }
 
     /** Starts to follow, and writes the host's own entry. */
@@ -73,16 +99,16 @@
         follow(
                 StoreTopics.OPERATOR,
                 WAIT,
-                Duration.ZERO,
+                () -> Duration.ZERO,
                 (page, _whole) -> page.records().stream()
                         .filter(record -> record.key().equals(StoreTopics.CONFIG_KEY))
                         .forEach(this::configured));
         follow(
                 StoreTopics.TARGETS,
                 WAIT,
-                TARGETS_PAUSE,
+                () -> ordersStarts.getAsBoolean() ? TARGETS_PAUSE : IDLE_TARGETS_PAUSE,
                 (page, whole) -> loop.post(now -> listener.targets(page.records(), whole, now)));
-        follow(StoreTopics.CLAIMS, WAIT, Duration.ZERO, (page, _whole) -> {
+        follow(StoreTopics.CLAIMS, CLAIMS_WAIT, () -> Duration.ZERO, (page, _whole) -> {
             page.records()
                     .forEach(record -> parse(record, StoredClaim::parse)
                             .ifPresent(claim -> loop.post(now -> listener.claimed(claim.toClaim(), now))));
@@ -94,8 +120,8 @@
         });
         follow(
                 StoreTopics.HOSTS,
-                WAIT,
-                HOSTS_PAUSE,
+                HOSTS_WAIT,
+                () -> HOSTS_PAUSE,
                 (page, _whole) -> page.records()
                         .forEach(record -> parse(record, StoredHost::parse)
                                 .ifPresent(host -> loop.post(now -> listener.listed(host.toInfo(), now)))));
@@ -107,7 +133,7 @@
         void records(StoreClient.Page page, boolean whole);
     }
 
-    private void follow(String followed, Duration wait, Duration pause, Take take) {
+    private void follow(String followed, Duration wait, Supplier<Duration> pause, Take take) {
         followers.add(TopicFollower.start(
                 store,
                 followed,
@@ -194,7 +220,7 @@
                     timer.schedule(() -> introduce(self), after.toMillis(), TimeUnit.MILLISECONDS);
         };
         CompletableFuture<StoreClient.AppendOutcome> _sent = store.append(
-                        StoreTopics.HOSTS, self.id(), Json.write(self), OptionalLong.empty())
+                        StoreTopics.HOSTS, self.id(), self.toJson(), OptionalLong.empty())
                 .whenComplete((outcome, failure) -> {
                     if (failure != null || outcome != StoreClient.AppendOutcome.APPENDED) {
                         again.accept(INTRODUCE_RETRY);
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -27,10 +27,10 @@
     /** A host is taken for dead this long after its next heartbeat was due; four of the shortest intervals. */
     private static final long SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
     /**
-     * Silence after which the work of a host's callers is stopped. They send a job again 1.3 s after they have lost it; a
-     * stop takes up to 50 ms and must be over by then.
+     * Least silence after which the work of a host's callers is stopped. They send a job again 1.3 s after they have lost it;
+     * a stop takes up to 50 ms and must be over by then.
      */
-    private static final long GIVE_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(900);
+    private static final long GIVE_UP_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     /** After its start a host waits this long for others to be heard of, so that the first claim is the lasting one. */
     private static final long SETTLING_NANOS = TimeUnit.MILLISECONDS.toNanos(1_200);
     /** The same for a pool whose master is known to be gone; a heartbeat of a live claimant arrives within it. */
@@ -58,6 +58,12 @@
     /** Time for a superseding claim to be heard of after a target has refused our token. */
     private static final long FENCED_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
+    /**
+     * Hosts that haven't been heard of for this long don't keep another domain's pool from being claimed, whenever their next
+     * heartbeat is due. Those of the pool's own domain would have claimed it within a second.
+     */
+    private static final long FOREIGN_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2_400);
+
     private final HostInfo self;
     private final OwnershipActions actions;
     private final long startedNanos;
@@ -144,6 +150,14 @@
         peer.stopping = hostIsStopping;
     }
 
+    /** Takes any other message of a host, which shows that it lives as a heartbeat does. */
+    public void heardOtherwise(String host, long incarnation, long now) {
+        Peer peer = peers.get(host);
+        if (peer != null && peer.heard && peer.info.incarnation() == incarnation) {
+            peer.heardNanos = now;
+        }
+    }
+
     /**
      * Takes the delay with which this host's own loop handles events; returns whether it was late. Heartbeats that came
      * meanwhile may wait behind it, so the delay doesn't count as silence of others.
@@ -330,7 +344,7 @@
                 && (peer == null
                         || peer.info.incarnation() != incarnation
                         || peer.refused
-                        || now - peer.heardNanos > peer.nextNanos + GIVE_UP_NANOS);
+                        || now - peer.heardNanos > GIVE_UP_NANOS);
     }
 
     private static boolean gone(Peer peer, long now) {
@@ -472,11 +486,13 @@
     }
 
     private boolean isFirst(PoolId pool, long now) {
+        boolean home = pool.domain().equals(self.domain());
         return Succession.isFirst(
                 self,
                 pool,
                 peers.values().stream()
                         .filter(peer -> peer.alive(now) && !peer.stopping)
+                        .filter(peer -> home || now - peer.heardNanos < FOREIGN_SILENCE_NANOS)
                         .map(peer -> peer.info),
                 this::poolsOf);
     }
--- a/src/main/java/org/mustardlink/ownership/Succession.java
+++ b/src/main/java/org/mustardlink/ownership/Succession.java
@@ -1,6 +1,5 @@
 package org.mustardlink.ownership;
 
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
@@ -8,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.ToIntFunction;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.mustardlink.pool.PoolId;
 
@@ -52,7 +52,16 @@
 
     /** Returns the hosts that may claim a pool next: those of the first rank, and some more if they are few. */
     static ImmutableSet<String> candidates(PoolId pool, Stream<HostInfo> hosts) {
-        ImmutableList<HostInfo> ordered = hosts.sorted(order(pool)).collect(ImmutableList.toImmutableList());
+        List<HostInfo> known = hosts.collect(Collectors.toCollection(ArrayList::new));
+        List<HostInfo> home = new ArrayList<>();
+        for (HostInfo host : known) {
+            if (host.domain().equals(pool.domain())) {
+                home.add(host);
+            }
+        }
+        // Hosts of the domain come first, so the others needn't be put in order if these are enough.
+        List<HostInfo> ordered = home.size() >= MIN_CANDIDATES ? home : known;
+        ordered.sort(order(pool));
         Comparator<HostInfo> rank = rank(pool);
         ImmutableSet.Builder<String> candidates = ImmutableSet.builder();
         for (int i = 0; i < ordered.size(); i++) {
--- a/src/main/java/org/mustardlink/ownership/Watchers.java
+++ b/src/main/java/org/mustardlink/ownership/Watchers.java
@@ -1,65 +1,121 @@
 package org.mustardlink.ownership;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Sets;
 import java.util.HashSet;
 import java.util.Set;
 import org.mustardlink.pool.PoolId;
 
 /**
- * Chooses the hosts that act at once when this one falls silent.
+ * The hosts that have to notice the end of this one, by how soon.
+ *
+ * <p>Those that have to notice within a second follow the hosts of one domain in number, not all hosts. Everyone else may notice
+ * later: a job goes on with the claim of its pool's next master, which each host reads from the store.
  *
- * <p>They are the masters that run its callers' jobs; for one that may become a master, the others that may, in its domain;
- * for a master, the hosts of its pools' domains and some masters elsewhere. Their number follows the hosts of one domain,
- * not all hosts. Everyone else may notice later: a job goes on with the claim of its pool's next master, which each host reads
- * from the store.
+ * @param successor whether this host is the master of a pool or may become one, and so has to notice the end of others soon
+ * @param urgent the hosts that may take this one's pools over, and masters that hand jobs over by the loads it tells
+ * @param frequent further hosts: the masters that run its callers' jobs, and those that may compete with it for a pool
+ * @param usual further hosts that need a link which is known to work: masters, hosts of its domain, and for a master everyone
  */
-public final class Watchers {
+public record Watchers(
+        boolean successor, ImmutableSet<String> urgent, ImmutableSet<String> frequent, ImmutableSet<String> usual) {
+    /** Before anything is known of pools: no one has to notice this host's end, and it may become a master. */
+    public static final Watchers UNKNOWN = new Watchers(true, ImmutableSet.of(), ImmutableSet.of(), ImmutableSet.of());
+
     /** Masters of other domains that hear a master's loads often; jobs are handed over to the one with most room. */
     private static final int FOREIGN_MASTERS = 8;
 
-    private Watchers() {}
+    public Watchers {
+        checkNotNull(urgent, "urgent");
+        checkNotNull(frequent, "frequent");
+        checkNotNull(usual, "usual");
+    }
 
     /**
-     * Returns the hosts that have to notice the end of this one at once: known ones, without itself.
+     * Returns the hosts that have to notice the end of this one soon: known ones, without itself.
      *
      * @param self this host
      * @param ownership what this host knows of others and their claims
      * @param mastersInUse hosts that run jobs which this one waits for
      * @param now the time in nanoseconds
      */
-    public static ImmutableSet<String> of(HostInfo self, PoolOwnership ownership, Set<String> mastersInUse, long now) {
-        Set<String> watchers = new HashSet<>(mastersInUse);
-        Set<String> domains = new HashSet<>();
-        ownership.ownClaims().forEach(claim -> domains.add(claim.pool().domain()));
-        boolean master = !domains.isEmpty();
+    public static Watchers of(HostInfo self, PoolOwnership ownership, Set<String> mastersInUse, long now) {
+        Set<String> urgent = new HashSet<>();
+        Set<String> frequent = new HashSet<>(mastersInUse);
+        Set<String> mastered = new HashSet<>();
+        ownership.ownClaims().forEach(claim -> mastered.add(claim.pool().domain()));
+        boolean master = !mastered.isEmpty();
+        boolean candidate = false;
         for (PoolId pool : ownership.pools()) {
             // The shards of a domain have the same candidates.
-            if (pool.domain().equals(self.domain()) && pool.shard() == 0) {
+            boolean home = pool.domain().equals(self.domain());
+            if (pool.shard() == 0 && (home || mastered.contains(pool.domain()))) {
                 Set<String> candidates = ownership.candidates(pool, now);
-                if (master || candidates.contains(self.id())) {
-                    watchers.addAll(candidates);
-                    domains.add(self.domain());
+                if (mastered.contains(pool.domain())) {
+                    urgent.addAll(candidates);
+                } else if (master || candidates.contains(self.id())) {
+                    frequent.addAll(candidates);
                 }
+                candidate |= home && candidates.contains(self.id());
+            }
+        }
+        for (Claim claim : ownership.claims()) {
+            if (mastered.contains(claim.pool().domain())) {
+                urgent.add(claim.host());
+            } else if ((master || candidate) && claim.pool().domain().equals(self.domain())) {
+                frequent.add(claim.host());
             }
         }
-        ownership.claims().stream()
-                .filter(claim -> domains.contains(claim.pool().domain()))
-                .forEach(claim -> watchers.add(claim.host()));
         if (master) {
             ownership.hosts().stream()
-                    .filter(host -> domains.contains(host.domain()))
-                    .forEach(host -> watchers.add(host.id()));
+                    .filter(host ->
+                            mastered.contains(host.domain()) || host.domain().equals(self.domain()))
+                    .forEach(host -> frequent.add(host.id()));
             ownership.claims().stream()
                     .map(Claim::host)
-                    .filter(host -> !watchers.contains(host))
+                    .filter(host -> !urgent.contains(host))
                     .distinct()
                     .limit(FOREIGN_MASTERS)
-                    .forEach(watchers::add);
+                    .forEach(urgent::add);
         }
         // A claim may outlive its host, or be read before the host is known.
-        return ownership.hosts().stream()
-                .map(HostInfo::id)
-                .filter(watchers::contains)
-                .collect(ImmutableSet.toImmutableSet());
+        ImmutableSet<String> known =
+                ownership.hosts().stream().map(HostInfo::id).collect(ImmutableSet.toImmutableSet());
+        frequent.removeAll(urgent);
+        Set<String> usual = new HashSet<>();
+        ownership.claims().forEach(claim -> usual.add(claim.host()));
+        for (HostInfo host : ownership.hosts()) {
+            if (master || host.domain().equals(self.domain())) {
+                usual.add(host.id());
+            }
+        }
+        usual.removeAll(urgent);
+        usual.removeAll(frequent);
+        return new Watchers(
+                master || candidate,
+                Sets.intersection(known, urgent).immutableCopy(),
+                Sets.intersection(known, frequent).immutableCopy(),
+                Sets.intersection(known, usual).immutableCopy());
+    }
+
+    /** Returns whether a host has to notice soon. */
+    public boolean contains(String host) {
+        return urgent.contains(host) || frequent.contains(host);
+    }
+
+    /** Returns the same with one more frequent host, unless it is one already. */
+    public Watchers withFrequent(String host) {
+        return contains(host)
+                ? this
+                : new Watchers(
+                        successor,
+                        urgent,
+                        ImmutableSet.<String>builder()
+                                .addAll(frequent)
+                                .add(host)
+                                .build(),
+                        usual);
     }
 }
--- a/src/main/java/org/mustardlink/platform/TopicFollower.java
+++ b/src/main/java/org/mustardlink/platform/TopicFollower.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 
 /**
  * Follows a keyed topic: the newest record of each key first, then every change in order.
@@ -20,7 +21,7 @@
     private final StoreClient store;
     private final String topic;
     private final Duration wait;
-    private final Duration pause;
+    private final Supplier<Duration> pause;
     private final Listener listener;
     private final ScheduledExecutorService timer;
     private volatile boolean closed;
@@ -43,7 +44,7 @@
             StoreClient store,
             String topic,
             Duration wait,
-            Duration pause,
+            Supplier<Duration> pause,
             Listener listener,
             ScheduledExecutorService timer) {
         this.store = store;
@@ -58,13 +59,13 @@
      * Starts to follow a topic.
      *
      * @param wait longest time that the store waits for a record before it answers
-     * @param pause pause between two readings, for topics whose records come often
+     * @param pause returns the pause before the next reading, for topics whose records come often; called by any thread
      */
     public static TopicFollower start(
             StoreClient store,
             String topic,
             Duration wait,
-            Duration pause,
+            Supplier<Duration> pause,
             Listener listener,
             ScheduledExecutorService timer) {
         TopicFollower follower = new TopicFollower(store, topic, wait, pause, listener, timer);
@@ -88,7 +89,7 @@
             }
             answered();
             deliver(page, true);
-            later(() -> readFrom(page.end()), pause);
+            later(() -> readFrom(page.end()), pause.get());
         });
     }
 
@@ -110,7 +111,7 @@
                     if (!page.get().records().isEmpty()) {
                         deliver(page.get(), false);
                     }
-                    later(() -> readFrom(page.get().next()), pause);
+                    later(() -> readFrom(page.get().next()), pause.get());
                 });
     }
 
--- a/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
+++ b/src/test/java/org/mustardlink/ownership/PoolOwnershipTest.java
@@ -209,6 +209,52 @@
         assertThat(recorder.written).isNotEmpty();
     }
 
+    /** Guards against a domain whose hosts have all lost power and whose pool has no master until their heartbeats are due. */
+    @Test
+    void a_silent_domains_pool_is_claimed_before_its_hosts_rare_heartbeats_are_due() {
+        PoolOwnership ownership = ownership(WEST_1, EAST);
+        ownership.introduced(EAST_1, true, 0);
+        ownership.heard("east-1", 11, Duration.ofSeconds(10), false, ms(1_000));
+        for (long at = 1_300; at <= 3_350; at += 50) {
+            ownership.reached(EAST, ms(at));
+            ownership.tick(ms(at));
+        }
+        assertThat(recorder.written).isEmpty();
+
+        for (long at = 3_400; at <= 4_700; at += 50) {
+            ownership.reached(EAST, ms(at));
+            ownership.tick(ms(at));
+        }
+
+        assertThat(recorder.written).isNotEmpty();
+    }
+
+    /** Guards against the jobs of a front that works and only sends no heartbeat being given up. */
+    @Test
+    void a_host_that_sends_jobs_is_not_silent() {
+        PoolOwnership ownership = ownership(EAST_1, EAST);
+        ownership.introduced(EAST_2, true, 0);
+        ownership.heard("east-2", 12, Duration.ofMillis(300), false, 0);
+
+        ownership.heardOtherwise("east-2", 12, ms(600));
+
+        assertThat(ownership.givenUp("east-2", 12, ms(1_500))).isFalse();
+        assertThat(ownership.givenUp("east-2", 12, ms(1_650))).isTrue();
+    }
+
+    /** Guards against a front whose jobs run on beside their second tries, which callers send 1.3 s after the first. */
+    @Test
+    void a_front_is_given_up_a_second_after_its_last_message_whatever_its_interval() {
+        for (int interval : new int[] {100, 300, 500}) {
+            PoolOwnership ownership = ownership(EAST_1, EAST);
+            ownership.introduced(EAST_2, true, 0);
+            ownership.heard("east-2", 12, Duration.ofMillis(interval), false, 0);
+
+            assertThat(ownership.givenUp("east-2", 12, ms(1_000))).isFalse();
+            assertThat(ownership.givenUp("east-2", 12, ms(1_001))).isTrue();
+        }
+    }
+
     @Test
     void a_host_of_the_own_domain_takes_the_pool_back_from_another_domain() {
         PoolOwnership ownership = ownership(EAST_1, EAST);
