Let Watchers say how often a host is told, and hold its heartbeats to the users' target

The intervals stood in PeerMonitor, the sets in Watchers. Now one place decides both, and WatchersTest adds up what the heartbeats of a host without a pool cost: at most the 10 KB a second that control may take by the users' target, at 30 to 300 hosts.

--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -25,32 +25,16 @@
 /**
  * Heartbeats to and from the other hosts, and what they tell about loads. Runs on the loop thread.
  *
- * <p>Hosts that act on this one's silence at once hear it every {@link #URGENT}, those that act on it within a second every
- * {@link #FREQUENT}, those whose links are in use every {@link #USUAL}, all others every {@link #RARE}; see {@link Watchers}. A heartbeat that tells of other claims than the
+ * <p>Hosts that act on this one's silence at once hear it every {@link Watchers#URGENT}, those that act on it within a second every
+ * {@link Watchers#FREQUENT}, those whose links are in use every {@link Watchers#USUAL}, all others every {@link Watchers#RARE}; see {@link Watchers}. A heartbeat that tells of other claims than the
  * last one is answered at once.
  */
 final class PeerMonitor {
-    /** Interval of heartbeats to the hosts that have to notice this one's end at once. */
-    private static final Duration URGENT = Duration.ofMillis(100);
-    /**
-     * Interval of heartbeats to the hosts that have to notice this one's end within a second, before its callers send their
-     * jobs again: two may be lost.
-     */
-    private static final Duration FREQUENT = Duration.ofMillis(300);
-    /** Interval of heartbeats to the hosts that need a link which is known to work; with it a host sends one message more in two seconds for each further host. */
-    private static final Duration USUAL = Duration.ofSeconds(2);
-
-    private static final long URGENT_NANOS = URGENT.toNanos();
-    private static final long FREQUENT_NANOS = FREQUENT.toNanos();
-    /**
-     * Interval of heartbeats to all others, which only tell that the host is there. With it a host sends one message more in
-     * ten seconds for each further host.
-     */
-    private static final Duration RARE = Duration.ofSeconds(10);
-
-    private static final long RARE_NANOS = RARE.toNanos();
+    private static final long URGENT_NANOS = Watchers.URGENT.toNanos();
+    private static final long FREQUENT_NANOS = Watchers.FREQUENT.toNanos();
+    private static final long RARE_NANOS = Watchers.RARE.toNanos();
     /** Heartbeats that are due within this time go out with the present ones, so that intervals don't grow by a round. */
-    private static final long SLACK_NANOS = URGENT.toNanos() / 2;
+    private static final long SLACK_NANOS = Watchers.URGENT.toNanos() / 2;
     /** Interval at which watchers are chosen anew though nothing is known to have changed; hosts fall silent meanwhile. */
     private static final long REVIEW_NANOS = TimeUnit.SECONDS.toNanos(1);
     /** A heartbeat that the receiver hasn't seen for this long shows that the link to it is dead. */
@@ -90,7 +74,7 @@
         private long connectedNanos;
         private long heardNanos;
         /** The interval that our last heartbeat told. */
-        private Duration toldInterval = RARE;
+        private Duration toldInterval = Watchers.RARE;
 
         private boolean alive;
         private boolean owed;
@@ -234,7 +218,10 @@
         }
         Status told = null;
         for (Peer peer : peers.values()) {
-            if (peer.owed || (roundDue && now - peer.sentNanos >= interval(peer).toNanos() - SLACK_NANOS)) {
+            if (peer.owed
+                    || (roundDue
+                            && now - peer.sentNanos
+                                    >= watchers.interval(peer.info.id()).toNanos() - SLACK_NANOS)) {
                 told = told == null ? status.get() : told;
                 send(peer, told, now);
             }
@@ -272,7 +259,7 @@
         watchers = Watchers.of(self, ownership, mastersInUse, now);
         // A host that expects the next heartbeat soon must be told that it comes later.
         for (Peer peer : peers.values()) {
-            peer.owed |= peer.toldInterval.compareTo(interval(peer)) < 0;
+            peer.owed |= peer.toldInterval.compareTo(watchers.interval(peer.info.id())) < 0;
         }
     }
 
@@ -313,7 +300,7 @@
             peer.unseenSinceNanos = now;
         }
         metrics.count(MessageKind.HEARTBEAT);
-        Duration next = interval(peer);
+        Duration next = watchers.interval(peer.info.id());
         peer.toldInterval = next;
         links.send(
                 peer.info.id(),
@@ -327,17 +314,6 @@
                         status.loads()));
     }
 
-    private Duration interval(Peer peer) {
-        String host = peer.info.id();
-        if (watchers.urgent().contains(host)) {
-            return URGENT;
-        }
-        if (watchers.frequent().contains(host)) {
-            return FREQUENT;
-        }
-        return watchers.usual().contains(host) ? USUAL : RARE;
-    }
-
     /** Returns whether every host that may live has got an announcement; one that is silent is taken for dead. */
     boolean allHaveSeen(Announcement announcement, long now) {
         return peers.values().stream()
--- a/src/main/java/org/mustardlink/ownership/Watchers.java
+++ b/src/main/java/org/mustardlink/ownership/Watchers.java
@@ -4,12 +4,13 @@
 
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Set;
 import org.mustardlink.pool.PoolId;
 
 /**
- * The hosts that have to notice the end of this one, by how soon.
+ * The hosts that have to notice the end of this one, by how soon, and how often they hear of it.
  *
  * <p>Those that have to notice within a second follow the hosts of one domain in number, not all hosts. Everyone else may notice
  * later: a job goes on with the claim of its pool's next master, which each host reads from the store.
@@ -24,6 +25,24 @@
     /** Before anything is known of pools: no one has to notice this host's end, and it may become a master. */
     public static final Watchers UNKNOWN = new Watchers(true, ImmutableSet.of(), ImmutableSet.of(), ImmutableSet.of());
 
+    /** Interval of heartbeats to the hosts that have to notice this one's end at once. */
+    public static final Duration URGENT = Duration.ofMillis(100);
+    /**
+     * Interval of heartbeats to the hosts that have to notice this one's end within a second, before its callers send their
+     * jobs again: two may be lost.
+     */
+    public static final Duration FREQUENT = Duration.ofMillis(300);
+    /**
+     * Interval of heartbeats to the hosts that need a link which is known to work; with it a host sends one message more in
+     * two seconds for each further host.
+     */
+    public static final Duration USUAL = Duration.ofSeconds(2);
+    /**
+     * Interval of heartbeats to all others, which only tell that the host is there. With it a host sends one message more in
+     * ten seconds for each further host.
+     */
+    public static final Duration RARE = Duration.ofSeconds(10);
+
     /** Masters of other domains that hear a master's loads often; jobs are handed over to the one with most room. */
     private static final int FOREIGN_MASTERS = 8;
 
@@ -100,6 +119,17 @@
                 Sets.intersection(known, usual).immutableCopy());
     }
 
+    /** Returns the interval of heartbeats to a host. */
+    public Duration interval(String host) {
+        if (urgent.contains(host)) {
+            return URGENT;
+        }
+        if (frequent.contains(host)) {
+            return FREQUENT;
+        }
+        return usual.contains(host) ? USUAL : RARE;
+    }
+
     /** Returns whether a host has to notice soon. */
     public boolean contains(String host) {
         return urgent.contains(host) || frequent.contains(host);
--- a/src/test/java/org/mustardlink/ownership/WatchersTest.java
+++ b/src/test/java/org/mustardlink/ownership/WatchersTest.java
@@ -18,6 +18,10 @@
 /** Tests which hosts hear a host's heartbeats often. */
 final class WatchersTest {
     private static final int DOMAINS = 5;
+    /** A heartbeat without claims and loads, with the headers of TCP and IP. */
+    private static final int HEARTBEAT_BYTES = 90;
+
+    private static final int CONTROL_BYTES_PER_SECOND = 10 * 1_024;
 
     private static List<HostInfo> fleet(int size) {
         List<HostInfo> hosts = new ArrayList<>();
@@ -63,6 +67,26 @@
         assertThat(watchers.successor()).isFalse();
     }
 
+    /**
+     * Guards against processor time that follows the number of hosts: control may cost a host 10 KB a second, by the users'
+     * target.
+     */
+    @ParameterizedTest
+    @ValueSource(ints = {30, 47, 100, 300})
+    void the_heartbeats_of_a_host_without_a_pool_cost_less_than_control_may(int size) {
+        List<HostInfo> fleet = fleet(size);
+        HostInfo self = fleet.get(size - 1);
+
+        Watchers watchers = Watchers.of(self, knowledge(self, fleet), ImmutableSet.of(), 1);
+
+        double sentPerSecond = fleet.stream()
+                .filter(host -> !host.equals(self))
+                .mapToDouble(host -> 1_000.0 / watchers.interval(host.id()).toMillis())
+                .sum();
+        double bytesBothWays = 2 * sentPerSecond * HEARTBEAT_BYTES;
+        assertThat(bytesBothWays).isAtMost(CONTROL_BYTES_PER_SECOND);
+    }
+
     /** Guards against a master whose end the hosts of its own domain or other masters learn of late. */
     @Test
     void a_master_is_watched_by_its_domain_and_by_the_other_masters() {
