--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -25,9 +25,8 @@
 /**
  * Heartbeats to and from the other hosts, and what they tell about loads. Runs on the loop thread.
  *
- * <p>Hosts that act on this one's silence at once hear it every {@link Watchers#URGENT}, those that act on it within a second every
- * {@link Watchers#FREQUENT}, those whose links are in use every {@link Watchers#USUAL}, all others every {@link Watchers#RARE}; see {@link Watchers}. A heartbeat that tells of other claims than the
- * last one is answered at once.
+ * <p>{@link Watchers} says how often each host hears this one. A heartbeat that tells of other claims than the last one of its
+ * sender is answered at once.
  */
 final class PeerMonitor {
     private static final long URGENT_NANOS = Watchers.URGENT.toNanos();
@@ -218,10 +217,7 @@
         }
         Status told = null;
         for (Peer peer : peers.values()) {
-            if (peer.owed
-                    || (roundDue
-                            && now - peer.sentNanos
-                                    >= watchers.interval(peer.info.id()).toNanos() - SLACK_NANOS)) {
+            if (peer.owed || (roundDue && isDue(peer, now))) {
                 told = told == null ? status.get() : told;
                 send(peer, told, now);
             }
@@ -231,6 +227,11 @@
         }
     }
 
+    private boolean isDue(Peer peer, long now) {
+        long interval = watchers.interval(peer.info.id()).toNanos();
+        return now - peer.sentNanos >= interval - SLACK_NANOS;
+    }
+
     /** Chooses the watchers anew with the next heartbeats, because hosts or claims have changed. */
     void reviewWatchers(long now) {
         watchersNanos = now - REVIEW_NANOS;
--- a/src/test/java/org/mustardlink/host/DispatchHostTest.java
+++ b/src/test/java/org/mustardlink/host/DispatchHostTest.java
@@ -119,9 +119,9 @@
         await().pollInterval(Duration.ofMillis(5)).atMost(LONG).until(() -> ready("east-1"));
         long ready = System.nanoTime();
 
-        CompletableFuture<HttpReply> reply = deployment.submit("east-1", job(9), 1, 10);
+        HttpReply reply = deployment.submit("east-1", job(9), 1, 10).join();
 
-        assertThat(reply.join().status()).isEqualTo(200);
+        assertWithMessage(reply.body()).that(reply.status()).isEqualTo(200);
         // Inherited runs are kept for 0.7 s while a live host may still hand their jobs over.
         assertThat(Duration.ofNanos(System.nanoTime() - ready)).isLessThan(Duration.ofMillis(600));
     }
