--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -152,7 +152,7 @@
         }
     }
 
-    /** Takes a heartbeat; returns whether it changed which host is the master of a pool. */
+    /** Takes a heartbeat; returns whether timers have to run at once, because masters have changed or it is to be answered. */
     boolean heard(HostInfo sender, PeerMessage.Heartbeat heartbeat, long now) {
         Peer peer = peers.get(sender.id());
         if (peer == null || peer.info.incarnation() != sender.incarnation()) {
@@ -176,7 +176,8 @@
             news |= ownership.claimed(claim, now);
         }
         // Its sender waits for a confirmation, also if the store has told of the claim before.
-        if (!peer.claims.equals(heartbeat.claims())) {
+        boolean confirmationDue = !peer.claims.equals(heartbeat.claims());
+        if (confirmationDue) {
             peer.claims = heartbeat.claims();
             peer.owed = true;
         }
@@ -190,7 +191,7 @@
             peer.alive = true;
             changed(sender, "ALIVE", "heard");
         }
-        return news || heartbeat.stopping();
+        return news || confirmationDue || heartbeat.stopping();
     }
 
     /** Replaces the link to a host that hears others but not us: something on the way has lost track of it. */
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -1,6 +1,7 @@
 package org.mustardlink.host;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 import static org.awaitility.Awaitility.await;
 
 import com.google.common.collect.ImmutableList;
@@ -126,7 +127,9 @@
         Claim claim = new Claim(new PoolId("yard", "west"), master.id(), master.incarnation(), 1);
         ownership.claimed(claim, now);
 
-        monitor.heard(master, heartbeat(1, 1, self.incarnation(), claim), now + MILLIS);
+        assertWithMessage("the timers, which send the confirmation, have to run at once")
+                .that(monitor.heard(master, heartbeat(1, 1, self.incarnation(), claim), now + MILLIS))
+                .isTrue();
         tick(now + 2 * MILLIS);
 
         await().until(() -> nextHeartbeats().size() == 2);
