--- a/src/test/java/org/mustardlink/observe/EventLogTest.java
+++ b/src/test/java/org/mustardlink/observe/EventLogTest.java
@@ -4,46 +4,27 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.base.Splitter;
 import com.google.common.collect.ImmutableSet;
 import com.google.common.collect.Sets;
-import java.io.StringWriter;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.core.Appender;
 import org.apache.logging.log4j.core.Logger;
-import org.apache.logging.log4j.core.appender.WriterAppender;
 import org.apache.logging.log4j.core.config.Configurator;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.mustardlink.http.Json;
 
 class EventLogTest {
-    private final StringWriter written = new StringWriter();
+    private final CapturedLines captured = CapturedLines.start();
     private final Logger logger = (Logger) LogManager.getLogger("org.mustardlink.events");
-    private Appender appender;
-
-    @BeforeEach
-    void capture() {
-        appender = WriterAppender.newBuilder()
-                .setName("test")
-                .setLayout(new JsonLineLayout())
-                .setTarget(written)
-                .build();
-        appender.start();
-        logger.addAppender(appender);
-        Configurator.setLevel("org.mustardlink", Level.INFO);
-    }
 
     @AfterEach
     void release() {
-        logger.removeAppender(appender);
-        EventLog.silence();
+        captured.close();
     }
 
     /** Guards against a flood of one event that hides the others or fills the collector. */
@@ -57,7 +38,7 @@
         Thread.sleep(1100);
         log.line(LogEvent.ATTEMPT_LOST).with(LogField.ATTEMPT, 100).write();
 
-        List<String> lines = Splitter.on('\n').omitEmptyStrings().splitToList(written.toString());
+        List<String> lines = captured.lines();
         assertThat(lines).hasSize(5);
         JsonNode leaving = Json.mapper().readTree(lines.get(3));
         assertThat(leaving.path("event").asText()).isEqualTo("host.leaving");
@@ -76,7 +57,7 @@
                 .with(LogField.ERROR, "a\"b\n{\"event\":\"host.stopped\"}")
                 .write();
 
-        List<String> lines = Splitter.on('\n').omitEmptyStrings().splitToList(written.toString());
+        List<String> lines = captured.lines();
         assertThat(lines).hasSize(1);
         Set<String> names =
                 ImmutableSet.copyOf(Json.mapper().readTree(lines.get(0)).fieldNames());
@@ -90,7 +71,7 @@
         Configurator.setLevel("org.mustardlink", Level.WARN);
         logger.warn("a \"pool\"\nis closed", new IllegalStateException("closed\ttwice"));
 
-        JsonNode line = Json.mapper().readTree(written.toString());
+        JsonNode line = Json.mapper().readTree(captured.lines().get(0));
         assertThat(line.path("event").asText()).isEqualTo("library");
         assertThat(line.path("level").asText()).isEqualTo("WARN");
         assertThat(line.path("logger").asText()).isEqualTo("org.mustardlink.events");
--- a/src/test/java/org/mustardlink/observe/WorkLogTest.java
+++ b/src/test/java/org/mustardlink/observe/WorkLogTest.java
@@ -4,45 +4,21 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.base.Splitter;
-import java.io.StringWriter;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import org.apache.logging.log4j.Level;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.core.Appender;
-import org.apache.logging.log4j.core.Logger;
-import org.apache.logging.log4j.core.appender.WriterAppender;
-import org.apache.logging.log4j.core.config.Configurator;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.mustardlink.http.Json;
 
 /** Tests the lines by which operators explain the processor time of a host. */
 final class WorkLogTest {
-    private final StringWriter written = new StringWriter();
-    private final Logger logger = (Logger) LogManager.getLogger("org.mustardlink.events");
+    private final CapturedLines captured = CapturedLines.start();
     private final EntryMetrics metrics = EntryMetrics.create(1, 1);
     private final WorkLog workLog = new WorkLog(metrics, EventLog.create("east-1", "east", 10), 0);
-    private Appender appender;
-
-    @BeforeEach
-    void capture() {
-        appender = WriterAppender.newBuilder()
-                .setName("work")
-                .setLayout(new JsonLineLayout())
-                .setTarget(written)
-                .build();
-        appender.start();
-        logger.addAppender(appender);
-        Configurator.setLevel("org.mustardlink", Level.INFO);
-    }
 
     @AfterEach
     void release() {
-        logger.removeAppender(appender);
-        EventLog.silence();
+        captured.close();
     }
 
     private static long seconds(long seconds) {
@@ -56,14 +32,14 @@
         metrics.count(MessageKind.TARGET_ENTRY, 52);
         workLog.passed();
         workLog.tick(seconds(9));
-        assertThat(written.toString()).isEmpty();
+        assertThat(captured.lines()).isEmpty();
 
         workLog.tick(seconds(10));
         workLog.tick(seconds(19));
         metrics.count(MessageKind.HEARTBEAT);
         workLog.tick(seconds(20));
 
-        List<String> lines = Splitter.on('\n').omitEmptyStrings().splitToList(written.toString());
+        List<String> lines = captured.lines();
         assertThat(lines).hasSize(2);
         JsonNode first = Json.mapper().readTree(lines.get(0));
         assertThat(first.path("event").asText()).isEqualTo("host.work");
--- a/src/test/java/org/mustardlink/ownership/WatchersTest.java
+++ b/src/test/java/org/mustardlink/ownership/WatchersTest.java
@@ -53,6 +53,19 @@
         return ownership;
     }
 
+    /** Returns what the first host knows, which has claimed the pool of its domain. */
+    private static PoolOwnership knowledgeOfFirstMaster(List<HostInfo> fleet) {
+        PoolOwnership ownership = knowledge(fleet.get(0), fleet);
+        // A host becomes a master by a claim that it has written itself.
+        long now = Duration.ofSeconds(2).toNanos();
+        ownership.tick(now);
+        ownership.claimAnswered(new Claim(pool(0), "host-0", 1, 2), PoolOwnership.ClaimOutcome.WRITTEN, now);
+        assertWithMessage("the host has claimed the pool of its domain")
+                .that(ownership.owns(pool(0)))
+                .isTrue();
+        return ownership;
+    }
+
     /** Guards against heartbeats from every host to every other one, whose cost a host grows with the fleet. */
     @ParameterizedTest
     @ValueSource(ints = {30, 100, 300, 1_000})
@@ -91,15 +104,7 @@
     @Test
     void a_master_is_watched_by_its_domain_and_by_the_other_masters() {
         List<HostInfo> fleet = fleet(50);
-        PoolOwnership ownership = knowledge(fleet.get(0), fleet);
-        // A host becomes a master by a claim that it has written itself.
-        ownership.tick(Duration.ofSeconds(2).toNanos());
-        Claim own = new Claim(pool(0), "host-0", 1, 2);
-        ownership.claimAnswered(
-                own, PoolOwnership.ClaimOutcome.WRITTEN, Duration.ofSeconds(2).toNanos());
-        assertWithMessage("the host has claimed the pool of its domain")
-                .that(ownership.owns(pool(0)))
-                .isTrue();
+        PoolOwnership ownership = knowledgeOfFirstMaster(fleet);
 
         Watchers watchers = Watchers.of(fleet.get(0), ownership, ImmutableSet.of(), 1);
 
@@ -117,12 +122,7 @@
     @Test
     void the_hosts_that_may_take_a_pool_over_hear_its_master_most_often() {
         List<HostInfo> fleet = fleet(50);
-        PoolOwnership ownership = knowledge(fleet.get(0), fleet);
-        ownership.tick(Duration.ofSeconds(2).toNanos());
-        ownership.claimAnswered(
-                new Claim(pool(0), "host-0", 1, 2),
-                PoolOwnership.ClaimOutcome.WRITTEN,
-                Duration.ofSeconds(2).toNanos());
+        PoolOwnership ownership = knowledgeOfFirstMaster(fleet);
         Set<String> successors = new HashSet<>(ownership.candidates(pool(0), 1));
         successors.remove("host-0");
 
@@ -153,12 +153,7 @@
     @Test
     void a_domains_other_hosts_hear_its_master_less_often() {
         List<HostInfo> fleet = fleet(50);
-        PoolOwnership ownership = knowledge(fleet.get(0), fleet);
-        ownership.tick(Duration.ofSeconds(2).toNanos());
-        ownership.claimAnswered(
-                new Claim(pool(0), "host-0", 1, 2),
-                PoolOwnership.ClaimOutcome.WRITTEN,
-                Duration.ofSeconds(2).toNanos());
+        PoolOwnership ownership = knowledgeOfFirstMaster(fleet);
         ImmutableSet<String> successors = ownership.candidates(pool(0), 1);
 
         Watchers watchers = Watchers.of(fleet.get(0), ownership, ImmutableSet.of(), 1);
