--- a/review/standins/Runner.java
+++ b/review/standins/Runner.java
@@ -64,6 +64,8 @@
     private long leaseEndMs;
     private long lastEnd;
     private boolean up;
+    private volatile boolean cut;
+    private volatile long lateMs;
     private final Map<String, Run> running = new LinkedHashMap<>();
     private final Map<String, Integer> highestClosed = new HashMap<>();
     private final List<Object[]> ended = new ArrayList<>();
@@ -125,6 +127,20 @@
         threads.shutdownNow();
     }
 
+    /** Cuts the runner off from all hosts, or ends the cut; calls during a cut get no response. */
+    void setCut(boolean cutOff) {
+        cut = cutOff;
+    }
+
+    /** Leaves the next start order without a response and carries it out later. */
+    void delayNextStart(long millis) {
+        lateMs = millis;
+    }
+
+    boolean hasDelayedStart() {
+        return lateMs == 0;
+    }
+
     /** Begins a new life under the same id at the same address, of a kind that the labels state. */
     synchronized void beginAgain(List<String> newLabels) {
         labels = newLabels;
@@ -206,6 +222,20 @@
 
     private void handle(HttpExchange exchange) throws IOException {
         JsonNode body = MAPPER.readTree(exchange.getRequestBody().readAllBytes());
+        long delayMs = lateMs;
+        if (delayMs > 0 && exchange.getRequestURI().getPath().equals("/api/run-start")) {
+            lateMs = 0;
+            record.line("no response to the start of " + body.path("task").asText() + " on " + id);
+            carryOutLater(body, delayMs);
+            awaitEndOfCut(delayMs);
+            exchange.close();
+            return;
+        }
+        if (cut) {
+            awaitEndOfCut(Long.MAX_VALUE);
+            exchange.close();
+            return;
+        }
         String instance = exchange.getRequestHeaders().getFirst("X-Expect-Instance");
         int status = 200;
         String answer;
@@ -248,6 +278,39 @@
         exchange.close();
     }
 
+    private void carryOutLater(JsonNode body, long delayMs) {
+        Thread later = new Thread(() -> {
+            sleep(delayMs);
+            synchronized (this) {
+                if (up && body.path("fence").asLong(0) >= fence) {
+                    fence = body.path("fence").asLong(0);
+                    String reason = start(body);
+                    record.line("late start of " + body.path("task").asText() + " on " + id + ": "
+                            + (reason.isEmpty() ? "carried out" : reason));
+                } else {
+                    record.line("late start of " + body.path("task").asText() + " on " + id + ": refused");
+                }
+            }
+        });
+        later.setDaemon(true);
+        later.start();
+    }
+
+    private void awaitEndOfCut(long atMostMs) {
+        long untilNanos = System.nanoTime() + Math.min(atMostMs, 60_000) * 1_000_000;
+        while (System.nanoTime() < untilNanos && (cut || atMostMs < Long.MAX_VALUE)) {
+            sleep(20);
+        }
+    }
+
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private String start(JsonNode body) {
         String task = body.path("task").asText();
         int number = body.path("run").asInt();
