--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -1,5 +1,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.sun.net.httpserver.HttpServer;
 import java.io.Closeable;
 import java.io.IOException;
 import java.net.HttpURLConnection;
@@ -272,6 +273,17 @@
         return runner;
     }
 
+    /** Starts a store that answers every call with status 503, and returns its address. */
+    InetSocketAddress startRefusingStore() throws IOException {
+        HttpServer server = HttpServer.create(loopback(0), 100);
+        server.createContext("/", exchange -> {
+            exchange.sendResponseHeaders(503, -1);
+            exchange.close();
+        });
+        server.start();
+        return server.getAddress();
+    }
+
     /** Writes a runner's entry to the store. */
     void publish(Runner runner) {
         store.put("keyed.servers", runner.id, runner.entry());
--- a/review/standins/LateStart.java
+++ b/review/standins/LateStart.java
@@ -33,6 +33,10 @@
         if (trouble) {
             runner.delayNextStart(LATE_MS);
         }
+        // Other jobs, so that the one late order is a small share of all orders.
+        Thread traffic = new Thread(() -> sendShortJobs(other));
+        traffic.setDaemon(true);
+        traffic.start();
         Thread client = new Thread(() -> submit(entry, other));
         client.start();
         if (trouble) {
@@ -62,6 +66,18 @@
         return record.overlaps();
     }
 
+    private static void sendShortJobs(Deployment.Host host) {
+        try (Client client = host.connect()) {
+            while (true) {
+                String id = Client.newId();
+                client.send(id, Client.job(1, 4_000, 60, ""), Deployment.DEADLINE_MS);
+                client.await(id, Deployment.DEADLINE_MS);
+            }
+        } catch (IOException e) {
+            // The deployment has been closed.
+        }
+    }
+
     private static void submit(Deployment.Host entry, Deployment.Host other) {
         String id = Client.newId();
         String job = Client.job(1, 14_000, WORK_MS, "");
