Repeat withdrawals until the master has acknowledged them

Cause: the entry host withdrew the job with a single message, which was lost with the link to the master. Only orders were repeated over the new link, so the master never learned of the withdrawal and kept the job, because heartbeats of the entry host went on.

With only the caller's connection reset the rule held.

Change: unacknowledged withdrawals are repeated with every heartbeat to the master's host until it has acknowledged one that carried them; such a heartbeat is answered at once, and the interval to that host stays short meanwhile. Related path: the question whether another host has a cancelled job is asked again over a new link.

PeerMonitorTest.a_withdrawal_is_repeated... can't compile against the earlier code, which had no method for it; the earlier code sent the withdrawal with PeerLinks.send, which drops it while no link is open.

--- a/src/main/java/org/mustardlink/host/Cancellations.java
+++ b/src/main/java/org/mustardlink/host/Cancellations.java
@@ -33,6 +33,14 @@
         pending.add(new Cancellation(job, new HashSet<>(askedHosts), now + ANSWER_TIMEOUT_NANOS, onFound));
     }
 
+    /** Returns the jobs whose cancellation a host has not answered; the messages are lost if its link breaks. */
+    ImmutableSet<String> jobsUnansweredBy(String host) {
+        return pending.stream()
+                .filter(cancellation -> cancellation.unansweredHosts().contains(host))
+                .map(Cancellation::job)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
     /** Records the answer of a host to every open cancellation of the job. */
     void recordAnswer(String host, String job, boolean found) {
         completeMatching(found, cancellation -> {
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -506,7 +506,8 @@
             if (master.isHeldBy(self)) {
                 loop.post(loopNow -> poolRunner.withdraw(master.pool(), request, job, loopNow));
             } else {
-                send(master.host(), new PeerMessage.Withdraw(master.pool(), request, job));
+                metrics.count(MessageKind.PEER);
+                peerMonitor.withdraw(master.host(), new PeerMessage.Withdraw(master.pool(), request, job));
             }
         }
 
@@ -547,6 +548,7 @@
                 peerMonitor.recordConnection(host, now);
                 nextTimersNanos = now;
                 requestDispatcher.resendOrders(host, now);
+                resendCancellations(host);
             });
         }
 
@@ -566,7 +568,11 @@
         }
         if (message instanceof PeerMessage.Hello) {
             requestDispatcher.resendOrders(sender.id(), now);
+            resendCancellations(sender.id());
         } else if (message instanceof PeerMessage.Heartbeat heartbeat) {
+            for (PeerMessage.Withdraw withdrawal : heartbeat.withdrawals()) {
+                poolRunner.withdraw(withdrawal.pool(), withdrawal.request(), withdrawal.job(), now);
+            }
             if (peerMonitor.receiveHeartbeat(sender, heartbeat, now)) {
                 updatePoolLayout();
                 nextTimersNanos = now;
@@ -609,6 +615,11 @@
         peerSnapshotApplied = true;
     }
 
+    /** Repeats the cancellations that a host has not answered; the host carries a repeated one out once. */
+    private void resendCancellations(String host) {
+        cancellations.jobsUnansweredBy(host).forEach(job -> peerLinks.send(host, new PeerMessage.Cancel(job)));
+    }
+
     private boolean cancelLocally(String job, long now) {
         boolean wasWaiting = requestDispatcher.cancelJob(job);
         boolean wasRunning = poolRunner.cancel(job, now);
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -4,6 +4,9 @@
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -21,6 +24,7 @@
 import org.mustardlink.ownership.PoolOwnership;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
+import org.mustardlink.pool.RequestId;
 
 /**
  * Exchanges heartbeats with the other hosts, and keeps the loads of pools that they report. Runs on the loop thread.
@@ -46,6 +50,8 @@
     private static final long ACKNOWLEDGMENT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /** Minimum age of a link before it is replaced for a lack of heartbeats. */
     private static final long MIN_LINK_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+    /** Withdrawals kept for a host that acknowledges none; a master remembers no more of them. */
+    private static final int MAX_UNACKNOWLEDGED_WITHDRAWALS = PoolRunner.MAX_WITHDRAWN_REQUESTS;
 
     private final HostInfo self;
     private final PoolOwnership ownership;
@@ -74,6 +80,8 @@
         private long unacknowledgedSinceNanos;
         /** The claims in the last heartbeat received from the host. */
         private ImmutableList<Claim> lastReceivedClaims = ImmutableList.of();
+        /** Withdrawals that every heartbeat to the host repeats until the host has acknowledged one of them. */
+        private final Map<RequestId, UnacknowledgedWithdrawal> withdrawals = new LinkedHashMap<>();
 
         private long lastSentNanos;
         private long connectedNanos;
@@ -86,6 +94,13 @@
         private boolean declaredLost;
     }
 
+    /**
+     * A withdrawal that its master may not have received.
+     *
+     * @param firstHeartbeatNumber number of the first heartbeat that repeats the withdrawal
+     */
+    private record UnacknowledgedWithdrawal(PeerMessage.Withdraw message, long firstHeartbeatNumber) {}
+
     /** Is notified when an incarnation of another host is lost. */
     @FunctionalInterface
     interface LossListener {
@@ -172,6 +187,9 @@
         // After a restart of this host, the sender may still acknowledge heartbeats of the earlier incarnation.
         if (heartbeat.acknowledgedIncarnation() == self.incarnation()) {
             peer.acknowledgedNumber = Math.max(peer.acknowledgedNumber, heartbeat.acknowledged());
+            peer.withdrawals
+                    .values()
+                    .removeIf(withdrawal -> withdrawal.firstHeartbeatNumber() <= peer.acknowledgedNumber);
         }
         if (peer.acknowledgedNumber >= peer.unacknowledgedNumber) {
             peer.unacknowledgedNumber = 0;
@@ -190,6 +208,8 @@
             peer.lastReceivedClaims = heartbeat.claims();
             peer.sendImmediately = true;
         }
+        // The sender repeats its withdrawals in every heartbeat until they are acknowledged.
+        peer.sendImmediately |= !heartbeat.withdrawals().isEmpty();
         if (claimsChanged) {
             requestScheduleReview(now);
         }
@@ -200,7 +220,7 @@
             peer.alive = true;
             logStateChange(sender, "ALIVE", "heard");
         }
-        return claimsChanged || confirmationDue || heartbeat.stopping();
+        return claimsChanged || peer.sendImmediately || heartbeat.stopping();
     }
 
     /**
@@ -225,7 +245,7 @@
         if (cycleDue) {
             lastCycleNanos = now;
             links.openMissingConnections(now);
-            reviewSchedule(mastersInUse.get(), now);
+            reviewSchedule(hostsWithJobs(mastersInUse.get()), now);
         }
         Status sentStatus = null;
         for (Peer peer : peers.values()) {
@@ -264,6 +284,35 @@
         sendHeartbeat(peer, status.get(), now);
     }
 
+    /**
+     * Sends a withdrawal to the master of a job, and repeats it with the heartbeats to the master's host until that
+     * host acknowledges one: a message that was sent on a connection that breaks is lost.
+     */
+    void withdraw(String host, PeerMessage.Withdraw withdrawal) {
+        Peer peer = peers.get(host);
+        if (peer != null) {
+            peer.withdrawals.put(
+                    withdrawal.request(), new UnacknowledgedWithdrawal(withdrawal, peer.lastSentNumber + 1));
+            if (peer.withdrawals.size() > MAX_UNACKNOWLEDGED_WITHDRAWALS) {
+                Iterator<RequestId> oldestFirst = peer.withdrawals.keySet().iterator();
+                oldestFirst.next();
+                oldestFirst.remove();
+            }
+        }
+        links.send(host, withdrawal);
+    }
+
+    /** Returns the hosts that need frequent heartbeats because their masters run or may run jobs of this host. */
+    private Set<String> hostsWithJobs(Set<String> mastersInUse) {
+        Set<String> hosts = new HashSet<>(mastersInUse);
+        for (Peer peer : peers.values()) {
+            if (peer.alive && !peer.withdrawals.isEmpty()) {
+                hosts.add(peer.info.id());
+            }
+        }
+        return hosts;
+    }
+
     private void reviewSchedule(Set<String> mastersInUse, long now) {
         boolean mastersCovered =
                 mastersInUse.stream().allMatch(host -> host.equals(self.id()) || schedule.mustDetectFailureSoon(host));
@@ -326,7 +375,10 @@
                         nextInterval,
                         status.stopping(),
                         ownership.ownClaims(),
-                        status.loads()));
+                        status.loads(),
+                        peer.withdrawals.values().stream()
+                                .map(UnacknowledgedWithdrawal::message)
+                                .collect(ImmutableList.toImmutableList())));
     }
 
     /** Returns whether every host that may be alive has acknowledged an announcement; silent hosts count as dead. */
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -41,7 +41,7 @@
      */
     private static final int MAX_CACHED_RESULTS = 1_000;
     /** Withdrawn requests kept to recognize orders that arrive late; as many as results are kept. */
-    private static final int MAX_WITHDRAWN_REQUESTS = 1_000;
+    static final int MAX_WITHDRAWN_REQUESTS = 1_000;
     /** Incarnations of lost entry hosts kept to recognize orders that arrive late; each end of a host adds one. */
     private static final int MAX_LOST_ENTRY_HOSTS = 1_000;
     /**
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -88,9 +88,7 @@
             write(out, submit.order());
         } else if (message instanceof PeerMessage.Withdraw withdraw) {
             out.writeByte(WITHDRAW);
-            write(out, withdraw.pool());
-            write(out, withdraw.request());
-            out.writeString(withdraw.job());
+            write(out, withdraw);
         } else if (message instanceof PeerMessage.Result result) {
             out.writeByte(RESULT);
             write(out, result.pool());
@@ -118,7 +116,7 @@
             case HELLO -> new PeerMessage.Hello(readHost(in), in.readI64());
             case HEARTBEAT -> readHeartbeat(in);
             case SUBMIT -> new PeerMessage.Submit(readPool(in), in.readI32(), readOrder(in));
-            case WITHDRAW -> new PeerMessage.Withdraw(readPool(in), readRequest(in), in.readString());
+            case WITHDRAW -> readWithdraw(in);
             case RESULT -> new PeerMessage.Result(readPool(in), in.readI32(), readRequest(in), readResult(in));
             case SNAPSHOT_REQUEST -> new PeerMessage.SnapshotRequest();
             case SNAPSHOT -> readSnapshot(in);
@@ -191,6 +189,10 @@
             out.writeI32(entry.getValue().maxTargetFreeCpuMillis());
             out.writeI32(entry.getValue().openJobs());
         }
+        out.writeI32(heartbeat.withdrawals().size());
+        for (PeerMessage.Withdraw withdrawal : heartbeat.withdrawals()) {
+            write(out, withdrawal);
+        }
     }
 
     private static PeerMessage.Heartbeat readHeartbeat(TCompactProtocol in) throws TException {
@@ -204,8 +206,29 @@
         for (int i = readCount(in); i > 0; i--) {
             loads.put(readPool(in), new PoolLoad(in.readI32(), in.readI32(), in.readI32()));
         }
+        ImmutableList.Builder<PeerMessage.Withdraw> withdrawals = ImmutableList.builder();
+        for (int i = readCount(in); i > 0; i--) {
+            withdrawals.add(readWithdraw(in));
+        }
         return new PeerMessage.Heartbeat(
-                sequence, acknowledged, acknowledgedIncarnation, untilNext, stopping, claims, loads.buildKeepingLast());
+                sequence,
+                acknowledged,
+                acknowledgedIncarnation,
+                untilNext,
+                stopping,
+                claims,
+                loads.buildKeepingLast(),
+                withdrawals.build());
+    }
+
+    private static void write(TCompactProtocol out, PeerMessage.Withdraw withdraw) throws TException {
+        write(out, withdraw.pool());
+        write(out, withdraw.request());
+        out.writeString(withdraw.job());
+    }
+
+    private static PeerMessage.Withdraw readWithdraw(TCompactProtocol in) throws TException {
+        return new PeerMessage.Withdraw(readPool(in), readRequest(in), in.readString());
     }
 
     private static void write(TCompactProtocol out, PoolId pool) throws TException {
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -39,6 +39,8 @@
      * @param stopping whether the sender is shutting down
      * @param claims claims that make the sender the master of a pool
      * @param loads load of each pool that the sender is the master of
+     * @param withdrawals withdrawals that the receiver hasn't acknowledged yet; a {@link Withdraw} alone is lost with
+     *     its connection
      */
     record Heartbeat(
             long sequence,
@@ -47,12 +49,14 @@
             Duration untilNext,
             boolean stopping,
             ImmutableList<Claim> claims,
-            ImmutableMap<PoolId, PoolLoad> loads)
+            ImmutableMap<PoolId, PoolLoad> loads,
+            ImmutableList<Withdraw> withdrawals)
             implements PeerMessage {
         public Heartbeat {
             checkNotNull(untilNext, "next");
             checkNotNull(claims, "claims");
             checkNotNull(loads, "loads");
+            checkNotNull(withdrawals, "withdrawals");
         }
     }
 
--- a/src/test/java/org/mustardlink/host/CancellationsTest.java
+++ b/src/test/java/org/mustardlink/host/CancellationsTest.java
@@ -45,4 +45,14 @@
 
         assertThat(answers).containsExactly(true, true);
     }
+
+    /** Guards against a cancellation that is lost with a broken link: the job would go on, and its caller get 410. */
+    @Test
+    void a_host_that_has_not_answered_is_asked_again_over_a_new_link() {
+        cancellations.add("job", ImmutableSet.of("a", "b"), answers::add, 0);
+        cancellations.recordAnswer("a", "job", false);
+
+        assertThat(cancellations.jobsUnansweredBy("a")).isEmpty();
+        assertThat(cancellations.jobsUnansweredBy("b")).containsExactly("job");
+    }
 }
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -25,6 +25,7 @@
 import org.mustardlink.ownership.NoOpOwnershipActions;
 import org.mustardlink.ownership.PoolOwnership;
 import org.mustardlink.pool.PoolId;
+import org.mustardlink.pool.RequestId;
 
 /** Tests which heartbeats a host sends, and when it replaces a link, over real connections. */
 final class PeerMonitorTest {
@@ -110,7 +111,8 @@
                 Duration.ofMillis(100),
                 false,
                 ImmutableList.copyOf(claims),
-                ImmutableMap.of());
+                ImmutableMap.of(),
+                ImmutableList.of());
     }
 
     private void tick(long now) {
@@ -183,6 +185,77 @@
         });
     }
 
+    private List<PeerMessage.Withdraw> withdrawalsOfLastHeartbeat() {
+        return received.stream()
+                .filter(PeerMessage.Heartbeat.class::isInstance)
+                .map(message -> ((PeerMessage.Heartbeat) message).withdrawals())
+                .reduce(ImmutableList.of(), (_earlier, later) -> later);
+    }
+
+    /**
+     * Guards against a job that runs on beside its second attempt: its withdrawal was sent once, on a connection that
+     * broke, and the master kept the job because the heartbeats of its entry host went on.
+     */
+    @Test
+    void a_withdrawal_is_repeated_with_the_heartbeats_until_its_master_acknowledges_one() {
+        long now = System.nanoTime();
+        tick(now);
+        await().until(() -> announcedIntervals().size() == 1);
+        PeerMessage.Withdraw withdrawal = new PeerMessage.Withdraw(
+                new PoolId("yard", "west"), new RequestId(self.id(), self.incarnation(), 7), "job");
+        links.reconnect(master.id());
+        monitor.withdraw(master.id(), withdrawal);
+        assertThat(received).doesNotContain(withdrawal);
+
+        await().until(() -> {
+            links.openMissingConnections(System.nanoTime());
+            return helloCount() == 2;
+        });
+        await().until(() -> {
+            monitor.announce(status(), now);
+            return !withdrawalsOfLastHeartbeat().isEmpty();
+        });
+        assertThat(withdrawalsOfLastHeartbeat()).containsExactly(withdrawal);
+
+        // The acknowledged heartbeat was sent before the withdrawal.
+        monitor.receiveHeartbeat(master, heartbeat(1, 1, self.incarnation()), now);
+        monitor.announce(status(), now);
+        links.send(master.id(), new PeerMessage.Cancel("second"));
+        await().until(() -> received.contains(new PeerMessage.Cancel("second")));
+        assertThat(withdrawalsOfLastHeartbeat()).containsExactly(withdrawal);
+
+        monitor.receiveHeartbeat(master, heartbeat(2, 1_000, self.incarnation()), now);
+        monitor.announce(status(), now);
+        links.send(master.id(), new PeerMessage.Cancel("third"));
+        await().until(() -> received.contains(new PeerMessage.Cancel("third")));
+        assertThat(withdrawalsOfLastHeartbeat()).isEmpty();
+    }
+
+    /** Guards against a master that learns of the repeated withdrawals, but acknowledges them seconds later. */
+    @Test
+    void a_heartbeat_with_withdrawals_is_answered_at_once() {
+        long now = System.nanoTime();
+        tick(now);
+        await().until(() -> announcedIntervals().size() == 1);
+        PeerMessage.Withdraw withdrawal = new PeerMessage.Withdraw(
+                new PoolId("yard", "east"), new RequestId(master.id(), master.incarnation(), 7), "job");
+        PeerMessage.Heartbeat heartbeat = new PeerMessage.Heartbeat(
+                1,
+                1,
+                self.incarnation(),
+                Duration.ofMillis(300),
+                false,
+                ImmutableList.of(),
+                ImmutableMap.of(),
+                ImmutableList.of(withdrawal));
+
+        assertThat(monitor.receiveHeartbeat(master, heartbeat, now + NANOS_PER_MILLI))
+                .isTrue();
+        tick(now + 2 * NANOS_PER_MILLI);
+
+        await().until(() -> announcedIntervals().size() == 2);
+    }
+
     private boolean isAcknowledgedBy(long seen, long seenIncarnation) {
         long now = System.nanoTime();
         PeerMonitor.Announcement announcement = monitor.announce(status(), now);
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -43,8 +43,10 @@
                     Duration.ofMillis(100),
                     true,
                     ImmutableList.of(new Claim(POOL, "east-1", 9, 2)),
-                    ImmutableMap.of(POOL, new PoolLoad(32_000, 14_000, 5))),
-            new PeerMessage.Heartbeat(0, 0, 0, Duration.ZERO, false, ImmutableList.of(), ImmutableMap.of()),
+                    ImmutableMap.of(POOL, new PoolLoad(32_000, 14_000, 5)),
+                    ImmutableList.of(new PeerMessage.Withdraw(POOL, REQUEST, "0123456789abcdef"))),
+            new PeerMessage.Heartbeat(
+                    0, 0, 0, Duration.ZERO, false, ImmutableList.of(), ImmutableMap.of(), ImmutableList.of()),
             new PeerMessage.Submit(
                     POOL,
                     7,
