Rely on a list of targets only for the time before its last read

Cause: a new master takes the runs of its predecessors for known once every target in its list has confirmed its token. A list that had been followed for 12 s counted as complete for good, also while the store couldn't be read.

Change: the list is complete for a given time once a read that began later has reached the end of the topic; the time is when the earlier masters have ended, or else the claim. Tasks of resumed jobs wait for it, or for the end of all earlier leases. A full list that is read after a gap counts like the first one, and continues after its first page.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -651,6 +651,11 @@
             }
         }
 
+        @Override
+        public void onTargetsUpToDate(long readStartedNanos) {
+            targetDirectory.recordUpToDate(readStartedNanos);
+        }
+
         @Override
         public void onClaim(Claim claim, long now) {
             if (ownership.recordClaim(claim, now)) {
--- a/src/main/java/org/mustardlink/host/StoreFollower.java
+++ b/src/main/java/org/mustardlink/host/StoreFollower.java
@@ -74,6 +74,9 @@
 
         void onTargets(ImmutableList<KeyedRecord> records, boolean isFullList, long now);
 
+        /** Called when every record of the targets that was written before a time has been delivered. */
+        void onTargetsUpToDate(long readStartedNanos);
+
         void onClaim(Claim claim, long now);
 
         void onHost(HostInfo host, long now);
@@ -152,6 +155,13 @@
                         pageHandler.handlePage(page, isFullList);
                     }
 
+                    @Override
+                    public void onUpToDate(long readStartedNanos) {
+                        if (followedTopic.equals(StoreTopics.TARGETS)) {
+                            loop.post(_now -> StoreFollower.this.listener.onTargetsUpToDate(readStartedNanos));
+                        }
+                    }
+
                     @Override
                     public void onReachabilityChanged(String topic, boolean isReachable, String reason) {
                         updateReachability(topic, isReachable, reason);
--- a/src/main/java/org/mustardlink/host/TargetDirectory.java
+++ b/src/main/java/org/mustardlink/host/TargetDirectory.java
@@ -9,6 +9,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.mustardlink.observe.EventLog;
@@ -37,8 +38,10 @@
     private final Map<String, TargetEntry> entries = new HashMap<>();
     private final Map<String, Long> vanishedSinceNanos = new HashMap<>();
     private boolean isLoaded;
-    /** Since when the list has been loaded with the store available; does not change once the list is complete. */
+    /** Since when no entry can have come and vanished without being read; the list is settled 12 s later. */
     private long availableSinceNanos;
+    /** Every entry that was written before this time has been read; empty before the first complete read. */
+    private OptionalLong upToDateNanos = OptionalLong.empty();
 
     TargetDirectory(EventLog log) {
         this.log = log;
@@ -50,15 +53,24 @@
     }
 
     /**
-     * Returns whether the list contains every target that may have been running a task when the list was first read.
-     * This is so once the list has been loaded, with the store available, for the longest time that a target is kept
-     * after its entry vanished: entries that had expired earlier are back within that time. A complete list stays
-     * complete while the store is unavailable, although targets that register meanwhile are missing.
+     * Returns whether the list contains every target that may have been running a task at a given time. This needs two
+     * conditions: the list was read after that time, so that no target is missing that had registered until then; and
+     * it has been followed without a gap for the longest time that a target is kept after its entry vanished, because
+     * entries that had expired earlier are back within that time.
      */
-    boolean isComplete(long now) {
+    boolean isComplete(long sinceNanos, long now) {
+        return isSettled(now) && upToDateNanos.isPresent() && upToDateNanos.getAsLong() >= sinceNanos;
+    }
+
+    private boolean isSettled(long now) {
         return isLoaded && now - availableSinceNanos > DRAINING_RETENTION_NANOS;
     }
 
+    /** Records that every entry written before a time has been read. */
+    void recordUpToDate(long readStartedNanos) {
+        upToDateNanos = OptionalLong.of(readStartedNanos);
+    }
+
     /**
      * Applies records of the list; returns whether an entry is new or changed, or the list is read for the first time.
      *
@@ -67,7 +79,10 @@
     @CanIgnoreReturnValue
     boolean applyRecords(ImmutableList<KeyedRecord> records, boolean isFullList, long now) {
         boolean changed = !isLoaded;
-        if (!isLoaded) {
+        // A full list doesn't show the entries that have come and vanished since the last read.
+        boolean mayHaveMissedEntries =
+                isFullList && now - upToDateNanos.orElse(availableSinceNanos) > VANISHED_RETENTION_NANOS;
+        if (!isLoaded || mayHaveMissedEntries) {
             isLoaded = true;
             availableSinceNanos = now;
         }
@@ -107,7 +122,7 @@
      */
     boolean removeExpired(boolean storeReachable, long now) {
         if (!storeReachable) {
-            if (!isComplete(now)) {
+            if (!isSettled(now)) {
                 availableSinceNanos = now;
             }
             vanishedSinceNanos.replaceAll((_id, _since) -> now);
--- a/src/main/java/org/mustardlink/platform/StoreClient.java
+++ b/src/main/java/org/mustardlink/platform/StoreClient.java
@@ -68,11 +68,11 @@
 
     /** Reads the newest record of each key. */
     public CompletableFuture<Page> readNewest(String topic) {
-        return readNewest(topic, "", ImmutableList.of());
+        return readNewest(topic, "", ImmutableList.of(), OptionalLong.empty());
     }
 
     private CompletableFuture<Page> readNewest(
-            String topic, String afterKey, ImmutableList<KeyedRecord> earlierRecords) {
+            String topic, String afterKey, ImmutableList<KeyedRecord> earlierRecords, OptionalLong firstPageEnd) {
         String path = PlatformProtocol.NEWEST_PATH + "?topic=" + topic + "&part=0"
                 + (afterKey.isEmpty()
                         ? ""
@@ -94,9 +94,10 @@
                                         new String(Base64.getDecoder().decode(value), StandardCharsets.ISO_8859_1))));
             }
             ImmutableList<KeyedRecord> all = records.build();
-            long end = body.path("end").asLong();
+            // Records appended between two pages may be missing from both; reading continues before all of them.
+            long end = firstPageEnd.orElseGet(() -> body.path("end").asLong());
             return body.path("more").asBoolean() && !lastKey.equals(afterKey)
-                    ? readNewest(topic, lastKey, all)
+                    ? readNewest(topic, lastKey, all, OptionalLong.of(end))
                     : CompletableFuture.completedFuture(new Page(end, all, end));
         });
     }
--- a/src/main/java/org/mustardlink/platform/TopicFollower.java
+++ b/src/main/java/org/mustardlink/platform/TopicFollower.java
@@ -33,6 +33,14 @@
         /** Called with new records; {@code isFullList} states whether they are the newest record of every key. */
         void onRecords(StoreClient.Page page, boolean isFullList);
 
+        /**
+         * Called after the records of a read, if it has reached the end of the topic: every record appended before the
+         * read began has been delivered.
+         *
+         * @param readStartedNanos when the read began, on the clock of {@link System#nanoTime}
+         */
+        default void onUpToDate(long readStartedNanos) {}
+
         /** Called when reads of the topic begin to fail, and when they succeed again. */
         void onReachabilityChanged(String topic, boolean isReachable, String reason);
 
@@ -98,6 +106,7 @@
         if (closed) {
             return;
         }
+        long startedNanos = System.nanoTime();
         CompletableFuture<Optional<StoreClient.Page>> _read = store.read(topic, offset, maxWait)
                 .whenComplete((page, failure) -> {
                     if (failure != null) {
@@ -112,6 +121,9 @@
                     if (!page.get().records().isEmpty()) {
                         deliver(page.get(), false);
                     }
+                    if (page.get().nextOffset() >= page.get().endOffset()) {
+                        listener.onUpToDate(startedNanos);
+                    }
                     schedule(() -> readFrom(page.get().nextOffset()), pauseBetweenReads.get());
                 });
     }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
-import java.util.function.LongPredicate;
 
 /**
  * The master of one pool: accepts jobs from entry hosts, starts their tasks on the targets of the pool, and reports the
@@ -40,7 +39,7 @@
     private final RunSystem runs;
     private final LeaseSystem leases;
     private final LeaseLimits leaseLimits;
-    private final LongPredicate targetListComplete;
+    private final TargetListStatus targetList;
     private final TaskPlacementSystem placement;
     private final ProgressSystem progress;
     /**
@@ -49,6 +48,12 @@
      */
     private long earlierLeasesEndNanos = Long.MAX_VALUE;
 
+    /**
+     * Time until which an earlier master may have started tasks, also on targets that had just registered: when the
+     * earlier masters are known to have ended, or else when this one claimed the pool.
+     */
+    private long earlierStartsEndNanos;
+
     private long lastScanNanos;
     private long lastPlacementNanos;
     private boolean released;
@@ -61,8 +66,7 @@
      * @param leaseLimits limits of leases that the platform guarantees
      * @param actions executes the orders of the master
      * @param findOtherPool returns another pool that can start a whole job now
-     * @param targetListComplete returns whether, at a given time, the list of targets contains every target that may
-     *     still run a task
+     * @param targetList tells whether the list of targets contains every target that may still run a task
      * @param now the current time
      */
     public PoolMaster(
@@ -71,7 +75,7 @@
             LeaseLimits leaseLimits,
             PoolActions actions,
             Function<JobOrder, Optional<PoolId>> findOtherPool,
-            LongPredicate targetListComplete,
+            TargetListStatus targetList,
             long now) {
         this.id = checkNotNull(id, "id");
         this.firstToken = checkNotNull(firstToken, "firstToken");
@@ -81,7 +85,8 @@
         this.runs = new RunSystem(tables, actions, jobs, now);
         this.leases = new LeaseSystem(tables, actions, runs);
         this.leaseLimits = checkNotNull(leaseLimits, "leaseLimits");
-        this.targetListComplete = checkNotNull(targetListComplete, "targetListComplete");
+        this.targetList = checkNotNull(targetList, "targetList");
+        this.earlierStartsEndNanos = now;
         this.placement = new TaskPlacementSystem(tables, runs);
         this.progress = new ProgressSystem(tables, runs, leases, placement);
         this.lastScanNanos = now - SCAN_INTERVAL_NANOS;
@@ -156,6 +161,7 @@
      */
     public void confirmEarlierMastersEnded(long now) {
         if (earlierLeasesEndNanos == Long.MAX_VALUE) {
+            earlierStartsEndNanos = now;
             // The clock of a target may run 2% slow.
             earlierLeasesEndNanos = now + leaseLimits.maxLease().toNanos() * 21 / 20;
         }
@@ -256,7 +262,8 @@
 
     /** Returns whether every target that may run a task for an earlier master has confirmed this master's token. */
     private boolean allTargetsTakenOver(long now) {
-        return targetListComplete.test(now) && tables.targets().stream().allMatch(PoolTarget::tokenConfirmed);
+        return targetList.isComplete(earlierStartsEndNanos, now)
+                && tables.targets().stream().allMatch(PoolTarget::tokenConfirmed);
     }
 
     private void checkRuns(long now) {
--- a/src/test/java/org/mustardlink/host/StoreFollowerTest.java
+++ b/src/test/java/org/mustardlink/host/StoreFollowerTest.java
@@ -41,6 +41,9 @@
         @Override
         public void onTargets(ImmutableList<KeyedRecord> _records, boolean _isFullList, long _now) {}
 
+        @Override
+        public void onTargetsUpToDate(long _readStartedNanos) {}
+
         @Override
         public void onClaim(Claim claim, long _now) {
             receivedClaims.add(claim);
--- a/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
+++ b/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
@@ -78,26 +78,73 @@
     /** Guards against a new host that takes the list it has just read for all targets that may be running a task. */
     @Test
     void a_list_is_complete_once_entries_that_vanished_before_the_first_read_would_have_returned() {
-        assertThat(directory.isComplete(seconds(100))).isFalse();
+        assertThat(directory.isComplete(0, seconds(100))).isFalse();
         applyRecord(entry("t", "ready"), seconds(100));
+        directory.recordUpToDate(seconds(100));
 
         directory.removeExpired(true, seconds(111));
-        assertThat(directory.isComplete(seconds(111))).isFalse();
+        assertThat(directory.isComplete(seconds(100), seconds(111))).isFalse();
         directory.removeExpired(true, seconds(113));
-        assertThat(directory.isComplete(seconds(113))).isTrue();
+        assertThat(directory.isComplete(seconds(100), seconds(113))).isTrue();
     }
 
     /** Guards against a list that was read after entries of live targets expired while the store was unavailable. */
     @Test
     void a_list_is_not_complete_before_the_store_has_been_available_for_long_enough() {
         applyRecord(entry("t", "ready"), 0);
+        directory.recordUpToDate(0);
         directory.removeExpired(false, seconds(11));
-        assertThat(directory.isComplete(seconds(13))).isFalse();
+        assertThat(directory.isComplete(0, seconds(13))).isFalse();
         directory.removeExpired(true, seconds(14));
-        assertThat(directory.isComplete(seconds(22))).isFalse();
-        assertThat(directory.isComplete(seconds(24))).isTrue();
+        assertThat(directory.isComplete(0, seconds(22))).isFalse();
+        assertThat(directory.isComplete(0, seconds(24))).isTrue();
 
         directory.removeExpired(false, seconds(25));
-        assertThat(directory.isComplete(seconds(26))).isTrue();
+        assertThat(directory.isComplete(0, seconds(26))).isTrue();
+    }
+
+    /**
+     * Guards against a second run of a task that runs on a target which registered while the store turned this host
+     * away: the list counted as complete because it once had been.
+     */
+    @Test
+    void a_list_is_complete_only_for_the_time_before_its_last_read_began() {
+        applyRecord(entry("t", "ready"), 0);
+        directory.recordUpToDate(seconds(20));
+        assertThat(directory.isComplete(seconds(20), seconds(21))).isTrue();
+
+        directory.removeExpired(false, seconds(22));
+        assertThat(directory.isComplete(seconds(22), seconds(23))).isFalse();
+
+        applyRecord(entry("new", "ready"), seconds(29));
+        directory.recordUpToDate(seconds(29));
+        assertThat(directory.isComplete(seconds(22), seconds(30))).isTrue();
+    }
+
+    /**
+     * Guards against a target that registered and vanished while the store turned this host away, and still runs a
+     * task: the full list that is read afterwards doesn't show it.
+     */
+    @Test
+    void a_full_list_after_a_gap_counts_like_the_first_one() {
+        applyRecord(entry("t", "ready"), 0);
+        directory.recordUpToDate(seconds(20));
+
+        directory.applyRecords(ImmutableList.of(entry("t", "ready")), true, seconds(29));
+        directory.recordUpToDate(seconds(29));
+
+        assertThat(directory.isComplete(seconds(20), seconds(40))).isFalse();
+        assertThat(directory.isComplete(seconds(20), seconds(42))).isTrue();
+    }
+
+    /** Guards against masters that wait for leases after each loss of the store's history, although no entry is missing. */
+    @Test
+    void a_full_list_that_follows_a_read_at_once_changes_nothing() {
+        applyRecord(entry("t", "ready"), 0);
+        directory.recordUpToDate(seconds(20));
+
+        directory.applyRecords(ImmutableList.of(entry("t", "ready")), true, seconds(21));
+
+        assertThat(directory.isComplete(seconds(20), seconds(22))).isTrue();
     }
 }
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -576,7 +576,7 @@
                             new LeaseLimits(Duration.ofMillis(LEASE_MS)),
                             actions,
                             order -> otherPoolWithCapacity(claim.pool(), order),
-                            timeNanos -> timeNanos - hostStartedNanos > TARGET_LIST_SETTLE_NANOS,
+                            (_since, timeNanos) -> timeNanos - hostStartedNanos > TARGET_LIST_SETTLE_NANOS,
                             now),
                     now);
             HostedMaster hosted = actions.hosted;
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -313,7 +313,7 @@
                 new LeaseLimits(Duration.ofSeconds(1)),
                 actions,
                 order -> hosts.get(masterHost(pool.domain())).poolWithCapacity(pool, order),
-                _now -> true,
+                (_since, _now) -> true,
                 now);
         actions.master.updateTargets(entriesByPool.get(pool), now);
         masters.put(pool, actions.master);
--- a/src/test/java/org/mustardlink/pool/RecordingPoolActions.java
+++ b/src/test/java/org/mustardlink/pool/RecordingPoolActions.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Function;
-import java.util.function.LongPredicate;
 
 /** Records the orders and results of a master in the order in which it issues them. */
 final class RecordingPoolActions implements PoolActions {
@@ -29,20 +28,20 @@
 
     /** Creates the first master of a pool, given a function that returns another pool with capacity for a job. */
     PoolMaster newMaster(PoolId pool, Function<JobOrder, Optional<PoolId>> otherPool) {
-        return newMaster(pool, otherPool, _now -> true);
+        return newMaster(pool, otherPool, (_since, _now) -> true);
     }
 
     /**
-     * Creates the first master of a pool, given also a predicate that tells whether its list of targets is complete.
+     * Creates the first master of a pool, given also a function that tells whether its list of targets is complete.
      */
-    PoolMaster newMaster(PoolId pool, Function<JobOrder, Optional<PoolId>> otherPool, LongPredicate listComplete) {
+    PoolMaster newMaster(PoolId pool, Function<JobOrder, Optional<PoolId>> otherPool, TargetListStatus listStatus) {
         return new PoolMaster(
                 pool,
                 FencingToken.firstOfRound(1, 1),
                 new LeaseLimits(Duration.ofSeconds(1)),
                 this,
                 otherPool,
-                listComplete,
+                listStatus,
                 0);
     }
 
--- a/src/test/java/org/mustardlink/pool/ResentJobTest.java
+++ b/src/test/java/org/mustardlink/pool/ResentJobTest.java
@@ -1,6 +1,7 @@
 package org.mustardlink.pool;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
@@ -8,6 +9,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.Test;
 
 /** Tests how a master handles a job that its caller resends while runs of the first request may still exist. */
@@ -189,7 +191,7 @@
      */
     @Test
     void a_resumed_job_waits_for_the_lease_time_while_the_target_list_may_be_incomplete() {
-        PoolMaster master = recorder.newMaster(POOL, _order -> Optional.empty(), _now -> false);
+        PoolMaster master = recorder.newMaster(POOL, _order -> Optional.empty(), (_since, _now) -> false);
         master.updateTargets(ImmutableList.of(target("t")), 0);
         master.confirmEarlierMastersEnded(0);
         master.tick(0);
@@ -205,6 +207,36 @@
         assertThat(recorder.startedRuns).hasSize(1);
     }
 
+    /**
+     * Guards against a second run beside one on a target that had just registered: the earlier master started tasks
+     * there until it ended, and this one has a list that was read before.
+     */
+    @Test
+    void a_resumed_job_waits_until_the_target_list_was_read_after_the_earlier_masters_ended() {
+        AtomicLong listReadNanos = new AtomicLong(-1);
+        PoolMaster master = recorder.newMaster(
+                POOL, _order -> Optional.empty(), (sinceNanos, _now) -> listReadNanos.get() >= sinceNanos);
+        master.updateTargets(ImmutableList.of(target("t")), 0);
+        master.tick(0);
+        master.handleReport("t", recorder.takeLastExtensionNumber(), report(1_001), ms(1));
+        master.submitJob(resumedOrder(1, "job"), ms(2));
+        master.tick(ms(2));
+        assertWithMessage("the list was read before the claim")
+                .that(recorder.startedRuns)
+                .isEmpty();
+
+        master.confirmEarlierMastersEnded(ms(20));
+        listReadNanos.set(ms(10));
+        master.tick(ms(30));
+        assertWithMessage("the list was read before the earlier master ended")
+                .that(recorder.startedRuns)
+                .isEmpty();
+
+        listReadNanos.set(ms(21));
+        master.tick(ms(40));
+        assertThat(recorder.startedRuns).hasSize(1);
+    }
+
     /**
      * Guards against a second run beside one whose lease an earlier master still extends: the earlier master is
      * disconnected from the other hosts but not from its targets, one of which this master can't reach.
