Withdraw a request from every master that may run its job

What callers would see: a task that runs twice, after the master of a pool was replaced while it still reached some of its targets. Found by reading, not shown by a run of hosts.

Cause: an entry host hands a request over to the next master of a pool and withdraws it from that one only. A replaced master that hasn't learned of the newer claim keeps the job and extends the leases of the targets that its successor doesn't reach.

Change: a request is withdrawn from every master that it was sent to and that has sent no result, and from the last one in any case.

Result: the two new tests of RequestDispatcherTest; the first one expects a withdrawal that the earlier code doesn't send.

--- a/src/main/java/org/mustardlink/front/RequestDispatcher.java
+++ b/src/main/java/org/mustardlink/front/RequestDispatcher.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -82,6 +83,8 @@
         private Optional<Claim> master = Optional.empty();
         /** The claim under which the job was last sent to a master; kept while no live master is known. */
         private Optional<Claim> lastSentTo = Optional.empty();
+        /** The claims under which masters may still run the job, because they have sent no result. */
+        private final Set<Claim> openClaims = new LinkedHashSet<>();
 
         private Optional<Claim> deniedClaim = Optional.empty();
         private long deniedNanos;
@@ -192,6 +195,7 @@
         request.pool = Optional.of(pool);
         request.master = Optional.of(master);
         request.lastSentTo = Optional.of(master);
+        request.openClaims.add(master);
         request.assigned = true;
         Duration remaining = Duration.ofNanos(Math.max(0, request.deadlineNanos - now));
         boolean isOwnDomain = pool.domain().equals(domain);
@@ -232,6 +236,7 @@
         if (request == null) {
             return;
         }
+        request.openClaims.remove(claim);
         if (!request.lastSentTo.equals(Optional.of(claim))) {
             actions.recordSupersededResult(claim, number, result);
             if (result instanceof JobResult.Complete && request.pool.equals(Optional.of(claim.pool()))) {
@@ -334,14 +339,16 @@
     }
 
     /**
-     * Withdraws a request from the master to which it was last sent, even if that master is currently silent: it may
-     * resume the job later.
+     * Withdraws a request from every master that may still run its job, even if the master is currently silent or
+     * was replaced: until it learns of the newer claim, it extends the leases of the targets that it reaches. The
+     * master to which the request was last sent may have a repeated order, whatever its result was.
      */
     private void withdraw(OpenRequest request) {
+        Set<Claim> claims = new LinkedHashSet<>(request.openClaims);
         if (request.assigned) {
-            request.lastSentTo.ifPresent(
-                    claim -> actions.withdraw(claim, request.order.request(), request.order.job()));
+            request.lastSentTo.ifPresent(claims::add);
         }
+        claims.forEach(claim -> actions.withdraw(claim, request.order.request(), request.order.job()));
     }
 
     /**
--- a/src/test/java/org/mustardlink/front/RequestDispatcherTest.java
+++ b/src/test/java/org/mustardlink/front/RequestDispatcherTest.java
@@ -494,6 +494,36 @@
         assertThat(responses.get(1L).kind()).isEqualTo(CallerResponse.Kind.TIMED_OUT);
     }
 
+    /**
+     * Guards against a run that goes on beside the second try of its caller: the job was withdrawn from the new master
+     * only, while the earlier one, which the other hosts didn't reach, still extended the leases of some targets.
+     */
+    @Test
+    void the_job_of_a_caller_that_disconnects_is_withdrawn_from_a_replaced_master_as_well() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+        masters.put(EAST, EAST_SUCCESSOR);
+        dispatcher.tick(ms(10));
+
+        dispatcher.handleCallerGone(1);
+
+        assertThat(withdrawn).containsExactly(EAST_MASTER, EAST_SUCCESSOR);
+    }
+
+    /** Guards against messages to masters that have already ended the job. */
+    @Test
+    void a_job_is_not_withdrawn_from_a_master_that_has_handed_it_back() {
+        masters.put(EAST, EAST_MASTER);
+        submit(1, 0);
+        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Moved(), ms(5));
+        masters.put(EAST, EAST_SUCCESSOR);
+        dispatcher.tick(ms(10));
+
+        dispatcher.handleCallerGone(1);
+
+        assertThat(withdrawn).containsExactly(EAST_SUCCESSOR);
+    }
+
     @Test
     void the_job_of_a_caller_that_disconnects_is_withdrawn() {
         masters.put(EAST, EAST_MASTER);
