Bound every lease by the last confirmation of a waiting caller

Cause: the restarted host extended the leases of its targets and kept inherited runs for 0.7 s after its claim, since the machine that had left never confirmed the claim. The lease of the killed master would have ended the runs in time. The periods that have to add up to less than the 1.3 s were constants of several classes, each counted from another event.

Change: pool.LeaseLimits derives all periods from the settings lease-ms and resend-ms (new, from resendMs). A start or an extension grants no more than what is left of the resend delay since callers of all runs on the target were last known to wait: since the job's order, or since the last heartbeat of its entry host, which lists all unacknowledged withdrawals. A target with a run that nobody has handed over, or whose job has ended, gets no extension. Jobs that aren't confirmed for 1.0 s are stopped, inherited runs a quarter of a lease after the claim.

--- a/src/main/java/org/mustardlink/config/settings/HostSettings.java
+++ b/src/main/java/org/mustardlink/config/settings/HostSettings.java
@@ -34,6 +34,7 @@
  * @param metricsAddress address on which metrics are served
  * @param storeAddress address of the platform's store
  * @param maxLease longest lease that a target grants
+ * @param resendDelay shortest time after which a caller that has lost its connection sends its job again
  * @param stopGrace time between the request to stop and the forced end of the process
  * @param logs log levels and the limit on log lines
  */
@@ -47,12 +48,16 @@
         InetSocketAddress metricsAddress,
         InetSocketAddress storeAddress,
         Duration maxLease,
+        Duration resendDelay,
         Duration stopGrace,
         Logs logs) {
     /** Default port for metrics; must be the same as the port in the deployment file. */
     private static final int METRICS_PORT = 9464;
 
     private static final int MILLIS_PER_CORE = 1_000;
+    private static final Duration DEFAULT_RESEND_DELAY = Duration.ofMillis(1_300);
+    /** Heartbeats between hosts, which confirm that callers wait, come every 0.3 s. */
+    private static final Duration MIN_RESEND_DELAY = Duration.ofMillis(400);
 
     /**
      * Log levels and the limit on log lines.
@@ -83,6 +88,7 @@
                 reader.address("metrics", "address", Optional.of(ip + ':' + METRICS_PORT)),
                 reader.address("store", "address", Optional.empty()),
                 reader.millis("targets", "lease-ms"),
+                reader.millisOfAtLeast(MIN_RESEND_DELAY, "callers", "resend-ms", DEFAULT_RESEND_DELAY),
                 reader.seconds("stop", "grace-s"),
                 new Logs(reader.level("logs", "level", "INFO"), reader.level("logs", "library-level", "WARN"), (int)
                         reader.number("logs", "lines-per-second", 200))));
@@ -185,18 +191,37 @@
         }
 
         private Duration millis(String section, String key) {
-            return duration(section, key, "a positive time in milliseconds", 1e6);
+            return duration(section, key, Optional.empty(), "a positive time in milliseconds", 1e6);
+        }
+
+        private Duration millisOfAtLeast(Duration minimum, String section, String key, Duration defaultValue) {
+            Duration read = duration(
+                    section,
+                    key,
+                    Optional.of(Long.toString(defaultValue.toMillis())),
+                    "a time of at least " + minimum.toMillis() + " milliseconds",
+                    1e6);
+            if (read.compareTo(minimum) < 0) {
+                errors.add(new SettingError(
+                        file.getPath(),
+                        section,
+                        key,
+                        read.toMillis() + " ms",
+                        "a time of at least " + minimum.toMillis() + " milliseconds"));
+            }
+            return read;
         }
 
         private Duration seconds(String section, String key) {
-            return duration(section, key, "a positive time in seconds", 1e9);
+            return duration(section, key, Optional.empty(), "a positive time in seconds", 1e9);
         }
 
-        private Duration duration(String section, String key, String expected, double unitNanos) {
+        private Duration duration(
+                String section, String key, Optional<String> defaultValue, String expected, double unitNanos) {
             return value(
                     section,
                     key,
-                    Optional.empty(),
+                    defaultValue,
                     expected,
                     text -> {
                         Double number = Doubles.tryParse(text);
--- a/src/main/java/org/mustardlink/exercise/StandInDeployment.java
+++ b/src/main/java/org/mustardlink/exercise/StandInDeployment.java
@@ -28,6 +28,7 @@
 
     private static final String VIRTUAL_HOST = "jobs.example";
     private static final Duration LEASE_DURATION = Duration.ofSeconds(1);
+    private static final Duration RESEND_DELAY = Duration.ofMillis(1_300);
     private static final Duration STOP_GRACE = Duration.ofSeconds(6);
 
     private final StandInStore store;
@@ -106,6 +107,7 @@
                 freeAddress(),
                 store.address(),
                 LEASE_DURATION,
+                RESEND_DELAY,
                 STOP_GRACE,
                 new HostSettings.Logs("INFO", "WARN", 200));
     }
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -46,6 +46,7 @@
 import org.mustardlink.platform.TargetOrderClient;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
+import org.mustardlink.pool.LeaseLimits;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.RequestId;
 import org.mustardlink.routing.Route;
@@ -107,6 +108,7 @@
     private final ScheduledExecutorService storeTimer;
     private final TargetDirectory targetDirectory;
     private final PoolOwnership ownership;
+    private final EntryHostConfirmations confirmations;
     private final PoolRunner poolRunner;
     private final PeerMonitor peerMonitor;
     private final KnownPools knownPools;
@@ -155,12 +157,16 @@
         this.store = StoreClient.create(storeRequester, settings.storeAddress());
         this.storeTimer = newStoreTimer();
         this.targetDirectory = new TargetDirectory(log);
-        this.ownership = new PoolOwnership(self, new HostOwnershipActions(), startedNanos);
+        LeaseLimits leaseLimits = new LeaseLimits(settings.maxLease(), settings.resendDelay());
+        this.confirmations = new EntryHostConfirmations(self);
+        this.ownership =
+                new PoolOwnership(self, new HostOwnershipActions(), leaseLimits.confirmationTimeout(), startedNanos);
         this.poolRunner = new PoolRunner(
                 loop,
                 TargetOrderClient.create(targetRequester),
                 targetDirectory,
-                settings.maxLease(),
+                leaseLimits,
+                confirmations,
                 log,
                 metrics,
                 this::deliverResult,
@@ -527,7 +533,8 @@
     private final class HostPeerListener implements PeerListener {
         @Override
         public void onMessage(HostInfo sender, PeerMessage message) {
-            loop.post(now -> handleMessage(sender, message, now));
+            long receivedNanos = System.nanoTime();
+            loop.post(now -> handleMessage(sender, message, receivedNanos, now));
         }
 
         @Override
@@ -561,7 +568,7 @@
         }
     }
 
-    private void handleMessage(HostInfo sender, PeerMessage message, long now) {
+    private void handleMessage(HostInfo sender, PeerMessage message, long receivedNanos, long now) {
         peerMonitor.registerPeer(sender, true, this::withdrawRequestsOf, now);
         if (!(message instanceof PeerMessage.Heartbeat)) {
             ownership.recordMessage(sender.id(), sender.incarnation(), now);
@@ -573,6 +580,7 @@
             for (PeerMessage.Withdraw withdrawal : heartbeat.withdrawals()) {
                 poolRunner.withdraw(withdrawal.pool(), withdrawal.request(), withdrawal.job(), now);
             }
+            confirmations.confirm(sender, receivedNanos);
             if (peerMonitor.receiveHeartbeat(sender, heartbeat, now)) {
                 updatePoolLayout();
                 nextTimersNanos = now;
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import java.time.Duration;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -30,6 +29,7 @@
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
 import org.mustardlink.pool.PoolMaster;
+import org.mustardlink.pool.RequestConfirmations;
 import org.mustardlink.pool.RequestId;
 import org.mustardlink.pool.RunId;
 import org.mustardlink.pool.TargetEntry;
@@ -54,6 +54,7 @@
     private final TargetOrderClient targetOrders;
     private final TargetDirectory targetDirectory;
     private final LeaseLimits leaseLimits;
+    private final RequestConfirmations confirmations;
     private final EventLog log;
     private final EntryMetrics metrics;
     private final ResultHandler resultHandler;
@@ -122,7 +123,8 @@
             HostLoop loop,
             TargetOrderClient targetOrders,
             TargetDirectory targetDirectory,
-            Duration lease,
+            LeaseLimits leaseLimits,
+            RequestConfirmations confirmations,
             EventLog log,
             EntryMetrics metrics,
             ResultHandler resultHandler,
@@ -130,7 +132,8 @@
         this.loop = loop;
         this.targetOrders = targetOrders;
         this.targetDirectory = targetDirectory;
-        this.leaseLimits = new LeaseLimits(lease);
+        this.leaseLimits = leaseLimits;
+        this.confirmations = confirmations;
         this.log = log;
         this.metrics = metrics;
         this.resultHandler = resultHandler;
@@ -160,6 +163,7 @@
                 pool,
                 FencingToken.firstOfRound(claim.round(), claim.incarnation()),
                 leaseLimits,
+                confirmations,
                 new MasterActions(pool, claim.round(), ownership),
                 order -> poolFinder.findPool(pool, order),
                 targetDirectory::isComplete,
--- a/src/main/java/org/mustardlink/ownership/PoolOwnership.java
+++ b/src/main/java/org/mustardlink/ownership/PoolOwnership.java
@@ -27,11 +27,6 @@
 public final class PoolOwnership {
     /** A host is considered dead when its next heartbeat is overdue by this time, four of the shortest intervals. */
     private static final long HEARTBEAT_GRACE_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
-    /**
-     * Minimum time without a message from a host after which the jobs of its callers are stopped. Callers resend a job
-     * 1.3 s after they have lost it; stopping the first run takes up to 50 ms and must be complete by then.
-     */
-    private static final long ABANDON_WORK_NANOS = TimeUnit.MILLISECONDS.toNanos(1_000);
     /**
      * After its start a host waits this long for messages of other hosts before it claims a pool, so that the first
      * claim doesn't have to be superseded when a preferred host is discovered.
@@ -88,6 +83,7 @@
 
     private final HostInfo self;
     private final OwnershipActions actions;
+    private final long abandonWorkNanos;
     private final long startedNanos;
     private final Map<String, Peer> peers = new LinkedHashMap<>();
     private final Map<PoolId, Claim> claims = new HashMap<>();
@@ -125,11 +121,14 @@
      *
      * @param self this host
      * @param actions carries out the decisions
+     * @param abandonWorkAfter minimum time without a message from a host after which the jobs of its callers are
+     *     stopped
      * @param now the current time in nanoseconds on a monotonic clock
      */
-    public PoolOwnership(HostInfo self, OwnershipActions actions, long now) {
+    public PoolOwnership(HostInfo self, OwnershipActions actions, Duration abandonWorkAfter, long now) {
         this.self = checkNotNull(self, "self");
         this.actions = checkNotNull(actions, "actions");
+        this.abandonWorkNanos = abandonWorkAfter.toNanos();
         this.startedNanos = now;
         this.lastLivePeerNanos = now;
     }
@@ -387,7 +386,7 @@
                 && (peer == null
                         || peer.info.incarnation() != incarnation
                         || peer.connectionRefused
-                        || now - peer.lastReceivedNanos > ABANDON_WORK_NANOS);
+                        || now - peer.lastReceivedNanos > abandonWorkNanos);
     }
 
     private static boolean isGone(Peer peer, long now) {
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -52,6 +52,7 @@
         if (known.isPresent()) {
             // The caller sent the job again through another entry host, or an entry host repeats its order.
             PoolJob job = known.get();
+            job.recordSubmission(now);
             if (job.requests().contains(order.request())) {
                 // The entry host repeats the order over a new link. This master knows which tasks it has started.
                 return Optional.empty();
--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -14,6 +14,8 @@
      * 1 s expires.
      */
     static final int REPORT_WAIT_MS = 350;
+    /** Shortest wait for a report of a target whose lease can't be extended as long as one of its runs is there. */
+    private static final int MIN_REPORT_WAIT_MS = 50;
 
     /** Pause before a lost report is requested again; a dead target costs at most ten calls per second. */
     private static final long RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -27,12 +29,14 @@
     private final PoolTables tables;
     private final PoolActions actions;
     private final RunSystem runs;
+    private final LeaseGrants grants;
     private long lastSequenceNumber;
 
-    LeaseSystem(PoolTables tables, PoolActions actions, RunSystem runs) {
+    LeaseSystem(PoolTables tables, PoolActions actions, RunSystem runs, LeaseGrants grants) {
         this.tables = tables;
         this.actions = actions;
         this.runs = runs;
+        this.grants = grants;
     }
 
     /**
@@ -85,14 +89,20 @@
     }
 
     /**
-     * Sends a lease extension, which also requests a report. Without a known clock of the target, or after several
-     * missed reports, only the report is requested.
+     * Sends a lease extension, which also requests a report. Without a known clock of the target, after several missed
+     * reports, or with a run for which no caller is known to wait, only the report is requested.
+     *
+     * @param maxWaitMs longest time for which the target waits for the end of a run; it waits less if it has a short
+     *     lease, which has to be extended earlier
      */
-    private void extendLease(PoolTarget target, int waitMs, long now) {
+    private void extendLease(PoolTarget target, int maxWaitMs, long now) {
         long sequenceNumber = ++lastSequenceNumber;
         target.addPendingReport(sequenceNumber, now);
-        boolean extend = target.clockKnown() && target.consecutiveMisses() < MISSES_TO_STOP_EXTENDING;
-        OptionalLong leaseDeadlineMs = extend ? OptionalLong.of(target.newLeaseDeadlineMs(now)) : OptionalLong.empty();
+        long leaseMs = grants.longestMillis(target, now);
+        boolean extend = leaseMs > 0 && target.clockKnown() && target.consecutiveMisses() < MISSES_TO_STOP_EXTENDING;
+        OptionalLong leaseDeadlineMs =
+                extend ? OptionalLong.of(target.newLeaseDeadlineMs(leaseMs, now)) : OptionalLong.empty();
+        int waitMs = Math.min(maxWaitMs, (int) Math.max(MIN_REPORT_WAIT_MS, leaseMs / 2));
         actions.extendLease(
                 target.entry(),
                 new LeaseExtension(
--- a/src/main/java/org/mustardlink/pool/PoolJob.java
+++ b/src/main/java/org/mustardlink/pool/PoolJob.java
@@ -37,6 +37,7 @@
     private final long latestUsefulStartNanos;
     private final long deadlineNanos;
     private final double workMilliCoreNanos;
+    private long lastSubmittedNanos;
     private boolean started;
     private boolean closed;
     private double logFactorSum;
@@ -57,6 +58,7 @@
         this.sequence = sequence;
         requests.add(order.request());
         arrivedNanos = now;
+        lastSubmittedNanos = now;
         deadlineNanos = now + order.remaining().toNanos();
         long declaredPathNanos = order.criticalPath().toNanos();
         long objectiveDurationNanos =
@@ -109,6 +111,16 @@
         return arrivedNanos;
     }
 
+    /** Records that an entry host has sent an order for the job. */
+    void recordSubmission(long now) {
+        lastSubmittedNanos = now;
+    }
+
+    /** Returns when an entry host last sent an order for the job, whose caller was waiting then. */
+    long lastSubmittedNanos() {
+        return lastSubmittedNanos;
+    }
+
     /** Returns the time by which the job must end to meet its latency objective. */
     long objectiveNanos() {
         return objectiveNanos;
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -39,6 +39,7 @@
     private final RunSystem runs;
     private final LeaseSystem leases;
     private final LeaseLimits leaseLimits;
+    private final LeaseGrants grants;
     private final TargetListStatus targetList;
     private final TaskPlacementSystem placement;
     private final ProgressSystem progress;
@@ -64,6 +65,7 @@
      * @param id the pool
      * @param firstToken first fencing token of the claim under which this host is the master
      * @param leaseLimits limits of leases that the platform guarantees
+     * @param confirmations tells for which requests callers are known to wait
      * @param actions executes the orders of the master
      * @param findOtherPool returns another pool that can start a whole job now
      * @param targetList tells whether the list of targets contains every target that may still run a task
@@ -73,6 +75,7 @@
             PoolId id,
             FencingToken firstToken,
             LeaseLimits leaseLimits,
+            RequestConfirmations confirmations,
             PoolActions actions,
             Function<JobOrder, Optional<PoolId>> findOtherPool,
             TargetListStatus targetList,
@@ -82,12 +85,18 @@
         this.actions = checkNotNull(actions, "actions");
         this.tables = new PoolTables();
         this.jobs = new JobSystem(tables, actions, findOtherPool);
-        this.runs = new RunSystem(tables, actions, jobs, now);
-        this.leases = new LeaseSystem(tables, actions, runs);
         this.leaseLimits = checkNotNull(leaseLimits, "leaseLimits");
+        this.grants = new LeaseGrants(leaseLimits, checkNotNull(confirmations, "confirmations"));
+        this.runs = new RunSystem(
+                tables,
+                actions,
+                jobs,
+                grants,
+                now + leaseLimits.adoptionPeriod().toNanos());
+        this.leases = new LeaseSystem(tables, actions, runs, grants);
         this.targetList = checkNotNull(targetList, "targetList");
         this.earlierStartsEndNanos = now;
-        this.placement = new TaskPlacementSystem(tables, runs);
+        this.placement = new TaskPlacementSystem(tables, runs, grants);
         this.progress = new ProgressSystem(tables, runs, leases, placement);
         this.lastScanNanos = now - SCAN_INTERVAL_NANOS;
         this.lastPlacementNanos = now - PLACEMENT_INTERVAL_NANOS;
@@ -250,6 +259,7 @@
         }
         lastScanNanos = now;
         checkRuns(now);
+        endUnconfirmedJobs(now);
         placeTasks(now);
         endOverdueJobs(now);
         leases.tick(now);
@@ -278,6 +288,15 @@
         done.forEach(job -> jobs.finish(job, new JobResult.Complete()));
     }
 
+    /** Stops the jobs for which no caller is known to wait any more, because their entry hosts are silent. */
+    private void endUnconfirmedJobs(long now) {
+        for (PoolJob job : new ArrayList<>(tables.jobs())) {
+            if (!grants.isConfirmed(job, now)) {
+                abandonJob(job, "no entry host has confirmed that a caller still waits", now);
+            }
+        }
+    }
+
     private void endOverdueJobs(long now) {
         placement.markUnreachableDeadlines(now);
         for (PoolJob job : jobs.finishExpired(now)) {
--- a/src/main/java/org/mustardlink/pool/PoolTarget.java
+++ b/src/main/java/org/mustardlink/pool/PoolTarget.java
@@ -10,11 +10,6 @@
 
 /** State of a target: its lease, its clock, its health, and the runs that may be present on it. */
 final class PoolTarget {
-    /**
-     * Longest time on this host's clock per unit of time on a target's clock. The platform guarantees that the clock of
-     * a target is at most 2% slow.
-     */
-    private static final double CLOCK_DRIFT = 1.0205;
     /** Added to the end of a lease for the rounding of clocks to milliseconds and the network delay of a response. */
     private static final long LEASE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(30);
     /** First pause of an unhealthy target; each further pause is twice as long. */
@@ -26,7 +21,6 @@
     /** Consecutive failed runs of different jobs from which the target, rather than the jobs, counts as faulty. */
     private static final int MAX_CONSECUTIVE_FAILURES = 2;
 
-    private final long leaseMs;
     private final Map<RunId, Run> runs = new LinkedHashMap<>();
     private final Map<Long, Long> pendingReportSentNanos = new HashMap<>();
     private TargetEntry entry;
@@ -51,20 +45,20 @@
     private String lastFailedJob = "";
     private int consecutiveFailures;
 
-    PoolTarget(TargetEntry entry, FencingToken token, long leaseMs, double slowness, long now) {
+    PoolTarget(TargetEntry entry, FencingToken token, long maxLeaseMs, double slowness, long now) {
         this.entry = entry;
         this.token = token;
-        this.leaseMs = leaseMs;
         this.slowness = slowness;
         this.lastResponseNanos = now;
         this.pausedUntilNanos = now;
         this.clockReadNanos = now;
-        this.earlierLeaseEndNanos = now + withClockDriftNanos(leaseMs);
+        this.earlierLeaseEndNanos = now + withClockDriftNanos(maxLeaseMs);
     }
 
     /** Converts a duration on the clock of a target to the longest time that it may take on the clock of this host. */
     private static long withClockDriftNanos(long millis) {
-        return (long) (TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis)) * CLOCK_DRIFT) + LEASE_MARGIN_NANOS;
+        return (long) (TimeUnit.MILLISECONDS.toNanos(Math.max(0, millis)) * LeaseLimits.CLOCK_DRIFT)
+                + LEASE_MARGIN_NANOS;
     }
 
     TargetEntry entry() {
@@ -167,7 +161,7 @@
      * ahead of the clock itself. If this host was suspended, the estimate is behind by the length of the suspension,
      * and the target rejects the orders that were decided before it.
      */
-    long newLeaseDeadlineMs(long now) {
+    long newLeaseDeadlineMs(long leaseMs, long now) {
         long deadlineMs = clockMs + TimeUnit.NANOSECONDS.toMillis(now - clockReadNanos) + leaseMs;
         latestLeaseDeadlineMs = Math.max(latestLeaseDeadlineMs, deadlineMs);
         return deadlineMs;
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -22,19 +22,13 @@
     private static final long OVERDUE_MARGIN_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Interval between stop orders for the same run; a target takes at most 50 ms to execute one. */
     private static final long STOP_RETRY_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(120);
-    /**
-     * Time after the claim during which entry hosts can hand over the jobs that they had sent to an earlier master;
-     * after it, inherited runs without a job are stopped. Callers whose connections broke with the earlier master send
-     * their jobs again after 1.3 s. Of these, 0.5 s pass until the silent master is detected and its pool claimed, and
-     * a stop with its report takes up to 0.1 s.
-     */
-    private static final long ADOPTION_PERIOD_NANOS = TimeUnit.MILLISECONDS.toNanos(1_300 - 500 - 100);
     /** How long completions of tasks without an open job are remembered, in case the job is handed over later. */
     private static final long ORPHAN_RETENTION_NANOS = TimeUnit.SECONDS.toNanos(2);
 
     private final PoolTables tables;
     private final PoolActions actions;
     private final JobSystem jobs;
+    private final LeaseGrants grants;
     private final long adoptionDeadlineNanos;
     private final Map<TaskName, Long> orphanCompletionNanos = new HashMap<>();
     private boolean handoverEnded;
@@ -42,18 +36,21 @@
     /**
      * Creates the system that tracks the runs of a pool.
      *
-     * @param claimedNanos when this host became the master
+     * @param adoptionDeadlineNanos until when entry hosts can hand over the jobs of an earlier master; after it,
+     *     inherited runs without a job are stopped
      */
-    RunSystem(PoolTables tables, PoolActions actions, JobSystem jobs, long claimedNanos) {
+    RunSystem(PoolTables tables, PoolActions actions, JobSystem jobs, LeaseGrants grants, long adoptionDeadlineNanos) {
         this.tables = tables;
         this.actions = actions;
         this.jobs = jobs;
-        this.adoptionDeadlineNanos = claimedNanos + ADOPTION_PERIOD_NANOS;
+        this.grants = grants;
+        this.adoptionDeadlineNanos = adoptionDeadlineNanos;
     }
 
     /** Orders the start of a task on a target. */
     void startRun(PoolTarget target, PoolTask task, long now, long expectedNanos) {
-        long deadlineMs = target.newLeaseDeadlineMs(now);
+        long leaseMs = Math.min(grants.longestMillis(target, now), grants.longestMillis(task.job(), now));
+        long deadlineMs = target.newLeaseDeadlineMs(leaseMs, now);
         Run run = Run.ordered(task.nextRunId(), task, now, target.token(), expectedNanos);
         tables.add(target, run);
         task.setState(PoolTask.State.ACTIVE);
--- a/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
@@ -50,11 +50,13 @@
 
     private final PoolTables tables;
     private final RunSystem runs;
+    private final LeaseGrants grants;
     private double fastestSlowness = 1;
 
-    TaskPlacementSystem(PoolTables tables, RunSystem runs) {
+    TaskPlacementSystem(PoolTables tables, RunSystem runs, LeaseGrants grants) {
         this.tables = tables;
         this.runs = runs;
+        this.grants = grants;
     }
 
     /** Returns whether a target may be given new tasks. */
@@ -86,7 +88,7 @@
         }
         List<PoolTarget> candidates = new ArrayList<>();
         for (PoolTarget target : tables.targets()) {
-            if (acceptsTasks(target, now)) {
+            if (acceptsTasks(target, now) && grants.allowStart(target, now)) {
                 candidates.add(target);
             }
         }
@@ -100,7 +102,7 @@
         }
         orderedJobs.addAll(lateJobs);
         for (PoolJob job : orderedJobs) {
-            if (job.order().mayHaveStarted() && !earlierRunsKnown) {
+            if ((job.order().mayHaveStarted() && !earlierRunsKnown) || !grants.allowStart(job, now)) {
                 continue;
             }
             if (!placeTasks(job, candidates, reserved, now)) {
