Limit the nesting of documents, and decode each entry on its own

What operators of similar systems saw: one odd entry of another writer, and hosts that end again and again or stop following the list.

Cause: trees are read recursively, up to the parser's limit of 1,000 levels, on threads with stacks of 256 KiB. The StackOverflowError ended the handling of the whole page of entries. TopicFollower caught exceptions only, so an error on the thread of the store's client ended the reading of a topic for good.

Change: a JSON text of more than 64 levels is malformed, for all readers; an entry that can't be decoded is skipped alone; a follower survives errors. Related paths: malformed entries aren't cached, long ones aren't passed on to hosts that start, port 0 and hosts' records with invalid addresses are rejected, times and antiAffinity are bounded.

On the code before, of the new tests JsonTest..._for_a_small_stack_is_rejected, TopicFollowerTest..._or_ error_..., StoredRecordsTest..._invalid_address_... and the row with port 0 of TargetDirectoryTest fail; the other rows of that test passed, because the threads of tests have larger stacks.

--- a/src/main/java/org/mustardlink/host/StoreSnapshot.java
+++ b/src/main/java/org/mustardlink/host/StoreSnapshot.java
@@ -13,6 +13,9 @@
 
 /** The newest records that this host has read from the store, kept for hosts that start and cannot reach the store. */
 final class StoreSnapshot {
+    /** Longest entry of a target that is passed on; those of other writers may be too long for a message. */
+    private static final int MAX_ENTRY_CHARS = 16_384;
+
     private Optional<String> configuration = Optional.empty();
     private final Map<String, String> targets = new HashMap<>();
 
@@ -26,6 +29,7 @@
         for (KeyedRecord record : records) {
             listedKeys.add(record.key());
             record.value()
+                    .filter(value -> value.length() <= MAX_ENTRY_CHARS)
                     .ifPresentOrElse(value -> targets.put(record.key(), value), () -> targets.remove(record.key()));
         }
         if (isFullList) {
--- a/src/main/java/org/mustardlink/host/StoredHost.java
+++ b/src/main/java/org/mustardlink/host/StoredHost.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import java.util.Optional;
+import org.mustardlink.http.Addresses;
 import org.mustardlink.http.Json;
 import org.mustardlink.ownership.HostInfo;
 
@@ -44,10 +45,19 @@
                     fields.optionalLong("incarnation"),
                     fields.requiredText("address"),
                     fields.optionalInt("cpuMillis"));
-            return fields.isValid() ? Optional.of(host) : Optional.empty();
+            return fields.isValid() && isAddress(host.address()) ? Optional.of(host) : Optional.empty();
         } catch (JsonProcessingException e) {
             // The caller logs the rejected record.
             return Optional.empty();
         }
     }
+
+    private static boolean isAddress(String text) {
+        try {
+            return Addresses.parse(text).getPort() > 0;
+        } catch (IllegalArgumentException e) {
+            // The caller logs the rejected record.
+            return false;
+        }
+    }
 }
--- a/src/main/java/org/mustardlink/host/TargetDirectory.java
+++ b/src/main/java/org/mustardlink/host/TargetDirectory.java
@@ -105,15 +105,25 @@
         return changed;
     }
 
+    /** Decodes a record; one that can't be decoded must not keep the others of its page from being applied. */
     private Optional<TargetEntry> decode(KeyedRecord record) {
-        Optional<TargetEntry> entry = reader.read(record);
-        if (entry.isEmpty()) {
-            log.line(LogEvent.RECORD_REJECTED)
-                    .with(LogField.KEY, record.key())
-                    .with(LogField.REASON, "the record is not a valid target entry")
-                    .write();
+        try {
+            Optional<TargetEntry> entry = reader.read(record);
+            if (entry.isEmpty()) {
+                logRejectedRecord(record, "the record is not a valid target entry");
+            }
+            return entry;
+        } catch (RuntimeException e) {
+            logRejectedRecord(record, "failed to decode the record: " + e);
+            return Optional.empty();
         }
-        return entry;
+    }
+
+    private void logRejectedRecord(KeyedRecord record, String reason) {
+        log.line(LogEvent.RECORD_REJECTED)
+                .with(LogField.KEY, record.key())
+                .with(LogField.REASON, reason)
+                .write();
     }
 
     /**
--- a/src/main/java/org/mustardlink/http/Json.java
+++ b/src/main/java/org/mustardlink/http/Json.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -21,20 +22,35 @@
 
 /**
  * Reads and writes JSON documents, as trees or as records. Unknown fields are ignored, so that documents of newer
- * senders can be read.
+ * senders can be read. A text that nests objects or arrays more than {@value #MAX_DEPTH} levels deep, or has a number of
+ * more than 1,000 digits, counts as malformed.
  *
  * <p>{@link #readTree} and {@link #writeObject} need no mapper; creating the mapper takes a tenth of the processor time
  * of a dispatch host's start.
  */
 public final class Json {
-    private static final JsonFactory FACTORY = new JsonFactory();
+    /**
+     * Maximum nesting depth. Documents of the platform have five levels; the stack of a thread of 256 KiB, which is
+     * needed to read a tree, overflows at about 500.
+     */
+    private static final int MAX_DEPTH = 64;
+
+    private static final JsonFactory FACTORY = newFactory();
     private static final JsonNodeFactory NODES = JsonNodeFactory.instance;
 
     private Json() {}
 
+    private static JsonFactory newFactory() {
+        return JsonFactory.builder()
+                .streamReadConstraints(StreamReadConstraints.builder()
+                        .maxNestingDepth(MAX_DEPTH)
+                        .build())
+                .build();
+    }
+
     /** Holder that creates the mapper on first use. */
     private static final class Mapper {
-        private static final ObjectMapper INSTANCE = JsonMapper.builder()
+        private static final ObjectMapper INSTANCE = JsonMapper.builder(newFactory())
                 .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
                 .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
                 .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
@@ -108,7 +124,7 @@
         }
     }
 
-    /** Reads the value that starts at a token. The parser limits the nesting depth. */
+    /** Reads the value that starts at a token. The parser limits the depth of this recursion. */
     private static JsonNode readValue(JsonParser parser, JsonToken token) throws IOException {
         return switch (token) {
             case START_OBJECT -> readObject(parser);
--- a/src/main/java/org/mustardlink/platform/DocumentDecoder.java
+++ b/src/main/java/org/mustardlink/platform/DocumentDecoder.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
 import org.mustardlink.errors.CodedException;
@@ -24,6 +25,8 @@
     private static final int MAX_STEPS = 1_000;
     private static final int MAX_PAYLOAD_CHARS = 4_000;
     private static final int MAX_RESOURCE_AMOUNT = 100_000_000;
+    /** Longest time that a document may state; longer ones would overflow later calculations. */
+    private static final double MAX_MILLIS = 365.0 * 24 * 3_600 * 1_000;
 
     private DocumentDecoder() {}
 
@@ -69,7 +72,8 @@
     }
 
     private static Duration decodeMillis(JsonNode node, String field) {
-        return Duration.ofNanos((long) (node.path(field).asDouble(0) * 1e6));
+        double millis = Math.max(0, Math.min(MAX_MILLIS, node.path(field).asDouble(0)));
+        return Duration.ofNanos((long) (millis * 1e6));
     }
 
     /**
@@ -101,10 +105,14 @@
             labels.add(label.asText());
         }
         try {
+            InetSocketAddress address = Addresses.parse(root.path("addr").asText());
+            if (address.getPort() == 0) {
+                return Optional.empty();
+            }
             return Optional.of(new TargetEntry(
                     id,
                     root.path(PlatformProtocol.START_TIME_FIELD).asLong(0),
-                    Addresses.parse(root.path("addr").asText()),
+                    address,
                     new PoolId(root.path("service").asText(), root.path("zone").asText()),
                     state.equals("draining"),
                     decodeCapacity(root.path("capacity")),
@@ -172,7 +180,11 @@
             after.add(earlier.asInt());
         }
         try {
-            int perTarget = node.path("antiAffinity").asInt(0);
+            JsonNode antiAffinity = node.path("antiAffinity");
+            require(
+                    antiAffinity.isMissingNode() || antiAffinity.canConvertToInt(),
+                    "antiAffinity must be a number of 32 bits");
+            int perTarget = antiAffinity.asInt(0);
             return new StepSpec(
                     count.asInt(1),
                     decodeCapacity(node),
--- a/src/main/java/org/mustardlink/platform/TargetEntryReader.java
+++ b/src/main/java/org/mustardlink/platform/TargetEntryReader.java
@@ -9,7 +9,8 @@
 
 /**
  * Decodes target entries from the store and caches the result. Each target rewrites its entry every second or two,
- * usually with only the sequence number increased; such an entry is not decoded again. Not thread-safe.
+ * usually with only the sequence number increased; such an entry is not decoded again. Malformed entries are not cached,
+ * because other writers may store any number of them. Not thread-safe.
  */
 public final class TargetEntryReader {
     /** The sequence number, which increases with each write and is not part of the decoded entry. */
@@ -23,10 +24,10 @@
      * @param value the value it was decoded from, one character per byte
      * @param sequenceStart index in the value of the first digit of the sequence number
      * @param sequenceEnd index after the last digit; equal to sequenceStart if there is no sequence number
-     * @param entry the decoded entry, empty if it is malformed
+     * @param entry the decoded entry
      */
-    private record DecodedEntry(String value, int sequenceStart, int sequenceEnd, Optional<TargetEntry> entry) {
-        private static DecodedEntry of(String value, Optional<TargetEntry> entry) {
+    private record DecodedEntry(String value, int sequenceStart, int sequenceEnd, TargetEntry entry) {
+        private static DecodedEntry of(String value, TargetEntry entry) {
             Matcher sequence = SEQUENCE.matcher(value);
             return sequence.find()
                     ? new DecodedEntry(value, sequence.start(1), sequence.end(1), entry)
@@ -67,10 +68,12 @@
         String value = record.value().get();
         DecodedEntry before = decodedByTarget.get(record.key());
         if (before != null && before.differsOnlyInSequence(value)) {
-            return before.entry();
+            return Optional.of(before.entry());
         }
         Optional<TargetEntry> entry = record.text().flatMap(text -> DocumentDecoder.decodeTarget(record.key(), text));
-        decodedByTarget.put(record.key(), DecodedEntry.of(value, entry));
+        entry.ifPresentOrElse(
+                decoded -> decodedByTarget.put(record.key(), DecodedEntry.of(value, decoded)),
+                () -> evict(record.key()));
         return entry;
     }
 
--- a/src/main/java/org/mustardlink/platform/TopicFollower.java
+++ b/src/main/java/org/mustardlink/platform/TopicFollower.java
@@ -44,7 +44,7 @@
         /** Called when reads of the topic begin to fail, and when they succeed again. */
         void onReachabilityChanged(String topic, boolean isReachable, String reason);
 
-        /** Called when {@link #onRecords} threw an exception; the records are skipped. */
+        /** Called when {@link #onRecords} threw an exception or an error; the records are skipped. */
         void onRecordsFailed(String topic, Throwable cause);
     }
 
@@ -129,8 +129,8 @@
     }
 
     /**
-     * Delivers records to the listener. A failure of the listener must not stop the reads, or later changes would
-     * be missed.
+     * Delivers records to the listener. A failure of the listener, even an error of the virtual machine, must not stop
+     * the reads, or later changes would be missed.
      */
     private void deliver(StoreClient.Page page, boolean isFullList) {
         if (closed) {
@@ -138,7 +138,7 @@
         }
         try {
             listener.onRecords(page, isFullList);
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             listener.onRecordsFailed(topic, e);
         }
     }
--- a/src/test/java/org/mustardlink/host/StoredRecordsTest.java
+++ b/src/test/java/org/mustardlink/host/StoredRecordsTest.java
@@ -52,6 +52,15 @@
         assertThat(StoredClaim.parse(text)).isEqualTo(Optional.empty());
     }
 
+    /** Guards against a timer that fails each time it connects to a host whose address can't be parsed. */
+    @ParameterizedTest
+    @ValueSource(strings = {"127.0.0.1:99999", "127.0.0.1:-1", "127.0.0.1:0", "example", ""})
+    void a_host_with_an_invalid_address_is_rejected(String address) {
+        StoredHost host = new StoredHost("east-1", "east", 1, address, 750);
+
+        assertThat(StoredHost.parse(host.toJson())).isEqualTo(Optional.empty());
+    }
+
     /** Guards against a host without an address that every other host tries to connect to. */
     @Test
     void a_host_without_an_address_is_rejected() {
--- a/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
+++ b/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
@@ -6,9 +6,12 @@
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardlink.observe.EventLog;
 import org.mustardlink.platform.KeyedRecord;
 import org.mustardlink.pool.PoolId;
+import org.mustardlink.pool.TargetEntry;
 
 /** Tests which targets the directory contains when entries vanish or cannot be read. */
 final class TargetDirectoryTest {
@@ -75,6 +78,35 @@
         assertThat(directory.targets(EAST)).hasSize(2);
     }
 
+    /** Guards against an entry of another writer that keeps the other entries of its page from being applied. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "\"addr\":\"127.0.0.1:99999\"",
+                "\"addr\":\"127.0.0.1:-1\"",
+                "\"addr\":\"127.0.0.1:0\"",
+                "\"addr\":\"127.0.0.1:1e9\"",
+                "\"capacity\":{\"cpu\":1e999999999}",
+                "\"capacity\":{\"cpu\":123456789012345678901234567890}",
+                "\"zone\":\"\"",
+                "\"labels\":NESTED",
+                "\"unused\":NESTED",
+            })
+    void an_odd_entry_names_no_target_and_the_others_of_its_page_hold(String field) {
+        String nested = "[".repeat(100_000) + "]".repeat(100_000);
+        String text = entry("odd", "ready").value().orElseThrow();
+        // The parser keeps the last of two fields of one name.
+        String odd = text.substring(0, text.length() - 1) + ',' + field.replace("NESTED", nested) + '}';
+
+        directory.applyRecords(
+                ImmutableList.of(
+                        entry("first", "ready"), new KeyedRecord(1, "odd", Optional.of(odd)), entry("last", "ready")),
+                true,
+                0);
+
+        assertThat(directory.targets(EAST).stream().map(TargetEntry::id)).containsExactly("first", "last");
+    }
+
     /** Guards against a new host that takes the list it has just read for all targets that may be running a task. */
     @Test
     void a_list_is_complete_once_entries_that_vanished_before_the_first_read_would_have_returned() {
--- a/src/test/java/org/mustardlink/http/JsonTest.java
+++ b/src/test/java/org/mustardlink/http/JsonTest.java
@@ -4,6 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.collect.ImmutableList;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -43,6 +46,31 @@
         assertThrows(JsonProcessingException.class, () -> Json.readTree("[".repeat(100_000)));
     }
 
+    /**
+     * Guards against a stack overflow in the threads of a dispatch host, whose stacks have 256 KiB, by a document that
+     * is nested less deep than the parser's own limit.
+     */
+    @Test
+    void a_document_nested_too_deep_for_a_small_stack_is_rejected() throws InterruptedException {
+        List<Throwable> failures = new CopyOnWriteArrayList<>();
+        ImmutableList<String> texts = ImmutableList.of(
+                "[".repeat(900) + "]".repeat(900),
+                "{\"a\":".repeat(900) + "1" + "}".repeat(900),
+                "{\"labels\":" + "[".repeat(100_000) + "]".repeat(100_000) + "}",
+                "[".repeat(200_000));
+        Thread thread = new Thread(null, () -> texts.forEach(JsonTest::assertMalformed), "small stack", 256 << 10);
+        thread.setUncaughtExceptionHandler((_thread, failure) -> failures.add(failure));
+
+        thread.start();
+        thread.join();
+
+        assertThat(failures).isEmpty();
+    }
+
+    private static void assertMalformed(String text) {
+        assertThrows(JsonProcessingException.class, () -> Json.readTree(text));
+    }
+
     /** Guards against a caller's text that ends its JSON string early and injects further content. */
     @Test
     void the_texts_of_an_object_are_quoted() throws JsonProcessingException {
--- a/src/test/java/org/mustardlink/platform/TopicFollowerTest.java
+++ b/src/test/java/org/mustardlink/platform/TopicFollowerTest.java
@@ -11,7 +11,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardlink.http.HttpRequester;
 import org.mustardlink.platform.standin.StandInStore;
 
@@ -37,6 +38,9 @@
         @Override
         public void onRecords(StoreClient.Page page, boolean _isFullList) {
             for (KeyedRecord record : page.records()) {
+                if (record.key().equals("deep")) {
+                    throw new StackOverflowError("planted");
+                }
                 if (record.key().equals("bad")) {
                     throw new IllegalArgumentException("planted");
                 }
@@ -54,8 +58,9 @@
     }
 
     /** Guards against a host that receives no further changes because the listener failed on one record. */
-    @Test
-    void an_exception_in_the_listener_does_not_stop_the_follower() {
+    @ParameterizedTest
+    @ValueSource(strings = {"bad", "deep"})
+    void an_exception_or_error_in_the_listener_does_not_stop_the_follower(String badKey) {
         store.put(TOPIC, "first", "1");
         TopicFollower follower = TopicFollower.start(
                 StoreClient.create(requester, store.address()),
@@ -66,7 +71,7 @@
                 timer);
         await().atMost(LONG).until(() -> read.contains("first"));
 
-        store.put(TOPIC, "bad", "2");
+        store.put(TOPIC, badKey, "2");
         await().atMost(LONG).until(() -> !failed.isEmpty());
         store.put(TOPIC, "later", "3");
 
