Reject entries of targets with missing or mistyped fields

Cause: only the fields that are used were checked. An entry with fields missing or of another type names no target to use.

Change: every field that targets write has to be there with its type; labels and born have to have theirs if they are there. The rows of TargetEntryReaderTest.an_entry_that_differs_... were no JSON with the rest of the entry, so both sides were malformed; they are now entries.

The new tests of DocumentDecoderTest expect entries to be rejected that the earlier code took.

--- a/src/main/java/org/mustardlink/platform/DocumentDecoder.java
+++ b/src/main/java/org/mustardlink/platform/DocumentDecoder.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Streams;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -20,6 +21,8 @@
 
 /** Decodes the platform's documents: the configuration, target entries, and callers' jobs. */
 public final class DocumentDecoder {
+    private static final String READY = "ready";
+    private static final String DRAINING = "draining";
     private static final int DEFAULT_MAX_BODY_BYTES = 262_144;
     private static final int MAX_TASKS = 10_000;
     private static final int MAX_STEPS = 1_000;
@@ -90,14 +93,7 @@
             // The caller reports the entry as malformed.
             return Optional.empty();
         }
-        String state = root.path("state").asText();
-        boolean wellFormed = root.path("service").isTextual()
-                && root.path("addr").isTextual()
-                && root.path("zone").isTextual()
-                && root.path("capacity").isObject()
-                && root.path("capacity").path("cpu").isNumber()
-                && (state.equals("ready") || state.equals("draining"));
-        if (!wellFormed) {
+        if (!isWellFormedTarget(root)) {
             return Optional.empty();
         }
         ImmutableSet.Builder<String> labels = ImmutableSet.builder();
@@ -114,7 +110,7 @@
                     root.path(PlatformProtocol.START_TIME_FIELD).asLong(0),
                     address,
                     new PoolId(root.path("service").asText(), root.path("zone").asText()),
-                    state.equals("draining"),
+                    root.path("state").asText().equals(DRAINING),
                     decodeCapacity(root.path("capacity")),
                     labels.build()));
         } catch (IllegalArgumentException e) {
@@ -123,6 +119,30 @@
         }
     }
 
+    /** Returns whether an entry has every field that targets write, with its type; only some of them are used. */
+    private static boolean isWellFormedTarget(JsonNode root) {
+        String state = root.path("state").asText();
+        JsonNode startTime = root.path(PlatformProtocol.START_TIME_FIELD);
+        JsonNode labels = root.path("labels");
+        return root.path("service").isTextual()
+                && root.path("addr").isTextual()
+                && root.path("zone").isTextual()
+                && root.path("version").isTextual()
+                && isCount(root.path("slots"))
+                && root.path("coldLeftMs").isNumber()
+                && isCount(root.path("seq"))
+                && (startTime.isMissingNode() || isCount(startTime))
+                && root.path("capacity").isObject()
+                && root.path("capacity").path("cpu").isNumber()
+                && (labels.isMissingNode()
+                        || (labels.isArray() && Streams.stream(labels).allMatch(JsonNode::isTextual)))
+                && (state.equals(READY) || state.equals(DRAINING));
+    }
+
+    private static boolean isCount(JsonNode node) {
+        return node.isIntegralNumber() && node.canConvertToLong() && node.asLong() >= 0;
+    }
+
     private static Capacity decodeCapacity(JsonNode node) {
         return new Capacity(decodeAmount(node, "cpu"), decodeAmount(node, "memMb"), decodeAmount(node, "gpu"));
     }
--- a/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
+++ b/src/test/java/org/mustardlink/host/TargetDirectoryTest.java
@@ -21,7 +21,7 @@
 
     private static KeyedRecord entry(String id, String state) {
         String text = "{\"service\":\"yard\",\"addr\":\"127.0.0.1:80\",\"zone\":\"east\",\"state\":\"" + state
-                + "\",\"capacity\":{\"cpu\":1000}}";
+                + "\",\"version\":\"v1\",\"slots\":1,\"coldLeftMs\":0,\"seq\":1,\"capacity\":{\"cpu\":1000}}";
         return new KeyedRecord(0, id, Optional.of(text));
     }
 
@@ -89,6 +89,7 @@
                 "\"capacity\":{\"cpu\":1e999999999}",
                 "\"capacity\":{\"cpu\":123456789012345678901234567890}",
                 "\"zone\":\"\"",
+                "\"slots\":123456789012345678901234567890",
                 "\"labels\":NESTED",
                 "\"unused\":NESTED",
             })
--- a/src/test/java/org/mustardlink/platform/DocumentDecoderTest.java
+++ b/src/test/java/org/mustardlink/platform/DocumentDecoderTest.java
@@ -4,11 +4,17 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.collect.ImmutableList;
 import java.time.Duration;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardlink.errors.CodedException;
 import org.mustardlink.errors.ErrorCode;
+import org.mustardlink.http.Json;
 import org.mustardlink.pool.Capacity;
 import org.mustardlink.pool.StepSpec;
 import org.mustardlink.pool.TargetEntry;
@@ -45,6 +51,7 @@
         TargetEntry entry = DocumentDecoder.decodeTarget(
                         "i-1",
                         "{\"service\":\"s\",\"addr\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"draining\",\"born\":12,"
+                                + "\"version\":\"v1\",\"slots\":8,\"coldLeftMs\":0,\"seq\":1,"
                                 + "\"capacity\":{\"cpu\":16000,\"memMb\":32768,\"gpu\":1},\"labels\":[\"a\",\"r1-3\"]}")
                 .orElseThrow();
 
@@ -54,6 +61,72 @@
         assertThat(entry.labels()).containsExactly("a", "r1-3");
     }
 
+    /**
+     * Guards against tasks on a target of another service: another writer stored an entry under the target's key that
+     * named a service and had a field missing or of another type.
+     */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "version",
+                "slots",
+                "coldLeftMs",
+                "seq",
+                "service",
+                "addr",
+                "zone",
+                "state",
+                "capacity",
+            })
+    void an_entry_without_a_field_or_with_one_of_another_type_names_no_target(String field) {
+        ObjectNode entry = validEntry();
+        assertThat(DocumentDecoder.decodeTarget("i-1", entry.toString())).isPresent();
+
+        entry.putArray(field);
+        assertWithMessage("array")
+                .that(DocumentDecoder.decodeTarget("i-1", entry.toString()))
+                .isEqualTo(Optional.empty());
+        entry.putNull(field);
+        assertWithMessage("null")
+                .that(DocumentDecoder.decodeTarget("i-1", entry.toString()))
+                .isEqualTo(Optional.empty());
+        entry.remove(field);
+        assertWithMessage("missing")
+                .that(DocumentDecoder.decodeTarget("i-1", entry.toString()))
+                .isEqualTo(Optional.empty());
+    }
+
+    /** Guards against the same by fields whose type differs only slightly. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "{\"slots\":\"8\"}",
+                "{\"slots\":-1}",
+                "{\"seq\":1.5}",
+                "{\"coldLeftMs\":\"0\"}",
+                "{\"version\":1}",
+                "{\"born\":1.5}",
+                "{\"born\":\"12\"}",
+                "{\"born\":18446744073709551621}",
+                "{\"labels\":\"a\"}",
+                "{\"labels\":[\"a\",7]}",
+                "{\"state\":\"READY\"}",
+            })
+    void an_entry_with_a_field_of_a_similar_type_names_no_target(String fields) throws JsonProcessingException {
+        ObjectNode entry = validEntry();
+        entry.setAll((ObjectNode) Json.readTree(fields));
+
+        assertThat(DocumentDecoder.decodeTarget("i-1", entry.toString())).isEqualTo(Optional.empty());
+    }
+
+    private static ObjectNode validEntry() {
+        ObjectNode entry = Json.mapper().createObjectNode();
+        entry.put("service", "s").put("addr", "10.0.0.1:80").put("zone", "z").put("state", "ready");
+        entry.put("version", "v1").put("slots", 8).put("coldLeftMs", 0).put("seq", 1);
+        entry.putObject("capacity").put("cpu", 16_000);
+        return entry;
+    }
+
     @Test
     void a_job_is_decoded_into_its_steps() {
         DocumentDecoder.Job job = DocumentDecoder.decodeJob(
--- a/src/test/java/org/mustardlink/platform/TargetEntryReaderTest.java
+++ b/src/test/java/org/mustardlink/platform/TargetEntryReaderTest.java
@@ -14,7 +14,7 @@
 
     private static String entry(int sequence, String state) {
         return "{\"service\":\"yard\",\"addr\":\"127.0.0.1:80\",\"zone\":\"east\",\"state\":\"" + state + "\",\"seq\":"
-                + sequence + ",\"capacity\":{\"cpu\":1000}}";
+                + sequence + ",\"version\":\"v1\",\"slots\":1,\"coldLeftMs\":0,\"capacity\":{\"cpu\":1000}}";
     }
 
     private Optional<TargetEntry> read(String value) {
@@ -49,16 +49,19 @@
     @CsvSource(
             delimiter = '|',
             value = {
-                "{\"addr\":\"127.0.0.1:80\",\"seq\":1,\"slots\":8} | {\"addr\":\"127.0.0.1:81\",\"seq\":2,\"slots\":8}",
-                "{\"seq\":1,\"slots\":8} | {\"seq\":2,\"slots\":4}",
-                "{\"seq\":1,\"slots\":8} | {\"seq\":2}",
-                "{\"seq\":1} | {\"seq\":2,\"slots\":8}",
-                "{\"seq\":1,\"slots\":8} | {\"seq\":,\"slots\":8}",
-                "{\"slots\":8} | {\"slots\":84}",
-                "{\"slots\":8} | {\"slots\":8",
+                "{\"addr\":\"127.0.0.1:80\",\"seq\":1,\"slots\":8 | {\"addr\":\"127.0.0.1:81\",\"seq\":2,\"slots\":8",
+                "{\"seq\":1,\"slots\":8 | {\"seq\":2,\"slots\":4",
+                "{\"seq\":1,\"slots\":8 | {\"seq\":2",
+                "{\"seq\":1 | {\"seq\":2,\"slots\":8",
+                "{\"seq\":1,\"slots\":8 | {\"seq\":,\"slots\":8",
+                "{\"seq\":1,\"slots\":8 | {\"seq\":2,\"slots\":84",
+                "{\"slots\":8 | {\"slots\":84",
+                "{\"slots\":8 | {\"slots\":8\"",
             })
     void an_entry_that_differs_outside_the_sequence_number_is_decoded(String first, String second) {
-        String rest = ",\"service\":\"yard\",\"zone\":\"east\",\"state\":\"ready\",\"capacity\":{\"cpu\":1000}}";
+        String address = first.contains("addr") ? "" : ",\"addr\":\"127.0.0.1:80\"";
+        String rest = address + ",\"service\":\"yard\",\"zone\":\"east\",\"state\":\"ready\",\"version\":\"v1\","
+                + "\"coldLeftMs\":0,\"capacity\":{\"cpu\":1000}}";
         TargetEntryReader fresh = new TargetEntryReader();
         read(first + rest);
 
