Tell all hosts of jobs whose starts may still be carried out

Cause: a master never takes a start without a response for over, but when the job had ended for its caller, no other pool knew. The lease in the order doesn't bound the start: the clock of the next life of the target begins anew.

--- a/src/main/java/org/mustardlink/front/CallerResponse.java
+++ b/src/main/java/org/mustardlink/front/CallerResponse.java
@@ -33,7 +33,8 @@
         TIMED_OUT
     }
 
-    static CallerResponse of(Kind kind, String reason) {
+    /** Returns a response without a retry delay. */
+    public static CallerResponse of(Kind kind, String reason) {
         return new CallerResponse(kind, reason, Optional.empty());
     }
 
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -121,6 +121,7 @@
     private final AtomicLong lastRequestNumber = new AtomicLong();
     private final OpenRequests openRequests;
     private final Cancellations cancellations = new Cancellations();
+    private final PendingStarts pendingStarts = new PendingStarts();
     private final UnroutedRequests unroutedRequests = new UnroutedRequests();
     private final StoreSnapshot storeSnapshot = new StoreSnapshot();
     private final long startedNanos;
@@ -128,6 +129,7 @@
     private boolean peerSnapshotApplied;
     private long nextTimersNanos;
     private long snapshotRequestedNanos;
+    private long pendingStartsSentNanos;
     private volatile Optional<RoutingTable> routes = Optional.empty();
     private volatile boolean anyPoolHasMaster;
     private volatile boolean stopping;
@@ -139,6 +141,7 @@
         this.settings = settings;
         this.startedNanos = System.nanoTime();
         this.snapshotRequestedNanos = startedNanos;
+        this.pendingStartsSentNanos = startedNanos;
         this.self = new HostInfo(
                 settings.id(),
                 settings.domain(),
@@ -363,6 +366,7 @@
             ownership.tick(now);
         }
         cancellations.expire(now);
+        announcePendingStarts(now);
         unroutedRequests.runReady(routes.isPresent(), now);
         workLog.writeIfDue(now);
         masterOrCandidate = peerMonitor.isMasterOrCandidate();
@@ -371,6 +375,21 @@
                 .anyMatch(pool -> ownership.master(pool, now).isPresent());
     }
 
+    /** Keeps every host from accepting the jobs of which a start at a target of this host may still be carried out. */
+    private void announcePendingStarts(long now) {
+        pendingStarts.expire(now);
+        if (now - pendingStartsSentNanos < PendingStarts.REPEAT_INTERVAL_NANOS) {
+            return;
+        }
+        ImmutableSet<String> jobs = poolRunner.jobsWithPendingStarts();
+        if (jobs.isEmpty()) {
+            return;
+        }
+        pendingStartsSentNanos = now;
+        pendingStarts.record(jobs, now);
+        ownership.otherHosts().forEach(host -> send(host.id(), new PeerMessage.PendingStarts(jobs)));
+    }
+
     private long nextDueNanos(long now) {
         return Math.min(poolRunner.nextDueNanos(now, nextTimersNanos), peerMonitor.nextCycleNanos());
     }
@@ -436,6 +455,15 @@
                 false);
         loop.post(now -> {
             openRequests.add(order, configVersion, onResponse, now);
+            if (pendingStarts.contains(job, now)) {
+                openRequests.respond(
+                        requestNumber,
+                        CallerResponse.of(
+                                CallerResponse.Kind.MAY_HAVE_RUN,
+                                "a start of an earlier attempt may still be carried out"),
+                        now);
+                return;
+            }
             requestDispatcher.submit(order, route.service(), now);
         });
         return requestNumber;
@@ -601,6 +629,8 @@
             storeSnapshot.toMessage(ownership.claims()).ifPresent(snapshot -> peerLinks.send(sender.id(), snapshot));
         } else if (message instanceof PeerMessage.Snapshot peerSnapshot) {
             applyPeerSnapshot(peerSnapshot, now);
+        } else if (message instanceof PeerMessage.PendingStarts pending) {
+            pendingStarts.record(pending.jobs(), now);
         } else if (message instanceof PeerMessage.Cancel cancel) {
             boolean found = cancelLocally(cancel.job(), now);
             peerLinks.send(sender.id(), new PeerMessage.Canceled(cancel.job(), found));
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -320,6 +321,13 @@
         return loads.buildOrThrow();
     }
 
+    /** Returns the jobs of this host's pools that no pool may start for now; see {@link PendingStarts}. */
+    ImmutableSet<String> jobsWithPendingStarts() {
+        ImmutableSet.Builder<String> jobs = ImmutableSet.builder();
+        masters.values().forEach(master -> jobs.addAll(master.jobsWithPendingStarts()));
+        return jobs.build();
+    }
+
     Optional<PoolLoad> load(PoolId pool, long now) {
         return Optional.ofNullable(masters.get(pool)).map(master -> master.load(now));
     }
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
@@ -40,6 +41,7 @@
     private static final byte CANCELED = 7;
     private static final byte SNAPSHOT_REQUEST = 8;
     private static final byte SNAPSHOT = 9;
+    private static final byte PENDING_STARTS = 10;
 
     private static final byte COMPLETE = 1;
     private static final byte FAILED = 2;
@@ -100,6 +102,12 @@
         } else if (message instanceof PeerMessage.Snapshot snapshot) {
             out.writeByte(SNAPSHOT);
             write(out, snapshot);
+        } else if (message instanceof PeerMessage.PendingStarts pending) {
+            out.writeByte(PENDING_STARTS);
+            out.writeI32(pending.jobs().size());
+            for (String job : pending.jobs()) {
+                out.writeString(job);
+            }
         } else if (message instanceof PeerMessage.Cancel cancel) {
             out.writeByte(CANCEL);
             out.writeString(cancel.job());
@@ -120,12 +128,21 @@
             case RESULT -> new PeerMessage.Result(readPool(in), in.readI32(), readRequest(in), readResult(in));
             case SNAPSHOT_REQUEST -> new PeerMessage.SnapshotRequest();
             case SNAPSHOT -> readSnapshot(in);
+            case PENDING_STARTS -> readPendingStarts(in);
             case CANCEL -> new PeerMessage.Cancel(in.readString());
             case CANCELED -> new PeerMessage.Canceled(in.readString(), in.readBool());
             default -> throw new TException("unknown peer message type: " + type);
         };
     }
 
+    private static PeerMessage.PendingStarts readPendingStarts(TCompactProtocol in) throws TException {
+        ImmutableSet.Builder<String> jobs = ImmutableSet.builder();
+        for (int i = readCount(in); i > 0; i--) {
+            jobs.add(in.readString());
+        }
+        return new PeerMessage.PendingStarts(jobs.build());
+    }
+
     private static void write(TCompactProtocol out, PeerMessage.Snapshot snapshot) throws TException {
         out.writeString(snapshot.configuration());
         out.writeI32(snapshot.targets().size());
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
@@ -93,6 +94,18 @@
      */
     record Result(PoolId pool, int round, RequestId request, JobResult result) implements PeerMessage {}
 
+    /**
+     * States which jobs the receiver must not accept for now, because a start of an earlier attempt may still be carried
+     * out. Repeated as long as that is so.
+     *
+     * @param jobs the jobs
+     */
+    record PendingStarts(ImmutableSet<String> jobs) implements PeerMessage {
+        public PendingStarts {
+            checkNotNull(jobs, "jobs");
+        }
+    }
+
     /** Requests a {@link Snapshot}; sent by a host that has no configuration yet. */
     record SnapshotRequest() implements PeerMessage {}
 
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -320,6 +321,23 @@
                 : Math.min(nextScanNanos, lastPlacementNanos + PLACEMENT_INTERVAL_NANOS);
     }
 
+    /**
+     * Returns the jobs that have ended here while a start of one of their tasks had no response and may still be carried
+     * out. Leases don't bound such a start, since it may reach a later process of its target; the target refuses it once
+     * it has reported under a raised token. Until then no other pool may start the job.
+     */
+    public ImmutableSet<String> jobsWithPendingStarts() {
+        ImmutableSet.Builder<String> pending = ImmutableSet.builder();
+        for (PoolTarget target : tables.targets()) {
+            for (Run run : target.runs()) {
+                if (!run.startConfirmed() && tables.job(run.id().task().job()).isEmpty()) {
+                    pending.add(run.id().task().job());
+                }
+            }
+        }
+        return pending.build();
+    }
+
     /** Stops being the master: hands every open job back to its entry hosts, which send it to the next master. */
     public void release() {
         released = true;
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -5,6 +5,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
@@ -47,6 +48,7 @@
                     ImmutableList.of(new PeerMessage.Withdraw(POOL, REQUEST, "0123456789abcdef"))),
             new PeerMessage.Heartbeat(
                     0, 0, 0, Duration.ZERO, false, ImmutableList.of(), ImmutableMap.of(), ImmutableList.of()),
+            new PeerMessage.PendingStarts(ImmutableSet.of("0123456789abcdef", "fedcba9876543210")),
             new PeerMessage.Submit(
                     POOL,
                     7,
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -442,6 +442,7 @@
         private final HostDirectory directory = new HostDirectory();
         private final List<Withdrawal> withdrawals = new ArrayList<>();
         private final Map<EntryHost, Long> confirmedNanos = new HashMap<>();
+        private final Map<String, Long> pendingStartsUntilNanos = new HashMap<>();
         private final RequestConfirmations confirmations = (request, nanos) ->
                 request.host().equals(Host.this.id) && request.incarnation() == Host.this.incarnation
                         ? nanos
@@ -477,6 +478,7 @@
             sentResults.clear();
             withdrawals.clear();
             confirmedNanos.clear();
+            pendingStartsUntilNanos.clear();
             knownClaims.clear();
             knownClaims.putAll(claims);
             requestDispatcher = new RequestDispatcher(domain, directory, new HostDispatchActions());
@@ -536,6 +538,9 @@
             withdrawals.removeIf(withdrawal -> now - withdrawal.sinceNanos() > WITHDRAWAL_REPEAT_NANOS);
             EntryHost sender = new EntryHost(id, incarnation);
             ImmutableList<Withdrawal> sent = ImmutableList.copyOf(withdrawals);
+            Set<String> pendingStarts = new HashSet<>();
+            masters.values().forEach(hosted -> pendingStarts.addAll(hosted.master.jobsWithPendingStarts()));
+            receivePendingStarts(pendingStarts);
             for (Host receiver : hosts.values()) {
                 if (receiver == this || receiver.dead || isolated) {
                     continue;
@@ -550,12 +555,17 @@
                                             withdrawal.master().host().equals(receiver.id))
                                     .forEach(receiver::receiveWithdrawal);
                             receiver.confirmedNanos.put(sender, arrivalNanos);
+                            receiver.receivePendingStarts(pendingStarts);
                         });
                     }
                 });
             }
         }
 
+        private void receivePendingStarts(Set<String> pendingStarts) {
+            pendingStarts.forEach(job -> pendingStartsUntilNanos.put(job, now + 3 * HEARTBEAT_INTERVAL_NANOS));
+        }
+
         private void receiveWithdrawal(Withdrawal withdrawal) {
             HostedMaster hosted = masters.get(withdrawal.master().pool());
             if (hosted != null) {
@@ -708,6 +718,11 @@
             }
             callerRequest.number = ++requestNumber;
             requestsByNumber.put(callerRequest.number, callerRequest);
+            if (now < pendingStartsUntilNanos.getOrDefault(callerRequest.job.id, Long.MIN_VALUE)) {
+                CallerResponse response = CallerResponse.of(CallerResponse.Kind.MAY_HAVE_RUN, "a start may be pending");
+                schedule(now, () -> handleResponse(callerRequest.number, response));
+                return;
+            }
             JobOrder order = JobOrders.of(callerRequest.number, callerRequest.job.id, callerRequest.job.step, true);
             JobOrder hostOrder = new JobOrder(
                     new RequestId(id, incarnation, callerRequest.number),
--- a/src/test/java/org/mustardlink/pool/LateOrderTest.java
+++ b/src/test/java/org/mustardlink/pool/LateOrderTest.java
@@ -319,4 +319,41 @@
         }
         assertThat(recorder.results.get(0)).isInstanceOf(JobResult.Refused.class);
     }
+
+    /**
+     * Guards against a second run in another pool beside a start that is carried out late, by a later process of its
+     * target: the caller has sent the job again through another domain, where nothing is known of the start.
+     */
+    @Test
+    void a_job_has_a_pending_start_from_its_end_until_the_target_refuses_the_start() {
+        master.updateTargets(ImmutableList.of(target("t", 5_000)), 0);
+        master.tick(0);
+        answerLastExtension("t", report(1_001, 5_000), ms(1));
+        RunId run = submitOneTask(ms(2));
+        master.handleStartResponse("t", run, OrderVerdict.UNKNOWN, 0, ms(122));
+        assertThat(master.jobsWithPendingStarts()).isEmpty();
+
+        master.withdrawRequest(JobOrders.of(1, "job", ONE_TASK, false).request(), "job", ms(130));
+        assertThat(master.jobsWithPendingStarts()).containsExactly("job");
+
+        master.updateTargets(ImmutableList.of(target("t", 7_000)), ms(200));
+        master.tick(ms(200));
+        assertThat(master.jobsWithPendingStarts()).containsExactly("job");
+        answerLastExtension("t", report(5, 7_000), ms(210));
+        assertThat(master.jobsWithPendingStarts()).isEmpty();
+    }
+
+    /** Guards against refusing a job that is sent again although its first run was confirmed and only has to end. */
+    @Test
+    void a_job_whose_starts_were_all_confirmed_has_no_pending_start() {
+        master.updateTargets(ImmutableList.of(target("t", 0)), 0);
+        master.tick(0);
+        answerLastExtension("t", report(1_001), ms(1));
+        RunId run = submitOneTask(ms(2));
+        master.handleStartResponse("t", run, OrderVerdict.DONE, 1_003, ms(3));
+
+        master.withdrawRequest(JobOrders.of(1, "job", ONE_TASK, false).request(), "job", ms(130));
+
+        assertThat(master.jobsWithPendingStarts()).isEmpty();
+    }
 }
