Read the list of targets promptly after a claim

What callers saw: since a new master relies on its list of targets only after a read that began after its claim, the tasks of resumed jobs waited for the rest of the pause between two reads, up to 0.3 s.

Change: TopicFollower.readSoon ends a pause, or leaves out the next one; it is called when a pool was claimed and when its earlier masters are known to have ended.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -355,7 +355,9 @@
             refreshTargets(now);
         }
         poolRunner.completeHandovers(announcement -> peerMonitor.allAcknowledged(announcement, now), now);
-        poolRunner.confirmEarlierMastersEnded(peerMonitor::allAcknowledgedOrEnded, now);
+        if (poolRunner.confirmEarlierMastersEnded(peerMonitor::allAcknowledgedOrEnded, now)) {
+            storeFollower.readTargetsSoon();
+        }
         // The request dispatcher hands jobs over to a new master before the peer monitor acknowledges the claim of
         // that master.
         requestDispatcher.tick(now);
@@ -726,6 +728,8 @@
             long now = System.nanoTime();
             poolRunner.acquire(claim, ownership, now);
             poolRunner.trackAnnouncement(claim.pool(), peerMonitor.announce(status(now), now), now);
+            // The tasks of resumed jobs wait until the list of targets was read after the claim.
+            storeFollower.readTargetsSoon();
             nextTimersNanos = now;
         }
 
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -179,9 +179,12 @@
         unconfirmedClaims.put(pool, announcement);
     }
 
-    /** Notifies each new master once all earlier masters of its pool have ended; any other host may have been one. */
-    void confirmEarlierMastersEnded(AnnouncementPredicate allAcknowledgedOrEnded, long now) {
-        unconfirmedClaims.entrySet().removeIf(entry -> {
+    /**
+     * Notifies each new master once all earlier masters of its pool have ended; any other host may have been one. Returns
+     * whether there was any.
+     */
+    boolean confirmEarlierMastersEnded(AnnouncementPredicate allAcknowledgedOrEnded, long now) {
+        return unconfirmedClaims.entrySet().removeIf(entry -> {
             PoolMaster master = masters.get(entry.getKey());
             boolean ended = allAcknowledgedOrEnded.test(entry.getValue());
             if (ended && master != null) {
--- a/src/main/java/org/mustardlink/host/StoreFollower.java
+++ b/src/main/java/org/mustardlink/host/StoreFollower.java
@@ -62,6 +62,7 @@
     private final Listener listener;
     private final BooleanSupplier mayOrderStarts;
     private final List<TopicFollower> followers = new ArrayList<>();
+    private Optional<TopicFollower> targetsFollower = Optional.empty();
     private volatile boolean closed;
     private volatile boolean targetsReachable = true;
     private volatile boolean claimsRead;
@@ -105,19 +106,19 @@
 
     /** Starts to follow the topics, and writes the host's own entry. */
     void start(StoredHost self) {
-        follow(
+        TopicFollower _operator = follow(
                 StoreTopics.OPERATOR,
                 RECORD_WAIT,
                 () -> Duration.ZERO,
                 (page, _isFullList) -> page.records().stream()
                         .filter(record -> record.key().equals(StoreTopics.CONFIG_KEY))
                         .forEach(this::applyConfiguration));
-        follow(
+        targetsFollower = Optional.of(follow(
                 StoreTopics.TARGETS,
                 RECORD_WAIT,
                 () -> mayOrderStarts.getAsBoolean() ? TARGETS_PAUSE : IDLE_TARGETS_PAUSE,
-                (page, isFullList) -> loop.post(now -> listener.onTargets(page.records(), isFullList, now)));
-        follow(StoreTopics.CLAIMS, CLAIMS_WAIT, () -> Duration.ZERO, (page, _isFullList) -> {
+                (page, isFullList) -> loop.post(now -> listener.onTargets(page.records(), isFullList, now))));
+        TopicFollower _claims = follow(StoreTopics.CLAIMS, CLAIMS_WAIT, () -> Duration.ZERO, (page, _isFullList) -> {
             page.records()
                     .forEach(record -> parse(record, StoredClaim::parse)
                             .ifPresent(claim -> loop.post(now -> listener.onClaim(claim.toClaim(), now))));
@@ -128,7 +129,7 @@
                 claimsRead = true;
             });
         });
-        follow(
+        TopicFollower _hosts = follow(
                 StoreTopics.HOSTS,
                 HOSTS_WAIT,
                 () -> HOSTS_PAUSE,
@@ -143,8 +144,9 @@
         void handlePage(StoreClient.Page page, boolean isFullList);
     }
 
-    private void follow(String followedTopic, Duration wait, Supplier<Duration> pause, PageHandler pageHandler) {
-        followers.add(TopicFollower.start(
+    private TopicFollower follow(
+            String followedTopic, Duration wait, Supplier<Duration> pause, PageHandler pageHandler) {
+        TopicFollower follower = TopicFollower.start(
                 store,
                 followedTopic,
                 wait,
@@ -175,7 +177,14 @@
                                 .write();
                     }
                 },
-                timer));
+                timer);
+        followers.add(follower);
+        return follower;
+    }
+
+    /** Makes the next read of the targets begin without the usual pause. */
+    void readTargetsSoon() {
+        targetsFollower.ifPresent(TopicFollower::readSoon);
     }
 
     private void updateReachability(String topic, boolean isReachable, String reason) {
--- a/src/main/java/org/mustardlink/platform/TopicFollower.java
+++ b/src/main/java/org/mustardlink/platform/TopicFollower.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 
 /**
@@ -24,10 +25,21 @@
     private final Supplier<Duration> pauseBetweenReads;
     private final Listener listener;
     private final ScheduledExecutorService timer;
+    private final AtomicBoolean nextPauseSkipped = new AtomicBoolean();
+    private volatile Optional<PendingRead> pausedRead = Optional.empty();
     private volatile boolean closed;
     private boolean reachable = true;
     private Duration retryDelay = INITIAL_RETRY_DELAY;
 
+    /** A read that waits for the end of a pause; it is run once, by the timer or earlier. */
+    private record PendingRead(AtomicBoolean taken, Runnable read) {
+        private void runOnce() {
+            if (taken.compareAndSet(false, true)) {
+                read.run();
+            }
+        }
+    }
+
     /** Receives the records of a topic. */
     public interface Listener {
         /** Called with new records; {@code isFullList} states whether they are the newest record of every key. */
@@ -82,6 +94,18 @@
         return follower;
     }
 
+    /**
+     * Ends the pause between two reads, or leaves out the next one. A read begins soon, which delivers the records that
+     * were appended before this call.
+     */
+    public void readSoon() {
+        nextPauseSkipped.set(true);
+        pausedRead.ifPresent(pending -> {
+            nextPauseSkipped.set(false);
+            pending.runOnce();
+        });
+    }
+
     /** Stops following the topic; the result of a read in progress is discarded. */
     public void close() {
         closed = true;
@@ -98,7 +122,7 @@
             }
             markReachable();
             deliver(page, true);
-            schedule(() -> readFrom(page.endOffset()), pauseBetweenReads.get());
+            pauseBefore(() -> readFrom(page.endOffset()));
         });
     }
 
@@ -124,7 +148,7 @@
                     if (page.get().nextOffset() >= page.get().endOffset()) {
                         listener.onUpToDate(startedNanos);
                     }
-                    schedule(() -> readFrom(page.get().nextOffset()), pauseBetweenReads.get());
+                    pauseBefore(() -> readFrom(page.get().nextOffset()));
                 });
     }
 
@@ -163,6 +187,15 @@
         schedule(read, delay);
     }
 
+    private void pauseBefore(Runnable read) {
+        PendingRead pending = new PendingRead(new AtomicBoolean(), () -> {
+            pausedRead = Optional.empty();
+            read.run();
+        });
+        pausedRead = Optional.of(pending);
+        schedule(pending::runOnce, nextPauseSkipped.getAndSet(false) ? Duration.ZERO : pauseBetweenReads.get());
+    }
+
     private void schedule(Runnable action, Duration delay) {
         if (closed) {
             return;
--- a/src/test/java/org/mustardlink/platform/TopicFollowerTest.java
+++ b/src/test/java/org/mustardlink/platform/TopicFollowerTest.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardlink.http.HttpRequester;
@@ -57,6 +58,26 @@
         }
     }
 
+    /** Guards against a new master that keeps the tasks of resumed jobs waiting for the usual pause between two reads. */
+    @Test
+    void a_pause_between_reads_ends_when_a_read_is_requested() {
+        store.put(TOPIC, "first", "1");
+        TopicFollower follower = TopicFollower.start(
+                StoreClient.create(requester, store.address()),
+                TOPIC,
+                Duration.ofMillis(200),
+                () -> Duration.ofMinutes(10),
+                new Listener(),
+                timer);
+        await().atMost(LONG).until(() -> read.contains("first"));
+        store.put(TOPIC, "later", "2");
+
+        follower.readSoon();
+
+        await().atMost(LONG).until(() -> read.contains("later"));
+        follower.close();
+    }
+
     /** Guards against a host that receives no further changes because the listener failed on one record. */
     @ParameterizedTest
     @ValueSource(strings = {"bad", "deep"})
