Correct the time in a comment of DispatchHostTest

Cause: inherited runs are stopped a quarter of a lease after the claim, not after 0.7 s any more; the comment still said 0.7 s.

Change: the comment alone. The bound of 600 ms stays as it is. It told a handover that ends early from one that lasts 0.7 s, and doesn't tell it from one that lasts 0.25 s; LeaseGrantsTest and ResentJobTest test that period.

--- a/src/test/java/org/mustardlink/host/DispatchHostTest.java
+++ b/src/test/java/org/mustardlink/host/DispatchHostTest.java
@@ -124,7 +124,7 @@
         HttpReply reply = deployment.submit("east-1", jobId(9), 1, 10).join();
 
         assertWithMessage(reply.body()).that(reply.status()).isEqualTo(200);
-        // Inherited runs are kept for 0.7 s while a live host may still hand their jobs over.
+        // Inherited runs are kept for a quarter of a second while a live host may still hand their jobs over.
         assertThat(Duration.ofNanos(System.nanoTime() - readyNanos)).isLessThan(Duration.ofMillis(600));
     }
 
