Keep results and withdrawals by time, in a class that the simulation plays

An entry host repeats its orders over a new link, and a repeated order says that an earlier master may have started tasks, so it is admitted without a refusal. If its first copy was redirected, the job runs in two pools.

Cause: PoolRunner kept the last 1,000 results, 1,000 withdrawn requests and 1,000 lost entry hosts, over all pools of the host. What matters is time: a host that ends more than 1,000 jobs a second forgets a redirection before the order is repeated. Nothing noticed when the kept result was taken out, and FailoverSimulation had a copy of that logic of its own, without the withdrawals.

Evidence, on with the new PoolRunnerTest: 3 of 13 tests fail (a redirection, a withdrawal and a lost entry host after 2,000 others). The other two new ones pass there; with the kept refusals and redirections taken out, both fail.

Change: pool.OrderAdmission decides what happens with an order. PoolRunner and FailoverSimulation use it. It keeps the result of a request until 10 s after the deadline that its order carried, because entry hosts repeat orders only until then, a withdrawal for 10 s, because nothing is sent after it, and a lost entry host for an hour or until its next heartbeat. There is no bound by count, so nothing is dropped early. The time for which the host itself is frozen doesn't count, because what arrived meanwhile is handled afterwards. The withdrawals that a heartbeat repeats keep their bound of 1,000, because it limits the frame.

By arithmetic, not measured: an entry takes about 250 bytes and is kept for 11.5 s with callers that wait 1.5 s. With 34,000 results a second, one a start, over 45 hosts that is 2.2 MB a host.

--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -50,8 +50,8 @@
     private static final long ACKNOWLEDGMENT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /** Minimum age of a link before it is replaced for a lack of heartbeats. */
     private static final long MIN_LINK_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-    /** Withdrawals kept for a host that acknowledges none; a master remembers no more of them. */
-    private static final int MAX_UNACKNOWLEDGED_WITHDRAWALS = PoolRunner.MAX_WITHDRAWN_REQUESTS;
+    /** Withdrawals kept for a host that acknowledges none; every heartbeat repeats them, in a frame of limited size. */
+    private static final int MAX_UNACKNOWLEDGED_WITHDRAWALS = 1_000;
 
     private final HostInfo self;
     private final PoolOwnership ownership;
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -3,13 +3,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.mustardlink.observe.EntryMetrics;
@@ -25,6 +24,7 @@
 import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.LeaseExtension;
 import org.mustardlink.pool.LeaseLimits;
+import org.mustardlink.pool.OrderAdmission;
 import org.mustardlink.pool.OrderVerdict;
 import org.mustardlink.pool.PoolActions;
 import org.mustardlink.pool.PoolId;
@@ -37,14 +37,6 @@
 
 /** Runs the masters of this host's pools and sends the orders to their targets. Runs on the loop thread. */
 final class PoolRunner {
-    /**
-     * Results kept for entry hosts that repeat an order after the loss of a link; a link is replaced within a second.
-     */
-    private static final int MAX_CACHED_RESULTS = 1_000;
-    /** Withdrawn requests kept to recognize orders that arrive late; as many as results are kept. */
-    static final int MAX_WITHDRAWN_REQUESTS = 1_000;
-    /** Incarnations of lost entry hosts kept to recognize orders that arrive late; each end of a host adds one. */
-    private static final int MAX_LOST_ENTRY_HOSTS = 1_000;
     /**
      * Time within which the request dispatcher of this host hands its jobs over; it does so with the next event
      * or timer.
@@ -65,23 +57,7 @@
     /** Announcements of claims to pools of which an earlier master may still be active. */
     private final Map<PoolId, PeerMonitor.Announcement> unconfirmedClaims = new HashMap<>();
 
-    private final Map<RequestId, Long> arrivalNanos = new HashMap<>();
-    private final Map<ResultKey, CachedResult> cachedResults = new LinkedHashMap<>() {
-        private static final long serialVersionUID = 1L;
-
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<ResultKey, CachedResult> _eldest) {
-            return size() > MAX_CACHED_RESULTS;
-        }
-    };
-
-    /** Requests that no caller waits for any more; their orders may be repeated or may not have arrived yet. */
-    private final Set<RequestId> withdrawnRequests = newBoundedSet(MAX_WITHDRAWN_REQUESTS);
-    /** Incarnations of entry hosts that were lost and have sent no heartbeat since. */
-    private final Set<EntryHostIncarnation> lostEntryHosts = newBoundedSet(MAX_LOST_ENTRY_HOSTS);
-
-    /** One incarnation of an entry host. */
-    private record EntryHostIncarnation(String host, long incarnation) {}
+    private final OrderAdmission orderAdmission = new OrderAdmission(System.nanoTime());
 
     /** The heartbeats that announced a new claim to the other hosts, and the time at which they were sent. */
     private record SentAnnouncement(PeerMonitor.Announcement announcement, long sentNanos) {}
@@ -92,22 +68,6 @@
         boolean test(PeerMonitor.Announcement announcement);
     }
 
-    /** Key of a cached result: the pool whose master gave it, and the request. */
-    private record ResultKey(PoolId pool, RequestId request) {}
-
-    /** A result, and the round of the claim under which it was given. */
-    private record CachedResult(int round, JobResult result) {
-        /**
-         * Returns whether the result is valid for an order that was sent to the claim of the given round. A result that
-         * says that nothing of the job was started is valid for its own claim only: after that claim, another master
-         * may have started tasks of the job.
-         */
-        private boolean isValidFor(int claimRound) {
-            boolean reportsNotStarted = result instanceof JobResult.Refused || result instanceof JobResult.Redirected;
-            return claimRound == round || !reportsNotStarted;
-        }
-    }
-
     /** Receives the result of a job, with the round of the claim to which its order was sent. */
     @FunctionalInterface
     interface ResultHandler {
@@ -141,18 +101,6 @@
         this.poolFinder = poolFinder;
     }
 
-    /** Returns a set that removes its oldest element when it exceeds a size. */
-    private static <T> Set<T> newBoundedSet(int maxSize) {
-        return Collections.newSetFromMap(new LinkedHashMap<>() {
-            private static final long serialVersionUID = 1L;
-
-            @Override
-            protected boolean removeEldestEntry(Map.Entry<T, Boolean> _eldest) {
-                return size() > maxSize;
-            }
-        });
-    }
-
     /** Starts acting as the master of a pool. */
     void acquire(Claim claim, PoolOwnership ownership, long now) {
         PoolId pool = claim.pool();
@@ -233,41 +181,29 @@
     }
 
     /**
-     * Submits a job to the master of a pool; an order that already has a result gets the same result again. An order of
-     * a withdrawn request gets a result and starts nothing, because the caller may have sent the job again elsewhere.
-     * An order that was sent to another claim is returned, because its entry host does not know under which claim the
-     * job would run.
+     * Submits a job to the master of a pool, or answers its order if {@link OrderAdmission} has a result for it.
      *
      * @param round round of the claim to which the entry host has sent the order
      */
     void submit(PoolId pool, int round, JobOrder order, long now) {
-        CachedResult cached = cachedResults.get(new ResultKey(pool, order.request()));
         PoolMaster master = masters.get(pool);
-        if (cached != null && cached.isValidFor(round)) {
-            resultHandler.handleResult(pool, round, order.request(), cached.result());
-        } else if (isWithdrawn(order.request())) {
-            resultHandler.handleResult(pool, round, order.request(), new JobResult.Abandoned("withdrawn"));
-        } else if (master == null || master.firstToken().round() != round) {
-            resultHandler.handleResult(pool, round, order.request(), new JobResult.Moved());
-        } else {
-            arrivalNanos.putIfAbsent(order.request(), now);
-            master.submitJob(order, now);
-        }
-    }
-
-    private boolean isWithdrawn(RequestId request) {
-        return withdrawnRequests.contains(request)
-                || lostEntryHosts.contains(new EntryHostIncarnation(request.host(), request.incarnation()));
+        OptionalInt masterRound = master == null
+                ? OptionalInt.empty()
+                : OptionalInt.of(master.firstToken().round());
+        orderAdmission
+                .admit(pool, round, masterRound, order, now)
+                .ifPresentOrElse(
+                        result -> resultHandler.handleResult(pool, round, order.request(), result),
+                        () -> master.submitJob(order, now));
     }
 
     /** Withdraws a request that no caller waits for any more, whether its order has arrived or not. */
     void withdraw(PoolId pool, RequestId request, String job, long now) {
-        withdrawnRequests.add(request);
         PoolMaster master = masters.get(pool);
         if (master != null) {
             master.withdrawRequest(request, job, now);
         }
-        arrivalNanos.remove(request);
+        orderAdmission.recordWithdrawal(request);
     }
 
     /** Cancels a job in every pool of this host; returns whether the job was open in any of them. */
@@ -285,23 +221,14 @@
      */
     void handleEntryHostLoss(String host, long incarnation, long now) {
         masters.values().forEach(master -> master.handleEntryHostLoss(host, incarnation, now));
-        arrivalNanos.keySet().removeIf(request -> {
-            boolean fromEntryHost = request.host().equals(host) && request.incarnation() == incarnation;
-            if (fromEntryHost) {
-                withdrawnRequests.add(request);
-            }
-            return fromEntryHost;
-        });
-        lostEntryHosts.add(new EntryHostIncarnation(host, incarnation));
+        orderAdmission.recordEntryHostLoss(host, incarnation);
     }
 
     /**
      * Accepts new requests of an entry host that sends heartbeats; if it was considered lost, it had only been silent.
      */
     void readmitEntryHost(String host, long incarnation) {
-        if (!lostEntryHosts.isEmpty()) {
-            lostEntryHosts.remove(new EntryHostIncarnation(host, incarnation));
-        }
+        orderAdmission.readmitEntryHost(host, incarnation);
     }
 
     void updateTargets(long now) {
@@ -309,6 +236,7 @@
     }
 
     void tick(long now) {
+        orderAdmission.expire(now);
         ImmutableList.copyOf(masters.values()).forEach(master -> master.tickIfDue(now));
     }
 
@@ -415,23 +343,22 @@
 
         @Override
         public void sendResult(RequestId request, String job, JobResult result) {
-            Long arrived = arrivalNanos.remove(request);
-            PoolLoad load = load(pool, System.nanoTime()).orElse(PoolLoad.NONE);
+            long now = System.nanoTime();
+            OptionalLong admittedNanos = orderAdmission.admittedNanos(request);
+            long elapsedMs =
+                    admittedNanos.isEmpty() ? -1 : TimeUnit.NANOSECONDS.toMillis(now - admittedNanos.getAsLong());
+            PoolLoad load = load(pool, now).orElse(PoolLoad.NONE);
             log.line(LogEvent.JOB_ENDED)
                     .with(LogField.JOB, job)
                     .with(LogField.POOL, pool)
                     .with(LogField.ROUND, round)
                     .with(LogField.ANSWER, result.getClass().getSimpleName())
                     .with(LogField.REASON, result)
-                    .with(LogField.ELAPSED_MS, arrived == null ? -1 : (System.nanoTime() - arrived) / 1_000_000)
+                    .with(LogField.ELAPSED_MS, elapsedMs)
                     .with(LogField.FREE_CPU, load.freeCpuMillis())
                     .with(LogField.WIDEST_CPU, load.maxTargetFreeCpuMillis())
                     .write();
-            // The result of a redirected job is cached as well: the job may run in the other pool, so a repeated order
-            // must not start it here.
-            if (!(result instanceof JobResult.Moved)) {
-                cachedResults.put(new ResultKey(pool, request), new CachedResult(round, result));
-            }
+            orderAdmission.recordResult(pool, round, request, result);
             resultHandler.handleResult(pool, round, request, result);
         }
 
--- a/src/test/java/org/mustardlink/host/PoolRunnerTest.java
+++ b/src/test/java/org/mustardlink/host/PoolRunnerTest.java
@@ -34,6 +34,9 @@
     private static final HostInfo SELF = new HostInfo("west-1", "west", 2, "127.0.0.1:1", 750);
     private static final int ROUND = 1;
     private static final int LINES_PER_SECOND = 10;
+    /** Requests of other callers between two orders of a request; a busy host ends as many jobs within a second. */
+    private static final int OTHER_REQUEST_COUNT = 2_000;
+
     private static final JobResult WITHDRAWN = new JobResult.Abandoned("withdrawn");
 
     private static final StepSpec ONE_TASK = new StepSpec(
@@ -45,6 +48,7 @@
             Integer.MAX_VALUE);
 
     private final List<JobResult> results = new ArrayList<>();
+    private Optional<PoolId> poolWithCapacity = Optional.empty();
     private final EventLog log = EventLog.create("west-1", "west", LINES_PER_SECOND);
     private final HttpRequester requester = HttpRequester.start(HttpRequester.Limits.forFewCalls());
     private final PoolRunner runner = new PoolRunner(
@@ -56,7 +60,7 @@
             log,
             EntryMetrics.create(1, 1),
             (_pool, _round, _request, result) -> results.add(result),
-            (_pool, _order) -> Optional.empty());
+            (_pool, _order) -> poolWithCapacity);
 
     @BeforeEach
     void acquireBothPools() {
@@ -75,6 +79,11 @@
         return JobOrders.of(number, "job-" + number, ONE_TASK, false).copyWith(Duration.ofMillis(1_500), true, false);
     }
 
+    /** Returns the first order of a request, which a master refuses or redirects as long as it knows no target. */
+    private static JobOrder firstOrder(long number) {
+        return JobOrders.of(number, "job-" + number, ONE_TASK, true);
+    }
+
     private static RequestId request(long number) {
         return order(number).request();
     }
@@ -185,4 +194,73 @@
         assertThat(results).containsExactly(WITHDRAWN);
         assertThat(openJobs(EAST)).isEqualTo(1);
     }
+
+    /**
+     * Guards against two runs of a task: its entry host has sent the job to another pool after the refusal, and a master
+     * doesn't refuse an order that is repeated over a new link.
+     */
+    @Test
+    void a_refusal_is_repeated_for_an_order_that_is_repeated_over_a_new_link() {
+        runner.submit(EAST, ROUND, firstOrder(1), 0);
+        runner.submit(EAST, ROUND, order(1), 1);
+
+        assertThat(results).hasSize(2);
+        assertThat(results.get(0)).isInstanceOf(JobResult.Refused.class);
+        assertThat(results.get(1)).isEqualTo(results.get(0));
+        assertThat(openJobs(EAST)).isEqualTo(0);
+    }
+
+    /** Guards against two runs of a task: its entry host has sent the job to the other pool. */
+    @Test
+    void a_redirection_is_repeated_for_an_order_that_is_repeated_over_a_new_link() {
+        poolWithCapacity = Optional.of(WEST);
+        runner.submit(EAST, ROUND, firstOrder(1), 0);
+        poolWithCapacity = Optional.empty();
+        runner.submit(EAST, ROUND, order(1), 1);
+
+        assertThat(results).containsExactly(new JobResult.Redirected(WEST), new JobResult.Redirected(WEST));
+        assertThat(openJobs(EAST)).isEqualTo(0);
+    }
+
+    /** Guards against two runs of a task because a busy host forgets a redirection before the order is repeated. */
+    @Test
+    void a_redirection_is_repeated_after_the_results_of_many_other_requests() {
+        poolWithCapacity = Optional.of(WEST);
+        runner.submit(EAST, ROUND, firstOrder(1), 0);
+        poolWithCapacity = Optional.empty();
+        for (int i = 0; i < OTHER_REQUEST_COUNT; i++) {
+            runner.submit(WEST, ROUND, firstOrder(2 + i), 1);
+        }
+        results.clear();
+        runner.submit(EAST, ROUND, order(1), 2);
+
+        assertThat(results).containsExactly(new JobResult.Redirected(WEST));
+        assertThat(openJobs(EAST)).isEqualTo(0);
+    }
+
+    /** Guards against two runs of a task because a busy host forgets a withdrawal before the late order arrives. */
+    @Test
+    void a_withdrawn_order_is_not_accepted_after_the_withdrawals_of_many_other_requests() {
+        runner.withdraw(EAST, request(1), "job-1", 0);
+        for (int i = 0; i < OTHER_REQUEST_COUNT; i++) {
+            runner.withdraw(WEST, request(2 + i), "job-" + (2 + i), 1);
+        }
+        runner.submit(EAST, ROUND, order(1), 2);
+
+        assertThat(results).containsExactly(WITHDRAWN);
+        assertThat(openJobs(EAST)).isEqualTo(0);
+    }
+
+    /** Guards against two runs of a task because a host of a large fleet forgets which entry hosts were lost. */
+    @Test
+    void an_order_of_a_lost_entry_host_is_not_accepted_after_the_loss_of_many_others() {
+        runner.handleEntryHostLoss("east-1", 1, 0);
+        for (int i = 0; i < OTHER_REQUEST_COUNT; i++) {
+            runner.handleEntryHostLoss("north-" + i, 1, 1);
+        }
+        runner.submit(EAST, ROUND, order(1), 2);
+
+        assertThat(results).containsExactly(WITHDRAWN);
+        assertThat(openJobs(EAST)).isEqualTo(0);
+    }
 }
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -89,10 +90,6 @@
 
     private record ScheduledEvent(long timeNanos, long sequence, Runnable action) {}
 
-    private record RequestKey(PoolId pool, RequestId request) {}
-
-    private record SentResult(int round, JobResult result) {}
-
     /**
      * Creates a simulation.
      *
@@ -400,12 +397,13 @@
     private void notifyEntryHostLost(Host lostHost, long incarnation) {
         for (Host host : hosts.values()) {
             if (host != lostHost) {
-                host.scheduleAfter(
-                        randomNanos(0, 100),
-                        () -> host.masters.values().forEach(hosted -> {
-                            hosted.master.handleEntryHostLoss(lostHost.id, incarnation, now);
-                            hosted.master.tickIfDue(now);
-                        }));
+                host.scheduleAfter(randomNanos(0, 100), () -> {
+                    host.masters.values().forEach(hosted -> {
+                        hosted.master.handleEntryHostLoss(lostHost.id, incarnation, now);
+                        hosted.master.tickIfDue(now);
+                    });
+                    host.orderAdmission.recordEntryHostLoss(lostHost.id, incarnation);
+                });
             }
         }
     }
@@ -436,7 +434,6 @@
         private final String domain;
         private final Map<PoolId, HostedMaster> masters = new LinkedHashMap<>();
         private final Map<PoolId, Claim> knownClaims = new HashMap<>();
-        private final Map<RequestKey, SentResult> sentResults = new HashMap<>();
         private final Map<Long, CallerRequest> requestsByNumber = new HashMap<>();
         private final List<CallerRequest> openRequests = new ArrayList<>();
         private final HostDirectory directory = new HostDirectory();
@@ -449,6 +446,7 @@
                         : confirmedNanos.getOrDefault(
                                 new EntryHost(request.host(), request.incarnation()), Long.MIN_VALUE);
         private RequestDispatcher requestDispatcher;
+        private OrderAdmission orderAdmission;
         private long incarnation;
         private long startedNanos;
         private long frozenUntilNanos;
@@ -475,13 +473,13 @@
             isolated = false;
             silentSinceNanos = Long.MAX_VALUE;
             masters.clear();
-            sentResults.clear();
             withdrawals.clear();
             confirmedNanos.clear();
             pendingStartsUntilNanos.clear();
             knownClaims.clear();
             knownClaims.putAll(claims);
             requestDispatcher = new RequestDispatcher(domain, directory, new HostDispatchActions());
+            orderAdmission = new OrderAdmission(now);
         }
 
         /**
@@ -509,6 +507,7 @@
 
         private void tick() {
             requestDispatcher.tick(now);
+            orderAdmission.expire(now);
             for (HostedMaster hosted : ImmutableList.copyOf(masters.values())) {
                 boolean allConfirmed = hosts.values().stream()
                         .allMatch(other -> other == this
@@ -555,6 +554,7 @@
                                             withdrawal.master().host().equals(receiver.id))
                                     .forEach(receiver::receiveWithdrawal);
                             receiver.confirmedNanos.put(sender, arrivalNanos);
+                            receiver.orderAdmission.readmitEntryHost(sender.id(), sender.incarnation());
                             receiver.receivePendingStarts(pendingStarts);
                         });
                     }
@@ -572,6 +572,7 @@
                 hosted.master.withdrawRequest(withdrawal.request(), withdrawal.job(), now);
                 hosted.master.tickIfDue(now);
             }
+            orderAdmission.recordWithdrawal(withdrawal.request());
         }
 
         private void kill() {
@@ -763,26 +764,16 @@
             }
         }
 
-        /**
-         * Handles an order from an entry host as a host does: repeats a result that it has already sent, except a
-         * refusal or redirection under an earlier claim, responds with {@link JobResult.Moved} if it doesn't run the
-         * master of that claim, and otherwise passes the order to the master.
-         */
+        /** Handles an order that was sent to a claim of this host. */
         private void receiveOrder(Claim claim, JobOrder order) {
-            SentResult sent = sentResults.get(new RequestKey(claim.pool(), order.request()));
             HostedMaster hosted = masters.get(claim.pool());
-            boolean stillHolds = sent != null
-                    && (sent.round() == claim.round()
-                            || !(sent.result() instanceof JobResult.Refused
-                                    || sent.result() instanceof JobResult.Redirected));
-            if (stillHolds) {
-                sendResult(claim, order.request(), sent.result());
-            } else if (hosted == null || hosted.claim.round() != claim.round()) {
-                sendResult(claim, order.request(), new JobResult.Moved());
-            } else {
-                hosted.master.submitJob(order, now);
-                hosted.master.tickIfDue(now);
-            }
+            OptionalInt masterRound = hosted == null ? OptionalInt.empty() : OptionalInt.of(hosted.claim.round());
+            orderAdmission
+                    .admit(claim.pool(), claim.round(), masterRound, order, now)
+                    .ifPresentOrElse(result -> sendResult(claim, order.request(), result), () -> {
+                        hosted.master.submitJob(order, now);
+                        hosted.master.tickIfDue(now);
+                    });
         }
 
         private void sendResult(Claim claim, RequestId request, JobResult result) {
@@ -986,9 +977,7 @@
         @Override
         public void sendResult(RequestId request, String job, JobResult result) {
             log(() -> "result of job " + job + " by " + host.id + " " + claim.pool() + ": " + result);
-            if (!(result instanceof JobResult.Moved)) {
-                host.sentResults.put(new RequestKey(claim.pool(), request), new SentResult(claim.round(), result));
-            }
+            host.orderAdmission.recordResult(claim.pool(), claim.round(), request, result);
             host.sendResult(claim, request, result);
         }
 
