Remove a waiting request before its action runs

Cause: UnroutedRequests ran the actions inside the predicate of removeIf, which removes nothing if the predicate throws.

Change: the requests wait in a queue, in the order of their arrival, which is that of their deadlines. Each is removed before its action runs. The failure of an action is logged by the loop as before; the requests behind it are run by the next call, which follows with the next event.

Result: mvn -o -B test -Dtest=UnroutedRequestsTest passes, 1 of 1; it failed without this change.

--- a/src/main/java/org/mustardlink/host/UnroutedRequests.java
+++ b/src/main/java/org/mustardlink/host/UnroutedRequests.java
@@ -1,7 +1,7 @@
 package org.mustardlink.host;
 
-import java.util.ArrayList;
-import java.util.List;
+import java.util.ArrayDeque;
+import java.util.Queue;
 import java.util.concurrent.TimeUnit;
 
 /** Requests that wait for the first configuration. Runs on the loop thread. */
@@ -9,7 +9,8 @@
     /** Time that a request waits for the first configuration; a reachable store answers within 100 ms. */
     private static final long CONFIGURATION_WAIT_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
-    private final List<UnroutedRequest> waiting = new ArrayList<>();
+    /** In the order of arrival, which is that of the deadlines. */
+    private final Queue<UnroutedRequest> waiting = new ArrayDeque<>();
 
     private record UnroutedRequest(Runnable action, long deadlineNanos) {}
 
@@ -17,14 +18,15 @@
         waiting.add(new UnroutedRequest(action, now + CONFIGURATION_WAIT_NANOS));
     }
 
-    /** Runs the actions of all requests if there is a configuration, otherwise of those whose time to wait is over. */
+    /**
+     * Runs the actions of all requests if there is a configuration, otherwise of those whose time to wait is over.
+     *
+     * <p>Each action is run once, even if it fails: a job that is submitted twice may run in two pools. The requests
+     * behind one that fails are run by the next call.
+     */
     void runReady(boolean configured, long now) {
-        waiting.removeIf(request -> {
-            boolean ready = configured || now > request.deadlineNanos();
-            if (ready) {
-                request.action().run();
-            }
-            return ready;
-        });
+        while (!waiting.isEmpty() && (configured || now > waiting.peek().deadlineNanos())) {
+            waiting.remove().action().run();
+        }
     }
 }
