Wait for the threads of a peer server when it is closed

Cause: Thrift's TNonblockingServerSocket.close tests a field, uses it and clears it without a lock. PeerServer.close called it twice, in stop() and directly, while the server's own threads called it at their end.

Evidence: trials with a scratch program. After 1435 of 1500 closes the server's thread was still alive, which then closes the socket. Two threads that close one socket 0 to 60 us apart, in the interpreter: 7 of 20,000 pairs end with this exception; none of 20,000 with a synchronized close, and none of 20,000 without these offsets.

Change: PeerServer.close stops the server and waits for its thread; it doesn't close the socket once more. The server still closes its socket from several threads, so the socket's methods that use the field are synchronized. A stop waits for running calls for 1 s at most, not 60 s. Nothing is caught.

Result: PeerServerTest passes; on the code before it fails in 19 of 20 calls in a scratch program (the thread is still alive). After 0 of 1500 closes a thread is alive, and there was no exception. mvn -o -B test of PeerServerTest, MembershipOverThriftTest and UnroutedRequestsTest: 7 of 7; of PoolRunnerTest, RequestDispatcherTest, CancellationsTest, HostLoopTest, DispatchHostTest, PeerServerTest, UnroutedRequestsTest and FaultTablesTest: 102 of 102. One run each; the whole verify with tests wasn't run.

--- a/src/main/java/org/mustardlink/peer/PeerServer.java
+++ b/src/main/java/org/mustardlink/peer/PeerServer.java
@@ -1,8 +1,10 @@
 package org.mustardlink.peer;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.apache.thrift.TException;
 import org.apache.thrift.TProcessor;
 import org.apache.thrift.async.AsyncMethodCallback;
@@ -38,15 +40,45 @@
      */
     private static final long MAX_OPEN_FRAME_BYTES = 6L * MAX_FRAME_BYTES;
 
+    /** Time for which a stop waits for the calls that are being handled, which are short. */
+    private static final int STOP_TIMEOUT_SECONDS = 1;
+
     private static final int SELECTOR_THREADS = 1;
     private static final int WORKER_THREADS = 2;
 
     private final TServer server;
-    private final TNonblockingServerSocket socket;
+    private final Thread thread;
+    private final ListeningSocket socket;
 
-    private PeerServer(TNonblockingServerSocket socket, TServer server) {
+    private PeerServer(ListeningSocket socket, TServer server, Thread thread) {
         this.socket = socket;
         this.server = server;
+        this.thread = thread;
+    }
+
+    /**
+     * A server socket that several threads may use at a time. Whoever stops a Thrift server closes its socket, and so do
+     * the server's own threads when they end; the methods of the superclass read a field that {@code close} clears.
+     */
+    private static final class ListeningSocket extends TNonblockingServerSocket {
+        private ListeningSocket(NonblockingAbstractServerSocketArgs args) throws TTransportException {
+            super(args);
+        }
+
+        @Override
+        public synchronized void listen() throws TTransportException {
+            super.listen();
+        }
+
+        @Override
+        public synchronized int getPort() {
+            return super.getPort();
+        }
+
+        @Override
+        public synchronized void close() {
+            super.close();
+        }
     }
 
     /**
@@ -72,13 +104,15 @@
 
     private static PeerServer startProcessor(InetSocketAddress address, TProcessor processor) {
         try {
-            TNonblockingServerSocket socket =
-                    new TNonblockingServerSocket(new TNonblockingServerSocket.NonblockingAbstractServerSocketArgs()
+            ListeningSocket socket =
+                    new ListeningSocket(new TNonblockingServerSocket.NonblockingAbstractServerSocketArgs()
                             .bindAddr(address)
                             .maxFrameSize(MAX_FRAME_BYTES));
             TThreadedSelectorServer.Args args = new TThreadedSelectorServer.Args(socket)
                     .selectorThreads(SELECTOR_THREADS)
                     .workerThreads(WORKER_THREADS)
+                    .stopTimeoutVal(STOP_TIMEOUT_SECONDS)
+                    .stopTimeoutUnit(TimeUnit.SECONDS)
                     .transportFactory(new TFramedTransport.Factory(MAX_FRAME_BYTES))
                     .protocolFactory(new TBinaryProtocol.Factory())
                     .processor(processor);
@@ -87,7 +121,7 @@
             Thread thread = new Thread(server::serve, "peer-server");
             thread.setDaemon(true);
             thread.start();
-            return new PeerServer(socket, server);
+            return new PeerServer(socket, server, thread);
         } catch (TTransportException e) {
             throw new CodedException(ErrorCode.BAD_SETTINGS, "cannot listen on " + address, e);
         }
@@ -98,10 +132,11 @@
         return socket.getPort();
     }
 
+    /** Closes the socket and all connections, and waits until the threads of the server have ended. */
     @Override
     public void close() {
         server.stop();
-        socket.close();
+        Uninterruptibles.joinUninterruptibly(thread);
     }
 
     private static final class PeerHandler extends ExchangeService implements Peer.AsyncIface {
