Place no task on a restarted target before its report and its entry agree

What callers saw: tasks ran on a target without the label that they require (ROUTE), after about every second restart of a target that came back under its id as another kind. The same error let a smaller process be filled beyond its capacity (LIMIT).

Cause: when a report showed another start time, LeaseSystem.handleRestart kept labels, capacity and state of the old entry under the new start time, so the entry of an ended process counted as the new one's until the list of targets was read.

All came after the restart was noticed; none between restart and notice.

Change: PoolTarget keeps the start time of the last known process apart from that of its entry. Unless both agree, the target gets no tasks, isn't counted in throughput and load, and isn't taken as too small for a job; the list is read at once and each 100 ms. An entry of an earlier process that is read late is passed over. Also dropped at a restart: slowness, pause, trial, failures and the end of the earlier lease; an inherited run takes all of a target whatever its size. Only a report ends the silence of a target, and a start response whose clock is behind the one known at the order keeps new tasks off until the next report, because neither names its process.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -313,6 +313,9 @@
     private void afterBatch(long now) {
         workLog.countLoopPass();
         poolRunner.tick(now);
+        if (poolRunner.requestsTargetList(now)) {
+            storeFollower.readTargetsSoon();
+        }
         if (now >= nextTimersNanos || now >= peerMonitor.nextCycleNanos()) {
             runTimers(now);
             nextTimersNanos = now
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -308,6 +308,21 @@
         masters.forEach((pool, master) -> master.updateTargets(targetDirectory.targets(pool), now));
     }
 
+    /**
+     * Returns whether the list of targets should be read at once, because a target of this host's pools has started
+     * again and its new entry isn't known. The entry may have been read before the restart was noticed.
+     */
+    boolean requestsTargetList(long now) {
+        boolean requested = false;
+        for (Map.Entry<PoolId, PoolMaster> entry : masters.entrySet()) {
+            if (entry.getValue().requestsTargetList(now)) {
+                entry.getValue().updateTargets(targetDirectory.targets(entry.getKey()), now);
+                requested = true;
+            }
+        }
+        return requested;
+    }
+
     void tick(long now) {
         ImmutableList.copyOf(masters.values()).forEach(master -> master.tickIfDue(now));
     }
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -107,7 +107,8 @@
         }
         for (StepSpec step : order.steps()) {
             boolean fits = tables.targets().stream()
-                    .anyMatch(target -> target.entry().capacity().covers(step.need()));
+                    .anyMatch(target -> !target.entryIsCurrent()
+                            || target.entry().capacity().covers(step.need()));
             if (!fits && !tables.targets().isEmpty()) {
                 return Optional.of(new JobResult.Failed("no target of the pool can hold a task of the job"));
             }
@@ -180,6 +181,7 @@
                 && !target.fencedOut()
                 && target.consecutiveMisses() == 0
                 && target.listed()
+                && target.entryIsCurrent()
                 && !target.entry().draining();
     }
 
--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -31,6 +31,8 @@
     private final RunSystem runs;
     private final LeaseGrants grants;
     private long lastSequenceNumber;
+    /** Whether a report may have shown a restart of a target whose new entry isn't known yet. */
+    private boolean mayAwaitEntries;
 
     LeaseSystem(PoolTables tables, PoolActions actions, RunSystem runs, LeaseGrants grants) {
         this.tables = tables;
@@ -121,14 +123,13 @@
         if (sentNanos.isEmpty()) {
             return;
         }
-        if (report.startTimeMs() != 0
-                && target.entry().startTimeMs() != 0
-                && report.startTimeMs() != target.entry().startTimeMs()) {
+        if (report.startTimeMs() != 0 && target.startTimeMs() != 0 && report.startTimeMs() != target.startTimeMs()) {
             handleRestart(target, report.startTimeMs(), now);
+            mayAwaitEntries = true;
             return;
         }
         boolean newest = report.clockMs() >= target.clockMs();
-        target.recordResponse(report.clockMs(), now);
+        target.recordReport(report.clockMs(), now);
         if (!target.tokenConfirmed()) {
             target.confirmToken();
             actions.logTargetChange(target.entry(), "taken", "first report under this master's fencing token");
@@ -140,22 +141,23 @@
         }
     }
 
-    /** Discards the state of a target's previous process; the next report shows which runs are present. */
+    /**
+     * Discards the state of a target's previous process. The next report shows which runs are present; the target gets
+     * no tasks before the entry of the new process has been read as well.
+     */
     void handleRestart(PoolTarget target, long startTimeMs, long now) {
-        TargetEntry oldEntry = target.entry();
-        target.updateEntry(new TargetEntry(
-                oldEntry.id(),
-                startTimeMs,
-                oldEntry.address(),
-                oldEntry.pool(),
-                oldEntry.draining(),
-                oldEntry.capacity(),
-                oldEntry.labels()));
         runs.markAllUncertain(target, now);
-        target.resetAfterRestart();
+        target.resetAfterRestart(startTimeMs, tables.kindSlowness().mean(), now);
         actions.logTargetChange(target.entry(), "restarted", "a new process of the target has the same id");
     }
 
+    /** Returns whether the entry of the current process of a listed target isn't known. */
+    boolean awaitsEntries() {
+        mayAwaitEntries = mayAwaitEntries
+                && tables.targets().stream().anyMatch(target -> target.listed() && !target.entryIsCurrent());
+        return mayAwaitEntries;
+    }
+
     /** Handles a lease extension that brought no report. */
     void handleReportFailure(String targetId, long sequenceNumber, OrderVerdict verdict, long now) {
         PoolTarget target = tables.target(targetId).orElse(null);
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -29,6 +29,8 @@
     private static final long SCAN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
     /** Minimum interval between two attempts to place tasks that found no free capacity. */
     private static final long PLACEMENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
+    /** Minimum interval between two requests to read the list of targets, so that each is answered before the next. */
+    private static final long ENTRY_REQUEST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Timer interval while the pool has no open job and no run. */
     private static final long IDLE_TICK_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
 
@@ -58,6 +60,7 @@
 
     private long lastScanNanos;
     private long lastPlacementNanos;
+    private long lastEntryRequestNanos;
     private boolean released;
 
     /**
@@ -100,6 +103,7 @@
         this.placement = new TaskPlacementSystem(tables, runs, grants);
         this.progress = new ProgressSystem(tables, runs, leases, placement);
         this.lastScanNanos = now - SCAN_INTERVAL_NANOS;
+        this.lastEntryRequestNanos = now - ENTRY_REQUEST_INTERVAL_NANOS;
         this.lastPlacementNanos = now - PLACEMENT_INTERVAL_NANOS;
     }
 
@@ -135,17 +139,32 @@
     }
 
     private void updateTarget(PoolTarget target, TargetEntry entry, long now) {
-        if (entry.startTimeMs() > target.entry().startTimeMs() && target.entry().startTimeMs() != 0) {
+        boolean ofKnownProcess = entry.startTimeMs() == target.entry().startTimeMs();
+        if (!ofKnownProcess && target.startTimeMs() != 0 && entry.startTimeMs() > target.startTimeMs()) {
             leases.handleRestart(target, entry.startTimeMs(), now);
         }
-        if (entry.startTimeMs() < target.entry().startTimeMs()) {
+        if (target.startTimeMs() != 0 && entry.startTimeMs() != target.startTimeMs()) {
+            // The entry of an earlier process. Entries and reports may be late, and the clock of a machine may be set
+            // back between two processes; only a report shows for certain which process is the current one.
             return;
         }
         if (entry.draining() != target.entry().draining()) {
             actions.logTargetChange(
                     entry, entry.draining() ? "draining" : "ready", "state of the target in the platform's list");
         }
-        target.updateEntry(entry);
+        target.updateEntry(entry, tables.kindSlowness().of(entry.kind()));
+    }
+
+    /**
+     * Returns whether the list of targets should be read at once, because the entry of the current process of a target
+     * isn't known. Returns true at intervals of 100 ms as long as this is so.
+     */
+    public boolean requestsTargetList(long now) {
+        if (!leases.awaitsEntries() || now - lastEntryRequestNanos < ENTRY_REQUEST_INTERVAL_NANOS) {
+            return false;
+        }
+        lastEntryRequestNanos = now;
+        return true;
     }
 
     /** Accepts, refuses or redirects a job that an entry host sends. */
--- a/src/main/java/org/mustardlink/pool/PoolTarget.java
+++ b/src/main/java/org/mustardlink/pool/PoolTarget.java
@@ -23,7 +23,9 @@
 
     private final Map<RunId, Run> runs = new LinkedHashMap<>();
     private final Map<Long, Long> pendingReportSentNanos = new HashMap<>();
+    private final long maxLeaseMs;
     private TargetEntry entry;
+    private long startTimeMs;
     private boolean listed = true;
     private FencingToken token;
     private boolean tokenConfirmed;
@@ -34,10 +36,11 @@
     private long latestLeaseDeadlineMs;
     private long earlierLeaseEndNanos;
     private Capacity usedCapacity = Capacity.NONE;
+    private int runsOfUnknownNeed;
     private long acknowledgedUpTo;
     private int consecutiveMisses;
     private long lastMissNanos;
-    private long lastResponseNanos;
+    private long lastReportNanos;
     private long pausedUntilNanos;
     private int pauseCount;
     private boolean onTrial;
@@ -47,9 +50,11 @@
 
     PoolTarget(TargetEntry entry, FencingToken token, long maxLeaseMs, double slowness, long now) {
         this.entry = entry;
+        this.startTimeMs = entry.startTimeMs();
         this.token = token;
+        this.maxLeaseMs = maxLeaseMs;
         this.slowness = slowness;
-        this.lastResponseNanos = now;
+        this.lastReportNanos = now;
         this.pausedUntilNanos = now;
         this.clockReadNanos = now;
         this.earlierLeaseEndNanos = now + withClockDriftNanos(maxLeaseMs);
@@ -61,12 +66,39 @@
                 + LEASE_MARGIN_NANOS;
     }
 
+    /** Returns the entry that was read last, of the current process or of an earlier one. */
     TargetEntry entry() {
         return entry;
     }
 
-    void updateEntry(TargetEntry changed) {
+    /**
+     * Returns the start of the newest process of the target that an entry or a report has shown, in milliseconds since
+     * the epoch; 0 if the platform doesn't state it.
+     */
+    long startTimeMs() {
+        return startTimeMs;
+    }
+
+    /**
+     * Returns whether the entry was written by the current process. The next process of a target may have other labels,
+     * another capacity and another state, so the entry of an earlier one says nothing about it.
+     */
+    boolean entryIsCurrent() {
+        return entry.startTimeMs() == startTimeMs;
+    }
+
+    /**
+     * Replaces the entry with one of the current process.
+     *
+     * @param kindSlowness slowness of the kind of target, from which the average starts if the entry is the first one of
+     *     its process
+     */
+    void updateEntry(TargetEntry changed, double kindSlowness) {
+        if (changed.startTimeMs() != entry.startTimeMs()) {
+            slowness = kindSlowness;
+        }
         entry = changed;
+        startTimeMs = changed.startTimeMs();
         listed = true;
     }
 
@@ -78,8 +110,9 @@
         listed = false;
     }
 
+    /** Returns the kind of the target; empty as long as no entry of its current process is known. */
     String kind() {
-        return entry.kind();
+        return entryIsCurrent() ? entry.kind() : "";
     }
 
     FencingToken token() {
@@ -118,16 +151,19 @@
     void add(Run run) {
         runs.put(run.id(), run);
         usedCapacity = usedCapacity.plus(run.need());
+        runsOfUnknownNeed += run.task().isEmpty() ? 1 : 0;
     }
 
     void remove(Run run) {
         if (runs.remove(run.id()) != null) {
             usedCapacity = runs.values().stream().map(Run::need).reduce(Capacity.NONE, Capacity::plus);
+            runsOfUnknownNeed -= run.task().isEmpty() ? 1 : 0;
         }
     }
 
+    /** Returns the capacity that no run uses. A run that belongs to no known task may use all of it. */
     Capacity freeCapacity() {
-        return entry.capacity().minus(usedCapacity);
+        return runsOfUnknownNeed > 0 ? Capacity.NONE : entry.capacity().minus(usedCapacity);
     }
 
     long acknowledgedUpTo() {
@@ -146,10 +182,18 @@
         return clockMs;
     }
 
-    /** Records that the target responded, and the reading of its clock in the response. */
-    void recordResponse(long responseClockMs, long now) {
-        lastResponseNanos = now;
+    /** Records that the current process of the target has sent a report, and the reading of its clock in the report. */
+    void recordReport(long reportClockMs, long now) {
+        lastReportNanos = now;
         consecutiveMisses = 0;
+        recordClock(reportClockMs, now);
+    }
+
+    /**
+     * Records the reading of the target's clock in the response to an order. Such a response doesn't state which process
+     * of the target has sent it, so it doesn't end the silence of a target.
+     */
+    void recordClock(long responseClockMs, long now) {
         if (responseClockMs > clockMs) {
             clockMs = responseClockMs;
             clockReadNanos = now;
@@ -187,12 +231,24 @@
 
     /**
      * Discards what is known about the previous process of the target. The token is raised so that the new process
-     * doesn't execute orders that were sent to the previous one.
+     * doesn't execute orders that were sent to the previous one; those that it has executed already may have given it a
+     * lease.
+     *
+     * @param newStartTimeMs start of the new process, in milliseconds since the epoch
+     * @param meanSlowness mean slowness of all kinds of targets, which holds until the kind of the new process is known
      */
-    void resetAfterRestart() {
+    void resetAfterRestart(long newStartTimeMs, double meanSlowness, long now) {
+        startTimeMs = newStartTimeMs;
         acknowledgedUpTo = 0;
         clockMs = 0;
         latestLeaseDeadlineMs = 0;
+        earlierLeaseEndNanos = now + withClockDriftNanos(maxLeaseMs);
+        slowness = meanSlowness;
+        pausedUntilNanos = now;
+        pauseCount = 0;
+        onTrial = false;
+        lastFailedJob = "";
+        consecutiveFailures = 0;
         raiseToken();
         fencedOut = false;
     }
@@ -217,8 +273,8 @@
         return consecutiveMisses;
     }
 
-    long lastResponseNanos() {
-        return lastResponseNanos;
+    long lastReportNanos() {
+        return lastReportNanos;
     }
 
     /** Records that a report was requested by the lease extension with the given sequence number. */
--- a/src/main/java/org/mustardlink/pool/Run.java
+++ b/src/main/java/org/mustardlink/pool/Run.java
@@ -31,6 +31,7 @@
     private final Optional<PoolTask> task;
     private final Capacity need;
     private final long expectedNanos;
+    private long orderClockMs;
     private State state;
     private long stateSinceNanos;
     private long confirmedClockMs;
@@ -64,9 +65,18 @@
         this.lastReportNanos = now;
     }
 
-    /** Creates a run whose start is being ordered under a fencing token. */
-    static Run ordered(RunId id, PoolTask task, long now, FencingToken token, long expectedNanos) {
-        return new Run(id, Optional.of(task), task.spec().need(), State.STARTING, now, token.value(), expectedNanos);
+    /** Creates a run whose start is being ordered, under the target's token and at the last known reading of its clock. */
+    static Run ordered(RunId id, PoolTask task, long now, PoolTarget target, long expectedNanos) {
+        Run run = new Run(
+                id,
+                Optional.of(task),
+                task.spec().need(),
+                State.STARTING,
+                now,
+                target.token().value(),
+                expectedNanos);
+        run.orderClockMs = target.clockMs();
+        return run;
     }
 
     /** Creates a run that an earlier master started. Until it is adopted, it counts as using the whole target. */
@@ -128,6 +138,11 @@
         return startConfirmed;
     }
 
+    /** Returns the last known reading of the target's clock when the start was ordered. */
+    long orderClockMs() {
+        return orderClockMs;
+    }
+
     /** Returns whether the start was ordered under a lower token than the given one. */
     boolean orderedBefore(FencingToken token) {
         return fencingToken < token.value();
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -51,7 +51,7 @@
     void startRun(PoolTarget target, PoolTask task, long now, long expectedNanos) {
         long leaseMs = Math.min(grants.longestMillis(target, now), grants.longestMillis(task.job(), now));
         long deadlineMs = target.newLeaseDeadlineMs(leaseMs, now);
-        Run run = Run.ordered(task.nextRunId(), task, now, target.token(), expectedNanos);
+        Run run = Run.ordered(task.nextRunId(), task, now, target, expectedNanos);
         tables.add(target, run);
         task.setState(PoolTask.State.ACTIVE);
         task.job().markStarted();
@@ -78,11 +78,16 @@
             return handleSupersededStartResponse(target, run, verdict);
         }
         if (clockMs > 0) {
-            target.recordResponse(clockMs, now);
+            target.recordClock(clockMs, now);
+        }
+        boolean restarted = clockMs > 0 && clockMs < run.orderClockMs();
+        if (restarted) {
+            // The clock starts anew with each process. The next report shows which process this is.
+            target.markTokenUnconfirmed();
         }
         if (verdict == OrderVerdict.DONE) {
             run.confirmRunning(clockMs, now);
-            return false;
+            return restarted;
         }
         if (verdict.mayTakeEffect()) {
             if (run.state() == Run.State.STARTING) {
@@ -111,7 +116,7 @@
                 default -> logAndRequeue(target, task, "response to the start order: " + verdict);
             }
         });
-        return verdict != OrderVerdict.OLD;
+        return restarted || verdict != OrderVerdict.OLD;
     }
 
     /**
@@ -265,10 +270,12 @@
     private void handleDone(PoolTarget target, PoolTask task, Run run, long now) {
         long elapsedNanos = now - run.startOrderedNanos();
         double ratio = elapsedNanos / (double) Math.max(1, tables.expectedNanos(task));
-        tables.runTimeEstimator().addSample(task.job().order().route(), elapsedNanos / target.slowness());
-        task.job().recordWorkFactor(observedWorkFactor(target, task, elapsedNanos));
-        tables.kindSlowness().addSample(target.kind(), ratio);
-        target.recordSuccess(ratio, tables.kindSlowness().of(target.kind()));
+        if (target.entryIsCurrent()) {
+            tables.runTimeEstimator().addSample(task.job().order().route(), elapsedNanos / target.slowness());
+            task.job().recordWorkFactor(observedWorkFactor(target, task, elapsedNanos));
+            tables.kindSlowness().addSample(target.kind(), ratio);
+            target.recordSuccess(ratio, tables.kindSlowness().of(target.kind()));
+        }
         task.setState(PoolTask.State.DONE);
         if (!task.job().closed() && task.job().allTasksDone()) {
             jobs.finish(task.job(), new JobResult.Complete());
@@ -363,7 +370,7 @@
             return false;
         }
         if (clockMs > 0) {
-            target.recordResponse(clockMs, now);
+            target.recordClock(clockMs, now);
         }
         if (verdict != OrderVerdict.DONE) {
             return false;
--- a/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
@@ -16,7 +16,7 @@
  * so that smaller tasks don't starve it.
  */
 final class TaskPlacementSystem {
-    /** A target that hasn't responded for this long gets no new tasks; the time covers two reports. */
+    /** A target that hasn't reported for this long gets no new tasks; the time covers two reports. */
     private static final long MAX_SILENCE_NANOS = TimeUnit.MILLISECONDS.toNanos(2L * LeaseSystem.REPORT_WAIT_MS + 200);
     /** Slowness of a target relative to the mean of its kind from which the target counts as faulty. */
     private static final double FAULTY_SLOWNESS = 2.2;
@@ -62,13 +62,14 @@
     /** Returns whether a target may be given new tasks. */
     static boolean acceptsTasks(PoolTarget target, long now) {
         return target.listed()
+                && target.entryIsCurrent()
                 && !target.entry().draining()
                 && target.tokenConfirmed()
                 && target.clockKnown()
                 && target.consecutiveMisses() == 0
                 && !target.paused(now)
                 && !(target.onTrial() && !target.runs().isEmpty())
-                && now - target.lastResponseNanos() < MAX_SILENCE_NANOS;
+                && now - target.lastReportNanos() < MAX_SILENCE_NANOS;
     }
 
     /** Returns whether a target isn't much slower than other targets of its kind. */
