Keep a start without a response known when another host takes its pool over

What callers saw: a task of their job ran twice at a time.

Cause: which starts may still be carried out was stated by the master that ordered them only, only for jobs that had ended there, and held for 0.9 s after its last repetition. The next master didn't know of them.

Change: PendingStarts names target, fencing token and job, so that any later master of the target knows when the start is over: the target has confirmed a higher token. A master states a start when its response is overdue, at once and every 0.3 s; every host keeps the statement, tells it to hosts it is newly connected to, and the next masters of the pool repeat it until the target has confirmed their token, and then state that it is settled. So the end of one host loses no start that was stated once, and a job is refused (502) only while a target may carry a start of it out. A start that no master states any more, because its target has left the list, ends after 15 s. A host keeps 10,000 starts; a message names 500.

Weighed: a statement about the whole pool by a new master whose targets haven't all confirmed its token needs no message before the takeover, but would refuse all jobs that are sent again, because no host knows which ones the old master had started. Statements kept by time alone block a job longer than its start is possible, or too short.

Tests: PendingStartsTest moves to pool with its class and plays real masters. Its two tests of the hold time are replaced: a statement now holds until it is settled, or 15 s, which is stricter. With a hold of 0.9 s and no repetition by the next master, as before, the_next_master_repeats_a_start_until_the_target_has_confirmed_its_token, a_job_is_refused_from_the_first_statement_until_its_start_is_settled and a_host_learns_pending_starts_when_it_is_connected fail. LateOrderTest checks also that a start is pending from its timeout on, no longer from the end of its job on.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -47,6 +47,8 @@
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.LeaseLimits;
+import org.mustardlink.pool.PendingStartStatement;
+import org.mustardlink.pool.PendingStarts;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.RequestId;
 import org.mustardlink.routing.Route;
@@ -129,7 +131,6 @@
     private boolean peerSnapshotApplied;
     private long nextTimersNanos;
     private long snapshotRequestedNanos;
-    private long pendingStartsSentNanos;
     private volatile Optional<RoutingTable> routes = Optional.empty();
     private volatile boolean anyPoolHasMaster;
     private volatile boolean stopping;
@@ -141,7 +142,6 @@
         this.settings = settings;
         this.startedNanos = System.nanoTime();
         this.snapshotRequestedNanos = startedNanos;
-        this.pendingStartsSentNanos = startedNanos;
         this.self = new HostInfo(
                 settings.id(),
                 settings.domain(),
@@ -377,19 +377,11 @@
                 .anyMatch(pool -> ownership.master(pool, now).isPresent());
     }
 
-    /** Keeps every host from accepting the jobs of which a start at a target of this host may still be carried out. */
+    /** Tells every host which jobs must not be accepted, because a start may still be carried out. */
     private void announcePendingStarts(long now) {
-        pendingStarts.expire(now);
-        if (now - pendingStartsSentNanos < PendingStarts.REPEAT_INTERVAL_NANOS) {
-            return;
-        }
-        ImmutableSet<String> jobs = poolRunner.jobsWithPendingStarts();
-        if (jobs.isEmpty()) {
-            return;
+        for (PendingStartStatement statement : pendingStarts.review(poolRunner.masters(), now)) {
+            ownership.otherHosts().forEach(host -> send(host.id(), new PeerMessage.PendingStarts(statement)));
         }
-        pendingStartsSentNanos = now;
-        pendingStarts.record(jobs, now);
-        ownership.otherHosts().forEach(host -> send(host.id(), new PeerMessage.PendingStarts(jobs)));
     }
 
     private long nextDueNanos(long now) {
@@ -457,7 +449,7 @@
                 false);
         loop.post(now -> {
             openRequests.add(order, configVersion, onResponse, now);
-            if (pendingStarts.contains(job, now)) {
+            if (pendingStarts.contains(job)) {
                 openRequests.respond(
                         requestNumber,
                         CallerResponse.of(
@@ -586,6 +578,7 @@
                 nextTimersNanos = now;
                 requestDispatcher.resendOrders(host, now);
                 resendCancellations(host);
+                pendingStarts.known(now).forEach(statement -> send(host, new PeerMessage.PendingStarts(statement)));
             });
         }
 
@@ -632,7 +625,7 @@
         } else if (message instanceof PeerMessage.Snapshot peerSnapshot) {
             applyPeerSnapshot(peerSnapshot, now);
         } else if (message instanceof PeerMessage.PendingStarts pending) {
-            pendingStarts.record(pending.jobs(), now);
+            pendingStarts.record(pending.statement(), now);
         } else if (message instanceof PeerMessage.Cancel cancel) {
             boolean found = cancelLocally(cancel.job(), now);
             peerLinks.send(sender.id(), new PeerMessage.Canceled(cancel.job(), found));
@@ -735,7 +728,7 @@
 
         @Override
         public void stopMaster(PoolId pool, String reason) {
-            poolRunner.release(pool, reason);
+            pendingStarts.recordOwn(poolRunner.release(pool, reason), System.nanoTime());
         }
     }
 }
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -3,6 +3,8 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
+import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
@@ -26,6 +28,7 @@
 import org.mustardlink.pool.LeaseExtension;
 import org.mustardlink.pool.LeaseLimits;
 import org.mustardlink.pool.OrderVerdict;
+import org.mustardlink.pool.PendingStart;
 import org.mustardlink.pool.PoolActions;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
@@ -220,16 +223,19 @@
         return !openHandovers.isEmpty();
     }
 
-    /** Stops acting as the master of a pool. */
-    void release(PoolId pool, String reason) {
+    /** Stops acting as the master of a pool; returns the starts of the master that may still be carried out. */
+    @CanIgnoreReturnValue
+    ImmutableSet<PendingStart> release(PoolId pool, String reason) {
         PoolMaster master = masters.remove(pool);
         log.line(LogEvent.POOL_RELEASED)
                 .with(LogField.POOL, pool)
                 .with(LogField.REASON, reason)
                 .write();
-        if (master != null) {
-            master.release();
+        if (master == null) {
+            return ImmutableSet.of();
         }
+        master.release();
+        return master.pendingStarts();
     }
 
     /**
@@ -324,11 +330,9 @@
         return loads.buildOrThrow();
     }
 
-    /** Returns the jobs of this host's pools that no pool may start for now; see {@link PendingStarts}. */
-    ImmutableSet<String> jobsWithPendingStarts() {
-        ImmutableSet.Builder<String> jobs = ImmutableSet.builder();
-        masters.values().forEach(master -> jobs.addAll(master.jobsWithPendingStarts()));
-        return jobs.build();
+    /** Returns the masters of this host's pools. */
+    Collection<PoolMaster> masters() {
+        return Collections.unmodifiableCollection(masters.values());
     }
 
     Optional<PoolLoad> load(PoolId pool, long now) {
--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -2,7 +2,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Map;
@@ -18,6 +17,8 @@
 import org.mustardlink.pool.Capacity;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
+import org.mustardlink.pool.PendingStart;
+import org.mustardlink.pool.PendingStartStatement;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
 import org.mustardlink.pool.RequestId;
@@ -104,10 +105,7 @@
             write(out, snapshot);
         } else if (message instanceof PeerMessage.PendingStarts pending) {
             out.writeByte(PENDING_STARTS);
-            out.writeI32(pending.jobs().size());
-            for (String job : pending.jobs()) {
-                out.writeString(job);
-            }
+            write(out, pending.statement());
         } else if (message instanceof PeerMessage.Cancel cancel) {
             out.writeByte(CANCEL);
             out.writeString(cancel.job());
@@ -128,19 +126,45 @@
             case RESULT -> new PeerMessage.Result(readPool(in), in.readI32(), readRequest(in), readResult(in));
             case SNAPSHOT_REQUEST -> new PeerMessage.SnapshotRequest();
             case SNAPSHOT -> readSnapshot(in);
-            case PENDING_STARTS -> readPendingStarts(in);
+            case PENDING_STARTS -> new PeerMessage.PendingStarts(readPendingStarts(in));
             case CANCEL -> new PeerMessage.Cancel(in.readString());
             case CANCELED -> new PeerMessage.Canceled(in.readString(), in.readBool());
             default -> throw new TException("unknown peer message type: " + type);
         };
     }
 
-    private static PeerMessage.PendingStarts readPendingStarts(TCompactProtocol in) throws TException {
-        ImmutableSet.Builder<String> jobs = ImmutableSet.builder();
+    private static void write(TCompactProtocol out, PendingStartStatement statement) throws TException {
+        out.writeI32(statement.pending().size());
+        for (Map.Entry<PendingStart, Duration> entry : statement.pending().entrySet()) {
+            write(out, entry.getKey());
+            out.writeI64(entry.getValue().toNanos());
+        }
+        out.writeI32(statement.settled().size());
+        for (PendingStart start : statement.settled()) {
+            write(out, start);
+        }
+    }
+
+    private static PendingStartStatement readPendingStarts(TCompactProtocol in) throws TException {
+        ImmutableMap.Builder<PendingStart, Duration> pending = ImmutableMap.builder();
         for (int i = readCount(in); i > 0; i--) {
-            jobs.add(in.readString());
+            pending.put(readPendingStart(in), Duration.ofNanos(in.readI64()));
         }
-        return new PeerMessage.PendingStarts(jobs.build());
+        ImmutableList.Builder<PendingStart> settled = ImmutableList.builder();
+        for (int i = readCount(in); i > 0; i--) {
+            settled.add(readPendingStart(in));
+        }
+        return new PendingStartStatement(pending.buildKeepingLast(), settled.build());
+    }
+
+    private static void write(TCompactProtocol out, PendingStart start) throws TException {
+        out.writeString(start.target());
+        out.writeI64(start.fencingToken());
+        out.writeString(start.job());
+    }
+
+    private static PendingStart readPendingStart(TCompactProtocol in) throws TException {
+        return new PendingStart(in.readString(), in.readI64(), in.readString());
     }
 
     private static void write(TCompactProtocol out, PeerMessage.Snapshot snapshot) throws TException {
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -4,12 +4,12 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.ownership.HostInfo;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
+import org.mustardlink.pool.PendingStartStatement;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
 import org.mustardlink.pool.RequestId;
@@ -95,14 +95,14 @@
     record Result(PoolId pool, int round, RequestId request, JobResult result) implements PeerMessage {}
 
     /**
-     * States which jobs the receiver must not accept for now, because a start of an earlier attempt may still be carried
-     * out. Repeated as long as that is so.
+     * States for which jobs a start may still be carried out, so that the receiver must not accept them, and for which it
+     * no longer may. Repeated as long as a start is pending.
      *
-     * @param jobs the jobs
+     * @param statement the pending and the settled starts
      */
-    record PendingStarts(ImmutableSet<String> jobs) implements PeerMessage {
+    record PendingStarts(PendingStartStatement statement) implements PeerMessage {
         public PendingStarts {
-            checkNotNull(jobs, "jobs");
+            checkNotNull(statement, "statement");
         }
     }
 
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -322,22 +322,39 @@
     }
 
     /**
-     * Returns the jobs that have ended here while a start of one of their tasks had no response and may still be carried
-     * out. Leases don't bound such a start, since it may reach a later process of its target; the target refuses it once
-     * it has reported under a raised token. Until then no other pool may start the job.
+     * Returns the starts that have got no response and may still be carried out. A start whose response is awaited
+     * counts only if its job has ended. Leases don't bound such a start, since it may reach a later process of its
+     * target; the target refuses it once it has reported under a raised token.
      */
-    public ImmutableSet<String> jobsWithPendingStarts() {
-        ImmutableSet.Builder<String> pending = ImmutableSet.builder();
+    public ImmutableSet<PendingStart> pendingStarts() {
+        ImmutableSet.Builder<PendingStart> pending = ImmutableSet.builder();
         for (PoolTarget target : tables.targets()) {
             for (Run run : target.runs()) {
-                if (!run.startConfirmed() && tables.job(run.id().task().job()).isEmpty()) {
-                    pending.add(run.id().task().job());
+                String job = run.id().task().job();
+                boolean responseAwaited =
+                        run.state() == Run.State.STARTING && tables.job(job).isPresent();
+                if (!run.startConfirmed() && !responseAwaited) {
+                    pending.add(new PendingStart(target.entry().id(), run.fencingToken(), job));
                 }
             }
         }
         return pending.build();
     }
 
+    /** Returns what this master knows about a pending start, which an earlier master may have ordered. */
+    public PendingStart.Status statusOf(PendingStart start) {
+        PoolTarget target = tables.target(start.target()).orElse(null);
+        if (target == null || start.fencingToken() > target.token().value()) {
+            return PendingStart.Status.UNKNOWN;
+        }
+        boolean refused = start.fencingToken() < target.token().value();
+        boolean mayBePresent = !refused
+                && target.runs().stream()
+                        .anyMatch(run ->
+                                !run.startConfirmed() && run.id().task().job().equals(start.job()));
+        return target.tokenConfirmed() && !mayBePresent ? PendingStart.Status.RULED_OUT : PendingStart.Status.POSSIBLE;
+    }
+
     /** Stops being the master: hands every open job back to its entry hosts, which send it to the next master. */
     public void release() {
         released = true;
--- a/src/main/java/org/mustardlink/pool/Run.java
+++ b/src/main/java/org/mustardlink/pool/Run.java
@@ -128,6 +128,11 @@
         return startConfirmed;
     }
 
+    /** Returns the value of the token under which the start was ordered; 0 if an earlier master ordered it. */
+    long fencingToken() {
+        return fencingToken;
+    }
+
     /** Returns whether the start was ordered under a lower token than the given one. */
     boolean orderedBefore(FencingToken token) {
         return fencingToken < token.value();
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -5,7 +5,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
-import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Optional;
@@ -17,6 +16,8 @@
 import org.mustardlink.pool.Capacity;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
+import org.mustardlink.pool.PendingStart;
+import org.mustardlink.pool.PendingStartStatement;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
 import org.mustardlink.pool.RequestId;
@@ -48,7 +49,14 @@
                     ImmutableList.of(new PeerMessage.Withdraw(POOL, REQUEST, "0123456789abcdef"))),
             new PeerMessage.Heartbeat(
                     0, 0, 0, Duration.ZERO, false, ImmutableList.of(), ImmutableMap.of(), ImmutableList.of()),
-            new PeerMessage.PendingStarts(ImmutableSet.of("0123456789abcdef", "fedcba9876543210")),
+            new PeerMessage.PendingStarts(new PendingStartStatement(
+                    ImmutableMap.of(
+                            new PendingStart("t-1", 1L << 52, "0123456789abcdef"),
+                            Duration.ofSeconds(15),
+                            new PendingStart("t-2", 0, "0123456789abcdef"),
+                            Duration.ofMillis(1)),
+                    ImmutableList.of(new PendingStart("t-1", 5, "fedcba9876543210")))),
+            new PeerMessage.PendingStarts(new PendingStartStatement(ImmutableMap.of(), ImmutableList.of())),
             new PeerMessage.Submit(
                     POOL,
                     7,
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -442,13 +442,13 @@
         private final HostDirectory directory = new HostDirectory();
         private final List<Withdrawal> withdrawals = new ArrayList<>();
         private final Map<EntryHost, Long> confirmedNanos = new HashMap<>();
-        private final Map<String, Long> pendingStartsUntilNanos = new HashMap<>();
         private final RequestConfirmations confirmations = (request, nanos) ->
                 request.host().equals(Host.this.id) && request.incarnation() == Host.this.incarnation
                         ? nanos
                         : confirmedNanos.getOrDefault(
                                 new EntryHost(request.host(), request.incarnation()), Long.MIN_VALUE);
         private RequestDispatcher requestDispatcher;
+        private PendingStarts pendingStarts = new PendingStarts();
         private long incarnation;
         private long startedNanos;
         private long frozenUntilNanos;
@@ -478,7 +478,7 @@
             sentResults.clear();
             withdrawals.clear();
             confirmedNanos.clear();
-            pendingStartsUntilNanos.clear();
+            pendingStarts = new PendingStarts();
             knownClaims.clear();
             knownClaims.putAll(claims);
             requestDispatcher = new RequestDispatcher(domain, directory, new HostDispatchActions());
@@ -538,9 +538,8 @@
             withdrawals.removeIf(withdrawal -> now - withdrawal.sinceNanos() > WITHDRAWAL_REPEAT_NANOS);
             EntryHost sender = new EntryHost(id, incarnation);
             ImmutableList<Withdrawal> sent = ImmutableList.copyOf(withdrawals);
-            Set<String> pendingStarts = new HashSet<>();
-            masters.values().forEach(hosted -> pendingStarts.addAll(hosted.master.jobsWithPendingStarts()));
-            receivePendingStarts(pendingStarts);
+            ImmutableList<PendingStartStatement> statements = pendingStarts.review(
+                    masters.values().stream().map(hosted -> hosted.master).toList(), now);
             for (Host receiver : hosts.values()) {
                 if (receiver == this || receiver.dead || isolated) {
                     continue;
@@ -555,17 +554,13 @@
                                             withdrawal.master().host().equals(receiver.id))
                                     .forEach(receiver::receiveWithdrawal);
                             receiver.confirmedNanos.put(sender, arrivalNanos);
-                            receiver.receivePendingStarts(pendingStarts);
+                            statements.forEach(statement -> receiver.pendingStarts.record(statement, now));
                         });
                     }
                 });
             }
         }
 
-        private void receivePendingStarts(Set<String> pendingStarts) {
-            pendingStarts.forEach(job -> pendingStartsUntilNanos.put(job, now + 3 * HEARTBEAT_INTERVAL_NANOS));
-        }
-
         private void receiveWithdrawal(Withdrawal withdrawal) {
             HostedMaster hosted = masters.get(withdrawal.master().pool());
             if (hosted != null) {
@@ -592,6 +587,7 @@
             schedule(now + randomNanos(700, 3_000), () -> {
                 log(() -> "restart host " + id);
                 start(expectedIncarnation + 1, now);
+                exchangePendingStarts();
             });
         }
 
@@ -609,10 +605,21 @@
             schedule(now + durationNanos, () -> {
                 if (incarnation == expectedIncarnation) {
                     isolated = false;
+                    exchangePendingStarts();
                 }
             });
         }
 
+        /** Does what hosts do when they are connected: each tells the other which starts it knows to be pending. */
+        private void exchangePendingStarts() {
+            for (Host other : hosts.values()) {
+                if (other != this && other.isAwake()) {
+                    sendPendingStarts(this, other);
+                    sendPendingStarts(other, this);
+                }
+            }
+        }
+
         private void markSilent(long durationNanos) {
             long expectedIncarnation = incarnation;
             silentSinceNanos = now;
@@ -701,6 +708,7 @@
             HostedMaster hosted = masters.remove(claim.pool());
             if (hosted != null) {
                 hosted.master.release();
+                pendingStarts.recordOwn(hosted.master.pendingStarts(), now);
             }
             requestDispatcher.tick(now);
         }
@@ -718,7 +726,7 @@
             }
             callerRequest.number = ++requestNumber;
             requestsByNumber.put(callerRequest.number, callerRequest);
-            if (now < pendingStartsUntilNanos.getOrDefault(callerRequest.job.id, Long.MIN_VALUE)) {
+            if (pendingStarts.contains(callerRequest.job.id)) {
                 CallerResponse response = CallerResponse.of(CallerResponse.Kind.MAY_HAVE_RUN, "a start may be pending");
                 schedule(now, () -> handleResponse(callerRequest.number, response));
                 return;
@@ -845,6 +853,18 @@
         }
     }
 
+    private void sendPendingStarts(Host from, Host to) {
+        if (from.isolated) {
+            return;
+        }
+        ImmutableList<PendingStartStatement> known = from.pendingStarts.known(now);
+        schedule(now + 3 * NETWORK_DELAY_NANOS, () -> {
+            if (!to.isolated && !to.dead) {
+                known.forEach(statement -> to.pendingStarts.record(statement, now));
+            }
+        });
+    }
+
     private void sendMessage(Host from, Host to, Runnable action) {
         if (from == to) {
             from.scheduleAfter(LOCAL_DELAY_NANOS, action);
--- a/src/test/java/org/mustardlink/pool/FailoverTest.java
+++ b/src/test/java/org/mustardlink/pool/FailoverTest.java
@@ -29,7 +29,11 @@
             // A restarted target carried out orders before the master noticed the restart.
             264L,
             292L,
-            312L);
+            312L,
+            // A start without a response was carried out after another host had taken the pool over.
+            784L,
+            788L,
+            1_821L);
 
     private static int runSeeds(List<Long> seeds, boolean lateLeasesCountFromArrival) {
         int resentCount = 0;
--- a/src/test/java/org/mustardlink/pool/LateOrderTest.java
+++ b/src/test/java/org/mustardlink/pool/LateOrderTest.java
@@ -325,22 +325,26 @@
      * target: the caller has sent the job again through another domain, where nothing is known of the start.
      */
     @Test
-    void a_job_has_a_pending_start_from_its_end_until_the_target_refuses_the_start() {
+    void a_start_is_pending_from_its_timeout_or_the_end_of_its_job_until_the_target_refuses_it() {
         master.updateTargets(ImmutableList.of(target("t", 5_000)), 0);
         master.tick(0);
         answerLastExtension("t", report(1_001, 5_000), ms(1));
+        PendingStart start = new PendingStart("t", recorder.lastExtension("t").fencingToken(), "job");
         RunId run = submitOneTask(ms(2));
+        assertThat(master.pendingStarts()).isEmpty();
         master.handleStartResponse("t", run, OrderVerdict.UNKNOWN, 0, ms(122));
-        assertThat(master.jobsWithPendingStarts()).isEmpty();
+        assertThat(master.pendingStarts()).containsExactly(start);
 
         master.withdrawRequest(JobOrders.of(1, "job", ONE_TASK, false).request(), "job", ms(130));
-        assertThat(master.jobsWithPendingStarts()).containsExactly("job");
+        assertThat(master.pendingStarts()).containsExactly(start);
 
         master.updateTargets(ImmutableList.of(target("t", 7_000)), ms(200));
         master.tick(ms(200));
-        assertThat(master.jobsWithPendingStarts()).containsExactly("job");
+        assertThat(master.pendingStarts()).containsExactly(start);
+        assertThat(master.statusOf(start)).isEqualTo(PendingStart.Status.POSSIBLE);
         answerLastExtension("t", report(5, 7_000), ms(210));
-        assertThat(master.jobsWithPendingStarts()).isEmpty();
+        assertThat(master.pendingStarts()).isEmpty();
+        assertThat(master.statusOf(start)).isEqualTo(PendingStart.Status.RULED_OUT);
     }
 
     /** Guards against refusing a job that is sent again although its first run was confirmed and only has to end. */
@@ -354,6 +358,6 @@
 
         master.withdrawRequest(JobOrders.of(1, "job", ONE_TASK, false).request(), "job", ms(130));
 
-        assertThat(master.jobsWithPendingStarts()).isEmpty();
+        assertThat(master.pendingStarts()).isEmpty();
     }
 }
--- /dev/null
+++ b/src/test/java/org/mustardlink/pool/PendingStartsTest.java
@@ -0,0 +1,225 @@
+package org.mustardlink.pool;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Maps;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+/** Tests that hosts know of a start without a response until its target refuses it, whichever hosts fail. */
+final class PendingStartsTest {
+    private static final PoolId POOL = new PoolId("yard", "east");
+    private static final TargetEntry TARGET = new TargetEntry(
+            "t",
+            0,
+            InetSocketAddress.createUnresolved("t", 1),
+            POOL,
+            false,
+            new Capacity(2_000, 100, 0),
+            ImmutableSet.of("a"));
+
+    private static final StepSpec ONE_TASK =
+            new StepSpec(1, new Capacity(1_000, 1, 0), Duration.ofMillis(50), ImmutableList.of(), Optional.empty(), 9);
+    private static final PendingStart START =
+            new PendingStart("t", FencingToken.firstOfRound(1, 1).value(), "job");
+    private static final PendingStart OTHER_START = new PendingStart("u", 7, "other");
+
+    private final RecordingPoolActions recorder = new RecordingPoolActions();
+    private final PendingStarts pendingStarts = new PendingStarts();
+
+    private static long ms(long millis) {
+        return TimeUnit.MILLISECONDS.toNanos(millis);
+    }
+
+    private static PendingStartStatement pending(PendingStart... starts) {
+        return pendingFor(Duration.ofNanos(PendingStarts.HOLD_NANOS), starts);
+    }
+
+    private static PendingStartStatement pendingFor(Duration time, PendingStart... starts) {
+        return new PendingStartStatement(Maps.toMap(ImmutableList.copyOf(starts), _start -> time), ImmutableList.of());
+    }
+
+    private static PendingStartStatement settled(PendingStart... starts) {
+        return new PendingStartStatement(ImmutableMap.of(), ImmutableList.copyOf(starts));
+    }
+
+    /** Creates the master of a round, to which the only target has not reported yet. */
+    private PoolMaster newMaster(int round, long now) {
+        PoolMaster master = new PoolMaster(
+                POOL,
+                FencingToken.firstOfRound(round, 1),
+                new LeaseLimits(Duration.ofSeconds(1), Duration.ofMillis(1_300)),
+                recorder.confirmations,
+                recorder,
+                _order -> Optional.empty(),
+                (_since, _now) -> true,
+                now);
+        master.updateTargets(ImmutableList.of(TARGET), now);
+        master.tick(now);
+        return master;
+    }
+
+    private void answerLastExtension(PoolMaster master, long clockMs, long now) {
+        LeaseReport report = new LeaseReport(clockMs, 0, ImmutableList.of(), ImmutableList.of());
+        master.handleReport("t", recorder.lastExtension("t").sequenceNumber(), report, now);
+        master.tick(now);
+    }
+
+    /** Returns the master of round 1, which has ordered the start of the job's task at 2 ms without a response. */
+    private PoolMaster newMasterWithPendingStart() {
+        PoolMaster master = newMaster(1, 0);
+        answerLastExtension(master, 1_000, ms(1));
+        master.submitJob(JobOrders.of(1, "job", ONE_TASK, false), ms(2));
+        master.tick(ms(2));
+        master.handleStartResponse("t", recorder.startedRuns.get(0), OrderVerdict.UNKNOWN, 0, ms(122));
+        return master;
+    }
+
+    private static ImmutableList<PendingStart> statedStarts(List<PendingStartStatement> statements) {
+        return statements.stream()
+                .flatMap(statement -> statement.pending().keySet().stream())
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    /** Guards against a job that is accepted between two statements of its master, of which one was lost. */
+    @Test
+    void a_job_is_refused_from_the_first_statement_until_its_start_is_settled() {
+        pendingStarts.record(pending(START, OTHER_START), 0);
+        pendingStarts.review(ImmutableList.of(), ms(1_400));
+        assertThat(pendingStarts.contains("job")).isTrue();
+        assertThat(pendingStarts.contains("unknown")).isFalse();
+
+        pendingStarts.record(settled(START), ms(1_500));
+        assertThat(pendingStarts.contains("job")).isFalse();
+        assertThat(pendingStarts.contains("other")).isTrue();
+    }
+
+    /** Guards against a job that is accepted because one of the two targets that may still start it refuses the start. */
+    @Test
+    void a_job_is_refused_until_its_starts_at_all_targets_are_settled() {
+        PendingStart elsewhere = new PendingStart("u", START.fencingToken(), "job");
+        pendingStarts.record(pending(START, elsewhere), 0);
+        pendingStarts.record(settled(START), ms(1));
+        assertThat(pendingStarts.contains("job")).isTrue();
+
+        pendingStarts.record(settled(elsewhere), ms(2));
+        assertThat(pendingStarts.contains("job")).isFalse();
+    }
+
+    /** Guards against a job that is refused for ever, because its target has left for good and no master asks it. */
+    @Test
+    void a_job_is_accepted_again_some_time_after_the_last_statement() {
+        pendingStarts.record(pending(START), 0);
+        pendingStarts.record(pending(START), ms(600));
+
+        pendingStarts.review(ImmutableList.of(), ms(600) + PendingStarts.HOLD_NANOS - 1);
+        assertThat(pendingStarts.contains("job")).isTrue();
+        pendingStarts.review(ImmutableList.of(), ms(600) + PendingStarts.HOLD_NANOS);
+        assertThat(pendingStarts.contains("job")).isFalse();
+    }
+
+    /** Guards against a second run after the end of a master that has known of a start but not stated it yet. */
+    @Test
+    void a_new_pending_start_is_stated_at_once_and_then_repeated() {
+        PoolMaster master = newMasterWithPendingStart();
+        pendingStarts.recordOwn(ImmutableList.of(OTHER_START), 0);
+        assertThat(pendingStarts.review(ImmutableList.of(), ms(100))).hasSize(1);
+
+        assertThat(statedStarts(pendingStarts.review(ImmutableList.of(master), ms(130))))
+                .containsExactly(OTHER_START, START);
+        assertThat(pendingStarts.review(ImmutableList.of(master), ms(140))).isEmpty();
+        assertThat(statedStarts(pendingStarts.review(ImmutableList.of(master), ms(430))))
+                .containsExactly(OTHER_START, START);
+    }
+
+    /** Guards against a second run: the master's host ends, and the next master doesn't know of the start. */
+    @Test
+    void the_next_master_repeats_a_start_until_the_target_has_confirmed_its_token() {
+        pendingStarts.record(pending(START), 0);
+        PoolMaster next = newMaster(2, ms(500));
+        assertThat(pendingStarts.review(ImmutableList.of(next), ms(500))).containsExactly(pending(START));
+        long laterNanos = ms(500) + PendingStarts.HOLD_NANOS / 2;
+        pendingStarts.review(ImmutableList.of(next), laterNanos);
+        pendingStarts.review(ImmutableList.of(next), laterNanos + PendingStarts.HOLD_NANOS - 1);
+        assertThat(pendingStarts.contains("job")).isTrue();
+
+        answerLastExtension(next, 30_000, laterNanos + PendingStarts.HOLD_NANOS);
+        assertThat(pendingStarts.review(ImmutableList.of(next), laterNanos + PendingStarts.HOLD_NANOS + ms(300)))
+                .containsExactly(settled(START));
+        assertThat(pendingStarts.contains("job")).isFalse();
+    }
+
+    /** Guards against a master that was replaced and forgets a start of which it has told nobody yet. */
+    @Test
+    void a_start_of_a_released_master_is_still_stated() {
+        PoolMaster master = newMaster(1, 0);
+        answerLastExtension(master, 1_000, ms(1));
+        master.submitJob(JobOrders.of(1, "job", ONE_TASK, false), ms(2));
+        master.tick(ms(2));
+        assertThat(master.pendingStarts()).isEmpty();
+        master.release();
+        pendingStarts.recordOwn(master.pendingStarts(), ms(50));
+
+        assertThat(pendingStarts.contains("job")).isTrue();
+        Duration remaining = Duration.ofNanos(PendingStarts.HOLD_NANOS - ms(10));
+        assertThat(pendingStarts.review(ImmutableList.of(), ms(60))).containsExactly(pendingFor(remaining, START));
+    }
+
+    /** Guards against a second run in a pool that is taken over by a host which has started after the statements. */
+    @Test
+    void a_host_learns_pending_starts_when_it_is_connected() {
+        pendingStarts.record(pending(START), 0);
+        PendingStarts ofNewHost = new PendingStarts();
+        pendingStarts.known(ms(1_000)).forEach(statement -> ofNewHost.record(statement, ms(1_001)));
+        assertThat(ofNewHost.contains("job")).isTrue();
+
+        ofNewHost.review(ImmutableList.of(), ms(2) + PendingStarts.HOLD_NANOS);
+        assertThat(ofNewHost.contains("job")).isFalse();
+    }
+
+    /** Guards against a job that stays refused after the target has confirmed or stopped its run. */
+    @Test
+    void a_start_that_is_confirmed_late_is_settled() {
+        PoolMaster master = newMasterWithPendingStart();
+        pendingStarts.review(ImmutableList.of(master), ms(130));
+
+        master.handleStartResponse("t", recorder.startedRuns.get(0), OrderVerdict.DONE, 1_200, ms(200));
+
+        assertThat(pendingStarts.review(ImmutableList.of(master), ms(430))).containsExactly(settled(START));
+        assertThat(pendingStarts.contains("job")).isFalse();
+    }
+
+    /** Guards against a superseded master that settles the start of a later one. */
+    @Test
+    void a_master_says_nothing_of_starts_under_a_higher_token_than_its_own() {
+        PoolMaster master = newMaster(1, 0);
+        answerLastExtension(master, 1_000, ms(1));
+        long laterToken = FencingToken.firstOfRound(2, 1).value();
+
+        assertThat(master.statusOf(new PendingStart("t", laterToken, "job"))).isEqualTo(PendingStart.Status.UNKNOWN);
+        assertThat(master.statusOf(new PendingStart("u", 0, "job"))).isEqualTo(PendingStart.Status.UNKNOWN);
+    }
+
+    /** Guards against messages that grow beyond the limit of a frame, and against a table that grows without limit. */
+    @Test
+    void many_starts_are_stated_in_several_messages_and_the_first_are_dropped() {
+        ImmutableList<PendingStart> starts = IntStream.rangeClosed(0, PendingStarts.MAX_STARTS)
+                .mapToObj(i -> new PendingStart("t", 1, "job-" + i))
+                .collect(ImmutableList.toImmutableList());
+        pendingStarts.recordOwn(starts, 0);
+
+        assertThat(pendingStarts.contains("job-0")).isFalse();
+        assertThat(pendingStarts.contains("job-1")).isTrue();
+        List<PendingStartStatement> statements = pendingStarts.review(ImmutableList.of(), ms(1));
+        assertThat(statements).hasSize(PendingStarts.MAX_STARTS / PendingStarts.MAX_STATED);
+        statements.forEach(statement -> assertThat(statement.pending().size()).isAtMost(PendingStarts.MAX_STATED));
+    }
+}
