--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -439,7 +439,6 @@
         private final HostDirectory directory = new HostDirectory();
         private final List<Withdrawal> withdrawals = new ArrayList<>();
         private final Map<EntryHost, Long> confirmedNanos = new HashMap<>();
-        private final Map<String, Long> pendingStartsUntilNanos = new HashMap<>();
         private final RequestConfirmations confirmations = (request, nanos) ->
                 request.host().equals(Host.this.id) && request.incarnation() == Host.this.incarnation
                         ? nanos
@@ -447,6 +446,7 @@
                                 new EntryHost(request.host(), request.incarnation()), Long.MIN_VALUE);
         private RequestDispatcher requestDispatcher;
         private OrderAdmission orderAdmission;
+        private PendingStarts pendingStarts = new PendingStarts();
         private long incarnation;
         private long startedNanos;
         private long frozenUntilNanos;
@@ -475,7 +475,7 @@
             masters.clear();
             withdrawals.clear();
             confirmedNanos.clear();
-            pendingStartsUntilNanos.clear();
+            pendingStarts = new PendingStarts();
             knownClaims.clear();
             knownClaims.putAll(claims);
             requestDispatcher = new RequestDispatcher(domain, directory, new HostDispatchActions());
@@ -537,9 +537,8 @@
             withdrawals.removeIf(withdrawal -> now - withdrawal.sinceNanos() > WITHDRAWAL_REPEAT_NANOS);
             EntryHost sender = new EntryHost(id, incarnation);
             ImmutableList<Withdrawal> sent = ImmutableList.copyOf(withdrawals);
-            Set<String> pendingStarts = new HashSet<>();
-            masters.values().forEach(hosted -> pendingStarts.addAll(hosted.master.jobsWithPendingStarts()));
-            receivePendingStarts(pendingStarts);
+            ImmutableList<PendingStartStatement> statements = pendingStarts.review(
+                    masters.values().stream().map(hosted -> hosted.master).toList(), now);
             for (Host receiver : hosts.values()) {
                 if (receiver == this || receiver.dead || isolated) {
                     continue;
@@ -555,17 +554,13 @@
                                     .forEach(receiver::receiveWithdrawal);
                             receiver.confirmedNanos.put(sender, arrivalNanos);
                             receiver.orderAdmission.readmitEntryHost(sender.id(), sender.incarnation());
-                            receiver.receivePendingStarts(pendingStarts);
+                            statements.forEach(statement -> receiver.pendingStarts.record(statement, now));
                         });
                     }
                 });
             }
         }
 
-        private void receivePendingStarts(Set<String> pendingStarts) {
-            pendingStarts.forEach(job -> pendingStartsUntilNanos.put(job, now + 3 * HEARTBEAT_INTERVAL_NANOS));
-        }
-
         private void receiveWithdrawal(Withdrawal withdrawal) {
             HostedMaster hosted = masters.get(withdrawal.master().pool());
             if (hosted != null) {
@@ -593,6 +588,7 @@
             schedule(now + randomNanos(700, 3_000), () -> {
                 log(() -> "restart host " + id);
                 start(expectedIncarnation + 1, now);
+                exchangePendingStarts();
             });
         }
 
@@ -610,10 +606,21 @@
             schedule(now + durationNanos, () -> {
                 if (incarnation == expectedIncarnation) {
                     isolated = false;
+                    exchangePendingStarts();
                 }
             });
         }
 
+        /** Does what hosts do when they are connected: each tells the other which starts it knows to be pending. */
+        private void exchangePendingStarts() {
+            for (Host other : hosts.values()) {
+                if (other != this && other.isAwake()) {
+                    sendPendingStarts(this, other);
+                    sendPendingStarts(other, this);
+                }
+            }
+        }
+
         private void markSilent(long durationNanos) {
             long expectedIncarnation = incarnation;
             silentSinceNanos = now;
@@ -702,6 +709,7 @@
             HostedMaster hosted = masters.remove(claim.pool());
             if (hosted != null) {
                 hosted.master.release();
+                pendingStarts.recordOwn(hosted.master.pendingStarts(), now);
             }
             requestDispatcher.tick(now);
         }
@@ -719,7 +727,7 @@
             }
             callerRequest.number = ++requestNumber;
             requestsByNumber.put(callerRequest.number, callerRequest);
-            if (now < pendingStartsUntilNanos.getOrDefault(callerRequest.job.id, Long.MIN_VALUE)) {
+            if (pendingStarts.contains(callerRequest.job.id)) {
                 CallerResponse response = CallerResponse.of(CallerResponse.Kind.MAY_HAVE_RUN, "a start may be pending");
                 schedule(now, () -> handleResponse(callerRequest.number, response));
                 return;
@@ -836,6 +844,18 @@
         }
     }
 
+    private void sendPendingStarts(Host from, Host to) {
+        if (from.isolated) {
+            return;
+        }
+        ImmutableList<PendingStartStatement> known = from.pendingStarts.known(now);
+        schedule(now + 3 * NETWORK_DELAY_NANOS, () -> {
+            if (!to.isolated && !to.dead) {
+                known.forEach(statement -> to.pendingStarts.record(statement, now));
+            }
+        });
+    }
+
     private void sendMessage(Host from, Host to, Runnable action) {
         if (from == to) {
             from.scheduleAfter(LOCAL_DELAY_NANOS, action);
--- a/src/test/java/org/mustardlink/pool/RestartedTargetTest.java
+++ b/src/test/java/org/mustardlink/pool/RestartedTargetTest.java
@@ -242,6 +242,6 @@
         master.handleReportFailure("t", recorder.lastExtension("t").sequenceNumber(), OrderVerdict.UNKNOWN, ms(3_003));
         master.tick(ms(3_200));
 
-        assertThat(master.jobsWithPendingStarts()).containsExactly("job");
+        assertThat(master.pendingStarts().stream().map(PendingStart::job)).containsExactly("job");
     }
 }
