Answer a cancellation once even if its answer fails

What callers could see: after one failed answer to a cancellation, requests that wait for the configuration get no answer, and other hosts aren't told any more of jobs whose starts may still be carried out; a caller that sends such a job again may get a second run.

Cause: Cancellations answered inside the predicate of removeIf, which removes nothing if the predicate throws. The answer was tried again in each pass of the timers, which ended there each time, before the announcement of pending starts. It is the fault of UnroutedRequests in another place. CallerEndpoint handles the exceptions of a caller that has left; an error of the virtual machine is what remains.

Change: cancellations are removed first, and then answered from a queue. The loop logs the failure of an answer as before; the next call gives the answers behind it.

--- a/src/main/java/org/mustardlink/host/Cancellations.java
+++ b/src/main/java/org/mustardlink/host/Cancellations.java
@@ -1,9 +1,11 @@
 package org.mustardlink.host;
 
 import com.google.common.collect.ImmutableSet;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -15,6 +17,8 @@
     private static final long ANSWER_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(400);
 
     private final List<Cancellation> pending = new ArrayList<>();
+    /** Answers to callers that are due; empty between two calls unless one has failed. */
+    private final Queue<Runnable> answers = new ArrayDeque<>();
 
     private record Cancellation(
             String job, Set<String> unansweredHosts, long deadlineNanos, Consumer<Boolean> onFound) {}
@@ -57,13 +61,17 @@
         completeMatching(false, cancellation -> now > cancellation.deadlineNanos());
     }
 
+    /** Answers each matching cancellation once; if an answer fails, the next call gives those behind it. */
     private void completeMatching(boolean found, Predicate<Cancellation> isComplete) {
         pending.removeIf(cancellation -> {
             boolean complete = isComplete.test(cancellation);
             if (complete) {
-                cancellation.onFound().accept(found);
+                answers.add(() -> cancellation.onFound().accept(found));
             }
             return complete;
         });
+        while (!answers.isEmpty()) {
+            answers.remove().run();
+        }
     }
 }
--- a/src/test/java/org/mustardlink/host/CancellationsTest.java
+++ b/src/test/java/org/mustardlink/host/CancellationsTest.java
@@ -1,6 +1,7 @@
 package org.mustardlink.host;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
@@ -55,4 +56,23 @@
         assertThat(cancellations.jobsUnansweredBy("a")).isEmpty();
         assertThat(cancellations.jobsUnansweredBy("b")).containsExactly("job");
     }
+
+    /** Guards against timers that fail in each pass, so that pending starts are no longer announced to other hosts. */
+    @Test
+    void a_caller_whose_answer_fails_is_answered_once_and_the_others_are_answered() {
+        cancellations.add(
+                "job",
+                ImmutableSet.of("a"),
+                _found -> {
+                    throw new IllegalStateException("planted");
+                },
+                0);
+        cancellations.add("job", ImmutableSet.of("a"), answers::add, 0);
+
+        assertThrows(IllegalStateException.class, () -> cancellations.recordAnswer("a", "job", true));
+        cancellations.expire(TimeUnit.MILLISECONDS.toNanos(401));
+        cancellations.expire(TimeUnit.MILLISECONDS.toNanos(402));
+
+        assertThat(answers).containsExactly(true);
+    }
 }
