Keep a host alive that receives SIGHUP while it starts

What operators saw: a host that got SIGHUP within about the first half second of its process ended with exit status 129; one that got it shortly before the handler was there could lose it.

Cause: the handler was installed after the start of the host. Until then the Java runtime's own handler ends the process.

Change: HangUpSignal is installed as the first step of the program; a signal that comes before the host has started reloads the settings afterwards. The time of the settings file is noted before the file is read, not after the start, so a change in between isn't missed. The stop on SIGTERM is registered before the host opens its ports, and waits until the start has ended: a host that takes requests also answers them. SIGTERM before that still ends the process at once, when it has taken nothing.

--- a/src/main/java/org/mustardlink/cli/HostCommand.java
+++ b/src/main/java/org/mustardlink/cli/HostCommand.java
@@ -1,17 +1,18 @@
 package org.mustardlink.cli;
 
 import java.io.File;
-import java.lang.reflect.Proxy;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import net.sourceforge.argparse4j.impl.Arguments;
 import net.sourceforge.argparse4j.inf.Namespace;
 import net.sourceforge.argparse4j.inf.Subparser;
 import net.sourceforge.argparse4j.inf.Subparsers;
 import org.mustardlink.config.settings.HostSettings;
 import org.mustardlink.errors.CodedException;
-import org.mustardlink.errors.ErrorCode;
 import org.mustardlink.host.DispatchHost;
 import org.mustardlink.observe.EventLog;
 
@@ -24,6 +25,17 @@
     /** Interval of checks for a modified settings file; the file may change without a SIGHUP. */
     private static final long SETTINGS_CHECK_MS = 1_000;
 
+    private final Supplier<HangUpSignal> hangUpSignal;
+
+    /**
+     * Creates the command.
+     *
+     * @param hangUpSignal returns SIGHUP with its handler installed; called when the command runs
+     */
+    HostCommand(Supplier<HangUpSignal> hangUpSignal) {
+        this.hangUpSignal = hangUpSignal;
+    }
+
     @Override
     public void register(Subparsers parsers) {
         Subparser parser = parsers.addParser(NAME)
@@ -47,17 +59,18 @@
     @Override
     public int run(Namespace arguments) {
         File file = new File(arguments.getString("settings"));
+        long lastModified = file.lastModified();
         HostSettings settings = HostSettings.load(file);
         if (arguments.getBoolean("check")) {
             System.out.println("the settings are valid: " + settings);
             return ExitCode.OK;
         }
         EventLog.configure(settings.logs().level(), settings.logs().libraryLevel());
-        DispatchHost host = DispatchHost.start(settings, newIncarnation(settings.id()));
-        CountDownLatch stopped = StopSignal.onStop(host::stop);
-        onHangUp(() -> reload(file, host));
+        CompletableFuture<DispatchHost> started = new CompletableFuture<>();
+        CountDownLatch stopped = StopSignal.onStop(() -> stopWhenStarted(started));
+        DispatchHost host = start(settings, started);
+        hangUpSignal.get().onReceived(() -> reload(file, host));
         try {
-            long lastModified = file.lastModified();
             while (!stopped.await(SETTINGS_CHECK_MS, TimeUnit.MILLISECONDS)) {
                 long modified = file.lastModified();
                 if (modified != lastModified) {
@@ -71,6 +84,22 @@
         return ExitCode.OK;
     }
 
+    private static DispatchHost start(HostSettings settings, CompletableFuture<DispatchHost> started) {
+        try {
+            DispatchHost host = DispatchHost.start(settings, newIncarnation(settings.id()));
+            started.complete(host);
+            return host;
+        } catch (RuntimeException | Error e) {
+            started.completeExceptionally(e);
+            throw e;
+        }
+    }
+
+    /** Stops the host after its start has ended: it takes requests before the start is complete. */
+    private static void stopWhenStarted(CompletableFuture<DispatchHost> started) {
+        started.handle((host, _failure) -> Optional.ofNullable(host)).join().ifPresent(DispatchHost::stop);
+    }
+
     private static void reload(File file, DispatchHost host) {
         try {
             HostSettings changed = HostSettings.load(file);
@@ -86,27 +115,4 @@
         long seconds = TimeUnit.MILLISECONDS.toSeconds(System.currentTimeMillis());
         return (seconds << RANDOM_BITS) | (random & ((1L << RANDOM_BITS) - 1));
     }
-
-    /**
-     * Runs an action on SIGHUP. Uses {@code sun.misc.Signal} by reflection, because the compiler warns of every direct
-     * use.
-     */
-    @SuppressWarnings("ProxyNonConstantType")
-    private static void onHangUp(Runnable action) {
-        try {
-            Class<?> signal = Class.forName("sun.misc.Signal");
-            Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object proxy = Proxy.newProxyInstance(
-                    HostCommand.class.getClassLoader(), new Class<?>[] {handler}, (_self, method, _args) -> {
-                        if (method.getName().equals("handle")) {
-                            action.run();
-                        }
-                        return null;
-                    });
-            signal.getMethod("handle", signal, handler)
-                    .invoke(null, signal.getConstructor(String.class).newInstance("HUP"), proxy);
-        } catch (ReflectiveOperationException e) {
-            throw new CodedException(ErrorCode.INTERNAL, "cannot install a handler for SIGHUP", e);
-        }
-    }
 }
--- a/src/main/java/org/mustardlink/cli/Main.java
+++ b/src/main/java/org/mustardlink/cli/Main.java
@@ -25,7 +25,7 @@
         return ImmutableList.of(
                 new DemoCommand(),
                 new EntryCommand(),
-                new HostCommand(),
+                new HostCommand(HangUpSignal::install),
                 new ExerciseCommand(),
                 new SoakCommand(),
                 new SubmitCommand(),
@@ -54,22 +54,30 @@
     public static void main(String[] args) {
         // Grizzly logs through java.util.logging, which must be redirected before its first use.
         System.setProperty("java.util.logging.manager", "org.apache.logging.log4j.jul.LogManager");
+        ImmutableList<Subcommand> commands = commandsFor(args);
         Thread.setDefaultUncaughtExceptionHandler(Main::logUncaught);
-        System.exit(run(args));
+        System.exit(run(args, commands));
     }
 
     /**
      * Returns the commands that the arguments may name. For {@code host} only that command is returned, so that the
-     * restart of a host does not wait for the parsers of the other commands.
+     * restart of a host does not wait for the parsers of the other commands; its handler for SIGHUP is installed at once,
+     * because the signal may arrive as soon as the process runs.
      */
     private static ImmutableList<Subcommand> commandsFor(String[] args) {
-        return args.length > 0 && args[0].equals(HostCommand.NAME)
-                ? ImmutableList.of(new HostCommand())
-                : allCommands();
+        if (args.length == 0 || !args[0].equals(HostCommand.NAME)) {
+            return allCommands();
+        }
+        HangUpSignal hangUpSignal = HangUpSignal.install();
+        return ImmutableList.of(new HostCommand(() -> hangUpSignal));
     }
 
     /** Runs one subcommand and returns its exit code; errors go to standard error as one message each. */
     static int run(String[] args) {
+        return run(args, commandsFor(args));
+    }
+
+    private static int run(String[] args, ImmutableList<Subcommand> commands) {
         ArgumentParser parser = ArgumentParsers.newFor("mustardlink")
                 .defaultFormatWidth(HELP_WIDTH)
                 // Detecting the terminal width starts a child process at each start of a host, which the platform does
@@ -81,7 +89,7 @@
                         + " 4 the job may have run, 5 an address is unavailable."
                         + " Start with: mustardlink demo");
         Subparsers parsers = parser.addSubparsers().title("commands").metavar("COMMAND");
-        commandsFor(args).forEach(command -> command.register(parsers));
+        commands.forEach(command -> command.register(parsers));
         if (args.length == 0) {
             parser.printHelp();
             return ExitCode.OK;
