Keep the next master from starting a job while a silent target may still start it

What callers saw: nothing yet; found by reading, and shown by a unit test. A master that has taken a pool over starts the tasks of a job that was handed over once all leases of earlier masters are over, although a silent target may still carry out an unanswered start of the earlier master. The earlier master itself waits in that case, however long.

The starts without a response were known to the old master only.

Change: PendingStarts tells the masters of its host the pending starts, and a master starts no task of a job with a start under an earlier token until the target has confirmed its own. Other jobs aren't affected.

Test: PendingStartsTest.the_next_master_starts_a_job_with_a_pending_start_only_after_the_target_has_confirmed_its_token; without updateEarlierStarts it fails with a start on the other target.

--- a/src/main/java/org/mustardlink/pool/PendingStarts.java
+++ b/src/main/java/org/mustardlink/pool/PendingStarts.java
@@ -104,8 +104,9 @@
     }
 
     /**
-     * Updates the known starts by what the masters of this host know, and returns the statements that are due to all
-     * other hosts: at once when a master has a new pending start, else every {@link #REPEAT_INTERVAL_NANOS}.
+     * Updates the known starts by what the masters of this host know, and tells the masters all known starts. Returns the
+     * statements that are due to all other hosts: at once when a master has a new pending start, else every
+     * {@link #REPEAT_INTERVAL_NANOS}.
      *
      * @param masters the masters of this host
      */
@@ -138,6 +139,7 @@
                 }
             }
         }
+        masters.forEach(master -> master.updateEarlierStarts(holds.keySet()));
         if (pending.isEmpty() && settledUntilNanos.isEmpty()) {
             return ImmutableList.of();
         }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.ImmutableSetMultimap;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -59,6 +60,8 @@
     private long lastScanNanos;
     private long lastPlacementNanos;
     private boolean released;
+    /** Pending starts of earlier masters by job, as far as this host knows them. */
+    private ImmutableSetMultimap<String, PendingStart> earlierStarts = ImmutableSetMultimap.of();
 
     /**
      * Creates the master of a pool.
@@ -267,10 +270,15 @@
     }
 
     private void placeTasks(long now) {
-        placement.tick(now, now > earlierLeasesEndNanos || allTargetsTakenOver(now));
+        placement.tick(now, now > earlierLeasesEndNanos || allTargetsTakenOver(now), this::hasEarlierStart);
         lastPlacementNanos = tables.queue().isEmpty() ? now - PLACEMENT_INTERVAL_NANOS : now;
     }
 
+    /** Returns whether a target may still carry out the start of a task of a job that an earlier master has ordered. */
+    private boolean hasEarlierStart(String job) {
+        return earlierStarts.get(job).stream().anyMatch(start -> statusOf(start) == PendingStart.Status.POSSIBLE);
+    }
+
     /** Returns whether every target that may run a task for an earlier master has confirmed this master's token. */
     private boolean allTargetsTakenOver(long now) {
         return targetList.isComplete(earlierStartsEndNanos, now)
@@ -341,6 +349,20 @@
         return pending.build();
     }
 
+    /**
+     * Replaces the known pending starts. Those that an earlier master of a target has ordered keep the tasks of their
+     * jobs from being started, until the target refuses them.
+     */
+    void updateEarlierStarts(Collection<PendingStart> starts) {
+        ImmutableSetMultimap.Builder<String, PendingStart> byJob = ImmutableSetMultimap.builder();
+        for (PendingStart start : starts) {
+            if (start.fencingToken() < firstToken.value()) {
+                byJob.put(start.job(), start);
+            }
+        }
+        earlierStarts = byJob.build();
+    }
+
     /** Returns what this master knows about a pending start, which an earlier master may have ordered. */
     public PendingStart.Status statusOf(PendingStart start) {
         PoolTarget target = tables.target(start.target()).orElse(null);
--- a/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 
 /**
  * Starts waiting tasks on targets with free capacity.
@@ -81,8 +82,10 @@
      *
      * @param earlierRunsKnown whether the runs that earlier masters started are known, so that tasks of jobs that an
      *     earlier master may have started can be placed
+     * @param hasEarlierStart returns whether a start of a job, given its id, that an earlier master ordered may still be
+     *     carried out
      */
-    void tick(long now, boolean earlierRunsKnown) {
+    void tick(long now, boolean earlierRunsKnown, Predicate<String> hasEarlierStart) {
         if (tables.queue().isEmpty()) {
             return;
         }
@@ -102,7 +105,9 @@
         }
         orderedJobs.addAll(lateJobs);
         for (PoolJob job : orderedJobs) {
-            if ((job.order().mayHaveStarted() && !earlierRunsKnown) || !grants.allowStart(job, now)) {
+            if ((job.order().mayHaveStarted() && !earlierRunsKnown)
+                    || hasEarlierStart.test(job.id())
+                    || !grants.allowStart(job, now)) {
                 continue;
             }
             if (!placeTasks(job, candidates, reserved, now)) {
--- a/src/test/java/org/mustardlink/pool/PendingStartsTest.java
+++ b/src/test/java/org/mustardlink/pool/PendingStartsTest.java
@@ -68,8 +68,12 @@
     }
 
     private void answerLastExtension(PoolMaster master, long clockMs, long now) {
+        answerLastExtension(master, "t", clockMs, now);
+    }
+
+    private void answerLastExtension(PoolMaster master, String target, long clockMs, long now) {
         LeaseReport report = new LeaseReport(clockMs, 0, ImmutableList.of(), ImmutableList.of());
-        master.handleReport("t", recorder.lastExtension("t").sequenceNumber(), report, now);
+        master.handleReport(target, recorder.lastExtension(target).sequenceNumber(), report, now);
         master.tick(now);
     }
 
@@ -157,6 +161,34 @@
         assertThat(pendingStarts.contains("job")).isFalse();
     }
 
+    /**
+     * Guards against a second run in the pool that was taken over: its leases are over, but a silent target may still
+     * carry out a start of the earlier master.
+     */
+    @Test
+    void the_next_master_starts_a_job_with_a_pending_start_only_after_the_target_has_confirmed_its_token() {
+        pendingStarts.record(pending(START), 0);
+        PoolMaster next = newMaster(2, ms(500));
+        TargetEntry other = new TargetEntry(
+                "u", 0, InetSocketAddress.createUnresolved("u", 1), POOL, false, TARGET.capacity(), TARGET.labels());
+        next.updateTargets(ImmutableList.of(TARGET, other), ms(500));
+        pendingStarts.review(ImmutableList.of(next), ms(500));
+        next.confirmEarlierMastersEnded(ms(500));
+        JobOrder resumed = JobOrders.of(1, "job", ONE_TASK, false).copyWith(Duration.ofSeconds(5), true, false);
+        JobOrder unrelated = JobOrders.of(2, "unrelated", ONE_TASK, false).copyWith(Duration.ofSeconds(5), true, false);
+        next.submitJob(resumed, ms(1_600));
+        next.submitJob(unrelated, ms(1_600));
+        next.tick(ms(1_600));
+        answerLastExtension(next, "u", 5_000, ms(1_610));
+        next.tick(ms(1_620));
+        assertThat(recorder.startTargets).containsExactly("u");
+        assertThat(recorder.startedRuns.get(0).task().job()).isEqualTo("unrelated");
+
+        answerLastExtension(next, "t", 5_000, ms(1_640));
+        next.tick(ms(1_650));
+        assertThat(recorder.startedRuns).hasSize(2);
+    }
+
     /** Guards against a master that was replaced and forgets a start of which it has told nobody yet. */
     @Test
     void a_start_of_a_released_master_is_still_stated() {
