Keep withdrawing the requests that were answered while their entry host was lost

Callers could see: a second run of a task beside the one of their next try. A host that takes an entry host for lost answers its orders, and the entry host ends the request with that result, so its caller sends the job again.

Cause: the answer wasn't kept. An entry host that was only silent repeats its orders when each of the two links is opened again. If its heartbeat arrived between the two copies, the second one was admitted as resumed; its entry host has no such request any more, withdraws nothing, and confirms the job with each heartbeat.

Evidence: found by reading. The new test of PoolRunnerTest failed before (1 of 14): the second order was admitted.

Change: an order that is answered because its entry host is lost withdraws its request until its last order can arrive.

Result: PoolRunnerTest and OrderAdmissionTest, 19 tests, pass. The cost: if that answer is lost with its link, a request that would have been admitted after the heartbeat is answered again.

--- a/src/main/java/org/mustardlink/pool/OrderAdmission.java
+++ b/src/main/java/org/mustardlink/pool/OrderAdmission.java
@@ -109,23 +109,29 @@
         if (sent.isPresent()) {
             return sent.map(SentResult::result);
         }
-        Optional<JobResult> withdrawal = withdrawalOf(request);
+        Optional<JobResult> withdrawal = withdrawalOf(order);
         if (withdrawal.isPresent()) {
             return withdrawal;
         }
         if (masterRound.isEmpty() || masterRound.getAsInt() != round) {
             return Optional.of(new JobResult.Moved());
         }
-        openOrders.putIfAbsent(
-                request, new OpenOrder(now, clockNanos + order.remaining().toNanos()));
+        openOrders.putIfAbsent(request, new OpenOrder(now, deadlineNanos(order)));
         return Optional.empty();
     }
 
-    /** Returns the result for orders of a request that no caller waits for any more; empty if one may wait. */
-    private Optional<JobResult> withdrawalOf(RequestId request) {
-        return withdrawnRequests
-                .get(request)
-                .or(() -> lostEntryHosts.get(new EntryHostIncarnation(request.host(), request.incarnation())));
+    /** Returns the result for an order whose request no caller waits for any more; empty if one may wait. */
+    private Optional<JobResult> withdrawalOf(JobOrder order) {
+        RequestId request = order.request();
+        Optional<JobResult> lost = lostEntryHosts.get(new EntryHostIncarnation(request.host(), request.incarnation()));
+        // If the entry host was only silent, it ends the request with this result and may already have repeated the
+        // order.
+        lost.ifPresent(result -> withdrawnRequests.put(request, result, deadlineNanos(order) + MAX_TRANSIT.toNanos()));
+        return lost.or(() -> withdrawnRequests.get(request));
+    }
+
+    private long deadlineNanos(JobOrder order) {
+        return clockNanos + order.remaining().toNanos();
     }
 
     /** Returns when the order of a request was admitted; empty if it has a result or was withdrawn. */
@@ -154,7 +160,7 @@
     }
 
     /**
-     * Withdraws the requests of a lost entry host: all that have arrived, and those that arrive before
+     * Withdraws the requests of a lost entry host: all whose orders have arrived, and those whose orders arrive before
      * {@link #readmitEntryHost} is called.
      */
     public void recordEntryHostLoss(String host, long incarnation) {
--- a/src/test/java/org/mustardlink/host/PoolRunnerTest.java
+++ b/src/test/java/org/mustardlink/host/PoolRunnerTest.java
@@ -263,4 +263,19 @@
         assertThat(results).containsExactly(WITHDRAWN);
         assertThat(openJobs(EAST)).isEqualTo(0);
     }
+
+    /**
+     * Guards against a job that runs although no caller waits for it: the entry host has ended the request with the
+     * result of the first order, and its caller sends the job again elsewhere.
+     */
+    @Test
+    void an_order_that_was_answered_while_its_entry_host_was_lost_is_not_accepted_when_it_is_repeated() {
+        runner.handleEntryHostLoss("east-1", 1, 0);
+        runner.submit(EAST, ROUND, order(1), 1);
+        runner.readmitEntryHost("east-1", 1);
+        runner.submit(EAST, ROUND, order(1), 2);
+
+        assertThat(results).containsExactly(WITHDRAWN, WITHDRAWN);
+        assertThat(openJobs(EAST)).isEqualTo(0);
+    }
 }
