Simulate links between hosts that are reset with what is under way

Cause: FailoverSimulation never reset a link and never called RequestDispatcher.resendOrders, so an order that is repeated after its result wasn't in any seed.

Change: enableLinkResets resets links after one message in eight, all links of a host at times and most links of all hosts at times. What is under way is lost, and what is sent until the link is open again, at the earliest 0.2 s after the last attempt. Then the opening host repeats its orders and sends a heartbeat, and the other host repeats its orders upon the hello. Links of a host that was silent are replaced when it is heard again. The resets have random numbers of their own.

--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -5,6 +5,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -65,6 +66,14 @@
     /** Time after a host's start during which its list of targets may be incomplete. */
     private static final long TARGET_LIST_SETTLE_NANOS = 12_000 * NANOS_PER_MS;
 
+    /** Minimum time between two attempts to open a link. */
+    private static final long LINK_RETRY_DELAY_NANOS = 200 * NANOS_PER_MS;
+    /** One message in this number is followed by a reset of its link or of the link back. */
+    private static final int MESSAGES_PER_LINK_RESET = 8;
+    /** Time after a message within which its link is reset; its answer is under way by then. */
+    private static final long LINK_RESET_DELAY_NANOS = 5 * NANOS_PER_MS;
+
+    private final long seed;
     private final SplittableRandom random;
     private final boolean lateLeasesCountFromArrival;
     private final PriorityQueue<ScheduledEvent> events = new PriorityQueue<>(
@@ -86,7 +95,10 @@
     private int startCount;
     private int resentCount;
     private int takeoverCount;
+    private int linkResetCount;
     private boolean traceEnabled;
+    /** Draws the resets of links; empty if links aren't reset. */
+    private Optional<SplittableRandom> linkRandom = Optional.empty();
 
     private record ScheduledEvent(long timeNanos, long sequence, Runnable action) {}
 
@@ -97,6 +109,7 @@
      *     order's arrival, instead of rejecting the order when its deadline has passed
      */
     FailoverSimulation(long seed, boolean lateLeasesCountFromArrival, Duration duration) {
+        this.seed = seed;
         this.random = new SplittableRandom(seed);
         this.lateLeasesCountFromArrival = lateLeasesCountFromArrival;
         this.endNanos = now + duration.toNanos();
@@ -150,6 +163,10 @@
         return takeoverCount;
     }
 
+    int linkResetCount() {
+        return linkResetCount;
+    }
+
     private void schedule(long timeNanos, Runnable action) {
         events.add(new ScheduledEvent(timeNanos, sequence++, action));
     }
@@ -164,6 +181,29 @@
         return this;
     }
 
+    /**
+     * Makes the simulation reset links between hosts. What is under way on a link is lost, and so is what is sent on it
+     * until it is opened again. Both hosts then repeat their orders.
+     */
+    FailoverSimulation enableLinkResets() {
+        SplittableRandom resets = new SplittableRandom(~seed);
+        linkRandom = Optional.of(resets);
+        long timeNanos = now;
+        while (timeNanos < endNanos) {
+            timeNanos += resets.nextLong(1_500 * NANOS_PER_MS);
+            boolean allHosts = resets.nextInt(4) == 0;
+            schedule(timeNanos, () -> {
+                List<Host> candidates = ImmutableList.copyOf(hosts.values());
+                Host host = candidates.get(resets.nextInt(candidates.size()));
+                log(() -> allHosts ? "reset most links" : "reset all links of " + host.id);
+                candidates.stream()
+                        .filter(other -> other == host || (allHosts && resets.nextInt(8) != 0))
+                        .forEach(Host::resetLinks);
+            });
+        }
+        return this;
+    }
+
     private void log(Supplier<String> line) {
         if (traceEnabled) {
             trace.add("%.4f %s".formatted((now - TimeUnit.SECONDS.toNanos(1)) / 1e9, line.get()));
@@ -425,6 +465,15 @@
     /** The withdrawal of a request, which the heartbeats to a master's host repeat. */
     private record Withdrawal(Claim master, RequestId request, String job, long sinceNanos) {}
 
+    /** The connection that a host has opened to another one, and on which it sends. */
+    private static final class Link {
+        private boolean open = true;
+        /** Number of the connection; messages on replaced connections are dropped. */
+        private long number;
+
+        private long attemptedNanos = Long.MIN_VALUE / 2;
+    }
+
     /** An incarnation of an entry host. */
     private record EntryHost(String id, long incarnation) {}
 
@@ -435,6 +484,7 @@
         private final Map<PoolId, HostedMaster> masters = new LinkedHashMap<>();
         private final Map<PoolId, Claim> knownClaims = new HashMap<>();
         private final Map<Long, CallerRequest> requestsByNumber = new HashMap<>();
+        private final Map<String, Link> links = new HashMap<>();
         private final List<CallerRequest> openRequests = new ArrayList<>();
         private final HostDirectory directory = new HostDirectory();
         private final List<Withdrawal> withdrawals = new ArrayList<>();
@@ -534,20 +584,25 @@
          * and handles it later.
          */
         private void sendHeartbeats() {
+            sendHeartbeats(hosts.values());
+        }
+
+        private void sendHeartbeats(Collection<Host> receivers) {
             withdrawals.removeIf(withdrawal -> now - withdrawal.sinceNanos() > WITHDRAWAL_REPEAT_NANOS);
             EntryHost sender = new EntryHost(id, incarnation);
             ImmutableList<Withdrawal> sent = ImmutableList.copyOf(withdrawals);
             Set<String> pendingStarts = new HashSet<>();
             masters.values().forEach(hosted -> pendingStarts.addAll(hosted.master.jobsWithPendingStarts()));
             receivePendingStarts(pendingStarts);
-            for (Host receiver : hosts.values()) {
-                if (receiver == this || receiver.dead || isolated) {
+            for (Host receiver : receivers) {
+                if (receiver == this || receiver.dead || isolated || !linkTo(receiver).open) {
                     continue;
                 }
                 long arrivalNanos = now + 3 * NETWORK_DELAY_NANOS;
                 long receiverIncarnation = receiver.incarnation;
+                long linkNumber = linkTo(receiver).number;
                 schedule(arrivalNanos, () -> {
-                    if (!receiver.isolated) {
+                    if (!receiver.isolated && linkTo(receiver).number == linkNumber) {
                         receiver.runWhenAwake(receiverIncarnation, () -> {
                             sent.stream()
                                     .filter(withdrawal ->
@@ -631,7 +686,57 @@
             schedule(now + durationNanos, () -> {
                 if (silentSinceNanos == sinceNanos) {
                     silentSinceNanos = Long.MAX_VALUE;
+                    // Links that have carried nothing are replaced.
+                    linkRandom.ifPresent(_resets -> resetLinks());
+                }
+            });
+        }
+
+        private Link linkTo(Host other) {
+            return links.computeIfAbsent(other.id, _id -> new Link());
+        }
+
+        /** Resets the links between this host and all others. */
+        private void resetLinks() {
+            for (Host other : hosts.values()) {
+                if (other != this) {
+                    resetLinkTo(other);
+                    other.resetLinkTo(this);
                 }
+            }
+        }
+
+        /** Resets the link on which this host sends to another one, which loses what is under way on it. */
+        private void resetLinkTo(Host other) {
+            Link link = linkTo(other);
+            if (!link.open) {
+                return;
+            }
+            link.open = false;
+            link.number++;
+            linkResetCount++;
+            // A host notices at once that both links to another host are closed, and otherwise with its timers.
+            long maxDelayNanos = (other.linkTo(this).open ? 100 : 2) * NANOS_PER_MS;
+            long noticedNanos = now + linkRandom.orElseThrow().nextLong(maxDelayNanos);
+            schedule(Math.max(noticedNanos, link.attemptedNanos + LINK_RETRY_DELAY_NANOS), () -> openLinkTo(other));
+        }
+
+        /** Opens a link; then both hosts repeat the orders that they have sent to each other. */
+        private void openLinkTo(Host other) {
+            Link link = linkTo(other);
+            link.attemptedNanos = now;
+            if (!isAwake() || isolated || other.dead || other.isolated) {
+                schedule(now + LINK_RETRY_DELAY_NANOS, () -> openLinkTo(other));
+                return;
+            }
+            schedule(now + 2 * NETWORK_DELAY_NANOS, () -> {
+                log(() -> "open link from " + id + " to " + other.id);
+                link.open = true;
+                sendMessage(this, other, () -> other.requestDispatcher.resendOrders(id, now));
+                scheduleAfter(0, () -> {
+                    requestDispatcher.resendOrders(other.id, now);
+                    sendHeartbeats(ImmutableList.of(other));
+                });
             });
         }
 
@@ -839,13 +944,34 @@
     private void sendMessage(Host from, Host to, Runnable action) {
         if (from == to) {
             from.scheduleAfter(LOCAL_DELAY_NANOS, action);
-        } else if (!from.isolated) {
-            to.scheduleAfter(from.domain.equals(to.domain) ? NETWORK_DELAY_NANOS : 3 * NETWORK_DELAY_NANOS, () -> {
-                if (!to.isolated) {
-                    action.run();
-                }
-            });
+            return;
+        }
+        Link link = from.linkTo(to);
+        if (from.isolated || !link.open) {
+            return;
         }
+        long linkNumber = link.number;
+        to.scheduleAfter(from.domain.equals(to.domain) ? NETWORK_DELAY_NANOS : 3 * NETWORK_DELAY_NANOS, () -> {
+            if (!to.isolated && link.number == linkNumber) {
+                action.run();
+            }
+        });
+        linkRandom
+                .filter(resets -> resets.nextInt(MESSAGES_PER_LINK_RESET) == 0)
+                .ifPresent(resets -> scheduleLinkReset(from, to, resets));
+    }
+
+    private void scheduleLinkReset(Host from, Host to, SplittableRandom resets) {
+        int kind = resets.nextInt(3);
+        schedule(now + resets.nextLong(LINK_RESET_DELAY_NANOS), () -> {
+            log(() -> "reset " + (kind == 2 ? "both links" : "one link") + " between " + from.id + " and " + to.id);
+            if (kind != 0) {
+                from.resetLinkTo(to);
+            }
+            if (kind != 1) {
+                to.resetLinkTo(from);
+            }
+        });
     }
 
     // ---- targets ----
--- a/src/test/java/org/mustardlink/pool/FailoverTest.java
+++ b/src/test/java/org/mustardlink/pool/FailoverTest.java
@@ -4,6 +4,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import com.google.common.primitives.Longs;
 import java.time.Duration;
 import java.util.List;
@@ -31,6 +32,14 @@
             292L,
             312L);
 
+    /** Seeds with resets of links that fail without one of the checks of late results and orders. */
+    private static final ImmutableList<Long> LINK_RESET_SEEDS = ImmutableList.of(
+            // An order is repeated after its job was redirected.
+            35L,
+            40L,
+            // A replaced master redirects a job that was sent to the next one.
+            772L);
+
     private static int runSeeds(List<Long> seeds, boolean lateLeasesCountFromArrival) {
         int resentCount = 0;
         for (long seed : seeds) {
@@ -65,6 +74,22 @@
         assertThat(runSeeds(seeds(), true)).isGreaterThan(0);
     }
 
+    /**
+     * Guards against the same violations when links between hosts are reset, so that results and withdrawals are lost,
+     * and orders are repeated after the result of the first one.
+     */
+    @Test
+    void resent_jobs_run_at_most_once_at_a_time_when_links_are_reset() {
+        int resetCount = 0;
+        for (long seed : Iterables.concat(LINK_RESET_SEEDS, seeds())) {
+            FailoverSimulation simulation = new FailoverSimulation(seed, false, DURATION).enableLinkResets();
+            simulation.run();
+            assertWithMessage("seed " + seed).that(simulation.violations()).isEmpty();
+            resetCount += simulation.linkResetCount();
+        }
+        assertThat(resetCount).isGreaterThan(0);
+    }
+
     /** Guards against a return of the faults that {@link #REGRESSION_SEEDS} lists. */
     @Test
     void seeds_that_once_failed_pass() {
