State only the new pending starts between two repetitions

What callers could see: nothing at today's load. Cost: while responses are late, each start that became pending between two repetitions made its host state every start it knew of to every other host again, so the number of stated starts grew with the square of the late ones.

Cause: PendingStarts.review made the whole statement whenever a master had a start that wasn't known yet.

Evidence: 200 starts that became pending one after another within 200 ms, reviewed after each: 200 statements with 20,100 starts, each of which goes to all other hosts (trial on the real PoolMaster and PendingStarts).

Change: between two repetitions only the new starts are stated; everything known is repeated every 0.3 s as before. A host that is newly connected gets all of it, as before.

--- a/src/main/java/org/mustardlink/pool/PendingStarts.java
+++ b/src/main/java/org/mustardlink/pool/PendingStarts.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.Lists;
 import com.google.common.collect.Maps;
 import com.google.common.collect.Multiset;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Iterator;
@@ -105,7 +106,7 @@
 
     /**
      * Updates the known starts by what the masters of this host know, and returns the statements that are due to all
-     * other hosts: at once when a master has a new pending start, else every {@link #REPEAT_INTERVAL_NANOS}.
+     * other hosts: at once the new pending starts of the masters, and all starts every {@link #REPEAT_INTERVAL_NANOS}.
      *
      * @param masters the masters of this host
      */
@@ -115,8 +116,11 @@
         masters.forEach(master -> builder.addAll(master.pendingStarts()));
         ImmutableSet<PendingStart> ordered = builder.build();
         boolean due = statedNanos.isEmpty() || now - statedNanos.get() >= REPEAT_INTERVAL_NANOS;
-        if (!due && holds.keySet().containsAll(ordered)) {
-            return ImmutableList.of();
+        if (!due) {
+            ImmutableSet<PendingStart> added =
+                    Sets.difference(ordered, holds.keySet()).immutableCopy();
+            recordOwn(added, now);
+            return statements(Maps.toMap(added, _start -> Duration.ofNanos(HOLD_NANOS)), ImmutableSet.of());
         }
         recordOwn(ordered, now);
         Map<PendingStart, Duration> pending = new LinkedHashMap<>();
