Request the list of targets less often the longer an entry is missing

What callers could see: nothing directly. All hosts share the readings that the store allows for, and refused ones are priced too; so targets that restart while the store is slow to get their entries took readings from the whole fleet.

Cause: PoolMaster.requestsTargetList returned true every 100 ms until the entry was known.

Change: LeaseSystem keeps when a report last showed a restart; the interval is 100 ms at first and then half of the time since. The usual reads go on as before, and a further restart begins with 100 ms again.

--- a/src/main/java/org/mustardlink/pool/LeaseSystem.java
+++ b/src/main/java/org/mustardlink/pool/LeaseSystem.java
@@ -31,8 +31,8 @@
     private final RunSystem runs;
     private final LeaseGrants grants;
     private long lastSequenceNumber;
-    /** Whether a report may have shown a restart of a target whose new entry isn't known yet. */
-    private boolean mayAwaitEntries;
+    /** When a report last showed a restart of a target, as long as the new entry of any target may not be known. */
+    private OptionalLong awaitsEntriesSinceNanos = OptionalLong.empty();
 
     LeaseSystem(PoolTables tables, PoolActions actions, RunSystem runs, LeaseGrants grants) {
         this.tables = tables;
@@ -125,7 +125,7 @@
         }
         if (report.startTimeMs() != 0 && target.startTimeMs() != 0 && report.startTimeMs() != target.startTimeMs()) {
             handleRestart(target, report.startTimeMs(), now);
-            mayAwaitEntries = true;
+            awaitsEntriesSinceNanos = OptionalLong.of(now);
             return;
         }
         boolean newest = report.clockMs() >= target.clockMs();
@@ -151,11 +151,16 @@
         actions.logTargetChange(target.entry(), "restarted", "a new process of the target has the same id");
     }
 
-    /** Returns whether the entry of the current process of a listed target isn't known. */
-    boolean awaitsEntries() {
-        mayAwaitEntries = mayAwaitEntries
-                && tables.targets().stream().anyMatch(target -> target.listed() && !target.entryIsCurrent());
-        return mayAwaitEntries;
+    /**
+     * Returns when a report last showed a restart of a target; empty if the entry of the current process of every listed
+     * target is known.
+     */
+    OptionalLong awaitsEntriesSince() {
+        if (awaitsEntriesSinceNanos.isPresent()
+                && tables.targets().stream().allMatch(target -> !target.listed() || target.entryIsCurrent())) {
+            awaitsEntriesSinceNanos = OptionalLong.empty();
+        }
+        return awaitsEntriesSinceNanos;
     }
 
     /** Handles a lease extension that brought no report. */
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -157,10 +158,16 @@
 
     /**
      * Returns whether the list of targets should be read at once, because the entry of the current process of a target
-     * isn't known. Returns true at intervals of 100 ms as long as this is so.
+     * isn't known. As long as this is so, returns true at intervals of 100 ms at first, which grow to half of the time
+     * since a restart was last noticed, so that an entry that never comes costs few reads of the store.
      */
     public boolean requestsTargetList(long now) {
-        if (!leases.awaitsEntries() || now - lastEntryRequestNanos < ENTRY_REQUEST_INTERVAL_NANOS) {
+        OptionalLong sinceNanos = leases.awaitsEntriesSince();
+        if (sinceNanos.isEmpty()) {
+            return false;
+        }
+        long intervalNanos = Math.max(ENTRY_REQUEST_INTERVAL_NANOS, (now - sinceNanos.getAsLong()) / 2);
+        if (now - lastEntryRequestNanos < intervalNanos) {
             return false;
         }
         lastEntryRequestNanos = now;
--- a/src/test/java/org/mustardlink/pool/RestartedTargetTest.java
+++ b/src/test/java/org/mustardlink/pool/RestartedTargetTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.collect.Range;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.Optional;
@@ -231,6 +232,21 @@
         assertThat(master.requestsTargetList(ms(300))).isFalse();
     }
 
+    /** Guards against a target whose entry never agrees with its reports and that uses up the fleet's reads of the store. */
+    @Test
+    void the_list_of_targets_is_requested_less_often_the_longer_the_new_entry_is_missing() {
+        reportRestart(SECOND_START_MS, ms(10));
+        int requestCount = 0;
+        for (long at = 12; at < 60_000; at += 10) {
+            requestCount += master.requestsTargetList(ms(at)) ? 1 : 0;
+        }
+        assertThat(requestCount).isIn(Range.closed(10, 20));
+
+        reportRestart(SECOND_START_MS + 1, ms(60_000));
+        assertThat(master.requestsTargetList(ms(60_100))).isTrue();
+        assertThat(master.requestsTargetList(ms(60_200))).isTrue();
+    }
+
     /** Guards against a second run: a run that the new process has started is given up with the earlier one's lease. */
     @Test
     void the_runs_of_a_restarted_target_that_leaves_the_list_are_kept_for_a_whole_lease() {
