Reject peer messages that end within a number as malformed

What callers could see: nothing. A host that got such a message, from another version or another program, closed the connection without the log line frame.rejected, because the error wasn't a coded one.

Cause: TCompactProtocol reads a number without a bounds check when at least five bytes are left. If the last bytes all say that the number goes on, it reads beyond the array, and PeerCodec.decode let the ArrayIndexOutOfBoundsException through.

Evidence: random bytes behind the type of the message of pending starts: bytes 10, -58, -97, -19, -81, -93 end in an ArrayIndexOutOfBoundsException. The new test fails with it without the change.

Change: decode takes an IndexOutOfBoundsException for a malformed message, too.

--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -71,7 +71,8 @@
     static PeerMessage decode(byte[] bytes) {
         try {
             return read(new TCompactProtocol(new TMemoryInputTransport(bytes)));
-        } catch (TException | IllegalArgumentException | NullPointerException e) {
+        } catch (TException | IllegalArgumentException | NullPointerException | IndexOutOfBoundsException e) {
+            // The protocol reads beyond the end of bytes that end within a number of too many bytes.
             throw new CodedException(ErrorCode.BAD_REQUEST, "malformed peer message", e);
         }
     }
--- a/src/test/java/org/mustardlink/link/PeerCodecTest.java
+++ b/src/test/java/org/mustardlink/link/PeerCodecTest.java
@@ -116,4 +116,23 @@
             }
         }
     }
+
+    /** Guards against a message with a number that doesn't end, which is read beyond the end of the bytes. */
+    @Test
+    void random_bytes_of_every_message_type_are_rejected_as_malformed() {
+        SplittableRandom random = new SplittableRandom(1);
+        int rejectedCount = 0;
+        for (int i = 0; i < 100_000; i++) {
+            byte[] bytes = new byte[1 + random.nextInt(60)];
+            random.nextBytes(bytes);
+            bytes[0] = (byte) random.nextInt(12);
+            try {
+                assertThat(PeerCodec.decode(bytes)).isNotNull();
+            } catch (CodedException e) {
+                assertThat(e.getMessage()).contains("malformed");
+                rejectedCount++;
+            }
+        }
+        assertThat(rejectedCount).isGreaterThan(50_000);
+    }
 }
