--- a/src/main/java/org/mustardlink/pool/PendingStarts.java
+++ b/src/main/java/org/mustardlink/pool/PendingStarts.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.Lists;
 import com.google.common.collect.Maps;
 import com.google.common.collect.Multiset;
+import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.Collection;
 import java.util.Iterator;
@@ -118,8 +119,8 @@
     }
 
     /**
-     * Updates the known starts by what the masters of this host know, and tells the masters all known starts. Returns the
-     * statements that are due to all other hosts: at once when a master has a new pending start, else every
+     * Updates the known starts by what the masters of this host know, and tells the masters all pending starts. Returns
+     * the statements that are due to all other hosts: at once the starts that have become pending, and all starts every
      * {@link #REPEAT_INTERVAL_NANOS}.
      *
      * @param masters the masters of this host
@@ -130,10 +131,17 @@
         masters.forEach(master -> builder.addAll(master.pendingStarts()).addAll(master.takeUnansweredStarts()));
         ImmutableSet<PendingStart> ordered = builder.build();
         boolean due = statedNanos.isEmpty() || now - statedNanos.get() >= REPEAT_INTERVAL_NANOS;
-        if (!due && holds.keySet().containsAll(ordered) && !isAnyPendingAgain(masters)) {
-            return ImmutableList.of();
+        ImmutableSet<PendingStart> added =
+                ImmutableSet.copyOf(Sets.union(Sets.difference(ordered, pendingStarts()), startsPendingAgain(masters)));
+        recordOwn(due ? ordered : Sets.intersection(ordered, added), now);
+        // Some of them may just have been dropped because there are too many.
+        ImmutableSet<PendingStart> kept =
+                Sets.intersection(added, holds.keySet()).immutableCopy();
+        kept.forEach(start -> holdUntil(start, false, holds.get(start).untilNanos()));
+        if (!due) {
+            updateMasters(masters);
+            return statements(Maps.toMap(kept, start -> holds.get(start).remaining(now)), ImmutableSet.of());
         }
-        recordOwn(ordered, now);
         Map<PendingStart, Duration> pending = new LinkedHashMap<>();
         for (PendingStart start : ImmutableList.copyOf(holds.keySet())) {
             switch (ordered.contains(start) ? PendingStart.Status.POSSIBLE : statusOf(start, masters)) {
@@ -157,9 +165,7 @@
                 }
             }
         }
-        Set<PendingStart> known =
-                Maps.filterValues(holds, hold -> !hold.refused()).keySet();
-        masters.forEach(master -> master.updateEarlierStarts(known));
+        updateMasters(masters);
         if (pending.isEmpty() && refusedStatedUntilNanos.isEmpty()) {
             return ImmutableList.of();
         }
@@ -167,11 +173,19 @@
         return statements(pending, refusedStatedUntilNanos.keySet());
     }
 
-    /** Returns whether a start that was refused may be carried out now, because its target has started again or may have. */
-    private boolean isAnyPendingAgain(Collection<PoolMaster> masters) {
-        return holds.entrySet().stream()
-                .anyMatch(entry -> entry.getValue().refused()
-                        && statusOf(entry.getKey(), masters) == PendingStart.Status.POSSIBLE);
+    private Set<PendingStart> pendingStarts() {
+        return Maps.filterValues(holds, hold -> !hold.refused()).keySet();
+    }
+
+    /** Returns the refused starts that may be carried out now, because their target has started again or may have. */
+    private ImmutableSet<PendingStart> startsPendingAgain(Collection<PoolMaster> masters) {
+        return Maps.filterValues(holds, Hold::refused).keySet().stream()
+                .filter(start -> statusOf(start, masters) == PendingStart.Status.POSSIBLE)
+                .collect(ImmutableSet.toImmutableSet());
+    }
+
+    private void updateMasters(Collection<PoolMaster> masters) {
+        masters.forEach(master -> master.updateEarlierStarts(pendingStarts()));
     }
 
     /** Returns the statements from which a host that has just been connected learns all known starts. */
