Name what the statements of pending starts are, and who ordered a start

Readers met `review` for a method that returns what has to be sent, `own` for starts that a master of the host has ordered, and `ofKnownProcess` for a comparison with the entry. Names only; no behaviour changes. The note of the bound on kept starts said that callers of the dropped ones have given up, which isn't so when many starts are late at once.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -382,7 +382,7 @@
 
     /** Tells every host which jobs must not be accepted, because a start may still be carried out. */
     private void announcePendingStarts(long now) {
-        for (PendingStartStatement statement : pendingStarts.review(poolRunner.masters(), now)) {
+        for (PendingStartStatement statement : pendingStarts.takeDueStatements(poolRunner.masters(), now)) {
             ownership.otherHosts().forEach(host -> send(host.id(), new PeerMessage.PendingStarts(statement)));
         }
     }
--- a/src/main/java/org/mustardlink/pool/PendingStarts.java
+++ b/src/main/java/org/mustardlink/pool/PendingStarts.java
@@ -41,7 +41,7 @@
     static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(15);
     /** Time for which it is repeated that a start is refused; a host that misses all repetitions was cut off. */
     private static final long REFUSED_REPEAT_NANOS = 4 * REPEAT_INTERVAL_NANOS;
-    /** Maximum number of starts that are kept; the ones stated first, of which callers have given up, are dropped. */
+    /** Maximum number of starts that are kept, which bounds memory; the ones stated first are dropped. */
     static final int MAX_STARTS = 10_000;
     /** Maximum number of pending starts in a statement, which then takes some 30 kB. */
     static final int MAX_STATED = 500;
@@ -57,21 +57,21 @@
      * What is known of a start.
      *
      * @param untilNanos when the start is forgotten unless it is stated again
-     * @param own whether a master of this host ordered the start, so that the other hosts may not know of it
+     * @param orderedHere whether a master of this host ordered the start, so that the other hosts may not know of it
      * @param refused whether the current process of the target refuses the start
      * @param refusedBefore whether a process of the target has refused the start; its time isn't extended any more
      */
-    private record Hold(long untilNanos, boolean own, boolean refused, boolean refusedBefore) {
+    private record Hold(long untilNanos, boolean orderedHere, boolean refused, boolean refusedBefore) {
         Duration remaining(long now) {
             return Duration.ofNanos(untilNanos - now);
         }
 
-        Hold pendingUntil(long nanos, boolean orderedHere) {
-            return new Hold(Math.max(untilNanos, nanos), own || orderedHere, false, refusedBefore);
+        Hold pendingUntil(long nanos, boolean byThisHost) {
+            return new Hold(Math.max(untilNanos, nanos), orderedHere || byThisHost, false, refusedBefore);
         }
 
         Hold asRefused() {
-            return new Hold(untilNanos, own, true, true);
+            return new Hold(untilNanos, orderedHere, true, true);
         }
     }
 
@@ -96,9 +96,13 @@
         statement.refused().forEach(this::markRefused);
     }
 
-    private void holdUntil(PendingStart start, boolean own, long untilNanos) {
+    private void holdUntil(PendingStart start, boolean orderedHere, long untilNanos) {
         Hold known = holds.get(start);
-        holds.put(start, known == null ? new Hold(untilNanos, own, false, false) : known.pendingUntil(untilNanos, own));
+        holds.put(
+                start,
+                known == null
+                        ? new Hold(untilNanos, orderedHere, false, false)
+                        : known.pendingUntil(untilNanos, orderedHere));
         if (known == null || known.refused()) {
             jobs.add(start.job());
         }
@@ -125,7 +129,7 @@
      *
      * @param masters the masters of this host
      */
-    public ImmutableList<PendingStartStatement> review(Collection<PoolMaster> masters, long now) {
+    public ImmutableList<PendingStartStatement> takeDueStatements(Collection<PoolMaster> masters, long now) {
         expire(now);
         ImmutableSet.Builder<PendingStart> builder = ImmutableSet.builder();
         masters.forEach(master -> builder.addAll(master.pendingStarts()).addAll(master.takeUnansweredStarts()));
@@ -159,7 +163,7 @@
                 }
                 case UNKNOWN -> {
                     Hold hold = holds.get(start);
-                    if (hold.own() && !hold.refused()) {
+                    if (hold.orderedHere() && !hold.refused()) {
                         pending.put(start, hold.remaining(now));
                     }
                 }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -148,8 +148,8 @@
     }
 
     private void updateTarget(PoolTarget target, TargetEntry entry, long now) {
-        boolean ofKnownProcess = entry.startTimeMs() == target.entry().startTimeMs();
-        if (!ofKnownProcess && target.startTimeMs() != 0 && entry.startTimeMs() > target.startTimeMs()) {
+        boolean sameProcessAsEntry = entry.startTimeMs() == target.entry().startTimeMs();
+        if (!sameProcessAsEntry && target.startTimeMs() != 0 && entry.startTimeMs() > target.startTimeMs()) {
             leases.handleRestart(target, entry.startTimeMs(), now);
         }
         if (target.startTimeMs() != 0 && entry.startTimeMs() != target.startTimeMs()) {
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -686,7 +686,7 @@
         }
 
         private void statePendingStarts() {
-            ImmutableList<PendingStartStatement> statements = pendingStarts.review(
+            ImmutableList<PendingStartStatement> statements = pendingStarts.takeDueStatements(
                     masters.values().stream().map(hosted -> hosted.master).toList(), now);
             for (Host receiver : hosts.values()) {
                 if (receiver != this && !statements.isEmpty()) {
--- a/src/test/java/org/mustardlink/pool/PendingStartsTest.java
+++ b/src/test/java/org/mustardlink/pool/PendingStartsTest.java
@@ -97,7 +97,7 @@
     @Test
     void a_job_is_refused_from_the_first_statement_until_its_start_is_refused() {
         pendingStarts.record(pending(START, OTHER_START), 0);
-        pendingStarts.review(ImmutableList.of(), ms(1_400));
+        pendingStarts.takeDueStatements(ImmutableList.of(), ms(1_400));
         assertThat(pendingStarts.contains("job")).isTrue();
         assertThat(pendingStarts.contains("unknown")).isFalse();
 
@@ -124,9 +124,9 @@
         pendingStarts.record(pending(START), 0);
         pendingStarts.record(pending(START), ms(600));
 
-        pendingStarts.review(ImmutableList.of(), ms(600) + PendingStarts.HOLD_NANOS - 1);
+        pendingStarts.takeDueStatements(ImmutableList.of(), ms(600) + PendingStarts.HOLD_NANOS - 1);
         assertThat(pendingStarts.contains("job")).isTrue();
-        pendingStarts.review(ImmutableList.of(), ms(600) + PendingStarts.HOLD_NANOS);
+        pendingStarts.takeDueStatements(ImmutableList.of(), ms(600) + PendingStarts.HOLD_NANOS);
         assertThat(pendingStarts.contains("job")).isFalse();
     }
 
@@ -135,11 +135,13 @@
     void a_new_pending_start_is_stated_at_once_and_then_repeated() {
         PoolMaster master = newMasterWithPendingStart();
         pendingStarts.recordOwn(ImmutableList.of(OTHER_START), 0);
-        assertThat(pendingStarts.review(ImmutableList.of(), ms(100))).hasSize(1);
+        assertThat(pendingStarts.takeDueStatements(ImmutableList.of(), ms(100))).hasSize(1);
 
-        assertThat(pendingStarts.review(ImmutableList.of(master), ms(130))).containsExactly(pending(START));
-        assertThat(pendingStarts.review(ImmutableList.of(master), ms(140))).isEmpty();
-        assertThat(statedStarts(pendingStarts.review(ImmutableList.of(master), ms(430))))
+        assertThat(pendingStarts.takeDueStatements(ImmutableList.of(master), ms(130)))
+                .containsExactly(pending(START));
+        assertThat(pendingStarts.takeDueStatements(ImmutableList.of(master), ms(140)))
+                .isEmpty();
+        assertThat(statedStarts(pendingStarts.takeDueStatements(ImmutableList.of(master), ms(430))))
                 .containsExactly(OTHER_START, START);
     }
 
@@ -156,17 +158,17 @@
         master.tick(ms(2));
         assertThat(recorder.startedRuns).hasSize(jobCount);
         pendingStarts.recordOwn(ImmutableList.of(OTHER_START), 0);
-        pendingStarts.review(ImmutableList.of(), ms(100));
+        pendingStarts.takeDueStatements(ImmutableList.of(), ms(100));
 
         int statedCount = 0;
         for (int i = 0; i < jobCount; i++) {
             master.handleStartResponse("t", recorder.startedRuns.get(i), OrderVerdict.UNKNOWN, 0, ms(122 + i));
-            statedCount += statedStarts(pendingStarts.review(ImmutableList.of(master), ms(122 + i)))
+            statedCount += statedStarts(pendingStarts.takeDueStatements(ImmutableList.of(master), ms(122 + i)))
                     .size();
         }
 
         assertThat(statedCount).isEqualTo(jobCount);
-        assertThat(statedStarts(pendingStarts.review(ImmutableList.of(master), ms(400))))
+        assertThat(statedStarts(pendingStarts.takeDueStatements(ImmutableList.of(master), ms(400))))
                 .hasSize(jobCount + 1);
     }
 
@@ -175,14 +177,16 @@
     void the_next_master_repeats_a_start_until_the_target_has_confirmed_its_token() {
         pendingStarts.record(pending(START), 0);
         PoolMaster next = newMaster(2, ms(500));
-        assertThat(pendingStarts.review(ImmutableList.of(next), ms(500))).containsExactly(pending(START));
+        assertThat(pendingStarts.takeDueStatements(ImmutableList.of(next), ms(500)))
+                .containsExactly(pending(START));
         long laterNanos = ms(500) + PendingStarts.HOLD_NANOS / 2;
-        pendingStarts.review(ImmutableList.of(next), laterNanos);
-        pendingStarts.review(ImmutableList.of(next), laterNanos + PendingStarts.HOLD_NANOS - 1);
+        pendingStarts.takeDueStatements(ImmutableList.of(next), laterNanos);
+        pendingStarts.takeDueStatements(ImmutableList.of(next), laterNanos + PendingStarts.HOLD_NANOS - 1);
         assertThat(pendingStarts.contains("job")).isTrue();
 
         answerLastExtension(next, 30_000, laterNanos + PendingStarts.HOLD_NANOS);
-        assertThat(pendingStarts.review(ImmutableList.of(next), laterNanos + PendingStarts.HOLD_NANOS + ms(300)))
+        assertThat(pendingStarts.takeDueStatements(
+                        ImmutableList.of(next), laterNanos + PendingStarts.HOLD_NANOS + ms(300)))
                 .containsExactly(refused(START));
         assertThat(pendingStarts.contains("job")).isFalse();
     }
@@ -198,7 +202,7 @@
         TargetEntry other = new TargetEntry(
                 "u", 0, InetSocketAddress.createUnresolved("u", 1), POOL, false, TARGET.capacity(), TARGET.labels());
         next.updateTargets(ImmutableList.of(TARGET, other), ms(500));
-        pendingStarts.review(ImmutableList.of(next), ms(500));
+        pendingStarts.takeDueStatements(ImmutableList.of(next), ms(500));
         next.confirmEarlierMastersEnded(ms(500));
         JobOrder resumed = JobOrders.of(1, "job", ONE_TASK, false).copyWith(Duration.ofSeconds(5), true, false);
         JobOrder unrelated = JobOrders.of(2, "unrelated", ONE_TASK, false).copyWith(Duration.ofSeconds(5), true, false);
@@ -228,7 +232,8 @@
 
         assertThat(pendingStarts.contains("job")).isTrue();
         Duration remaining = Duration.ofNanos(PendingStarts.HOLD_NANOS - ms(10));
-        assertThat(pendingStarts.review(ImmutableList.of(), ms(60))).containsExactly(pendingFor(remaining, START));
+        assertThat(pendingStarts.takeDueStatements(ImmutableList.of(), ms(60)))
+                .containsExactly(pendingFor(remaining, START));
     }
 
     /** Guards against a second run in a pool that is taken over by a host which has started after the statements. */
@@ -239,7 +244,7 @@
         pendingStarts.known(ms(1_000)).forEach(statement -> ofNewHost.record(statement, ms(1_001)));
         assertThat(ofNewHost.contains("job")).isTrue();
 
-        ofNewHost.review(ImmutableList.of(), ms(2) + PendingStarts.HOLD_NANOS);
+        ofNewHost.takeDueStatements(ImmutableList.of(), ms(2) + PendingStarts.HOLD_NANOS);
         assertThat(ofNewHost.contains("job")).isFalse();
     }
 
@@ -252,17 +257,18 @@
         pendingStarts.record(pending(START), 0);
         PoolMaster next = newMaster(2, ms(500));
         answerLastExtension(next, 5_000, ms(510));
-        pendingStarts.review(ImmutableList.of(next), ms(600));
+        pendingStarts.takeDueStatements(ImmutableList.of(next), ms(600));
         assertThat(pendingStarts.contains("job")).isFalse();
 
         next.handleReportFailure("t", recorder.lastExtension("t").sequenceNumber(), OrderVerdict.UNKNOWN, ms(700));
-        assertThat(statedStarts(pendingStarts.review(ImmutableList.of(next), ms(710))))
+        assertThat(statedStarts(pendingStarts.takeDueStatements(ImmutableList.of(next), ms(710))))
                 .containsExactly(START);
         assertThat(pendingStarts.contains("job")).isTrue();
 
         next.tick(ms(810));
         answerLastExtension(next, 5_300, ms(820));
-        assertThat(pendingStarts.review(ImmutableList.of(next), ms(1_020))).containsExactly(refused(START));
+        assertThat(pendingStarts.takeDueStatements(ImmutableList.of(next), ms(1_020)))
+                .containsExactly(refused(START));
         assertThat(pendingStarts.contains("job")).isFalse();
     }
 
@@ -272,13 +278,13 @@
         pendingStarts.record(pending(START), 0);
         PoolMaster next = newMaster(2, ms(500));
         answerLastExtension(next, 5_000, ms(510));
-        pendingStarts.review(ImmutableList.of(next), ms(600));
+        pendingStarts.takeDueStatements(ImmutableList.of(next), ms(600));
 
         LeaseReport.RunProgress late = new LeaseReport.RunProgress(new RunId(new TaskName("job", 0, 0, 0), 1), 10);
         LeaseReport report = new LeaseReport(5_200, 0, ImmutableList.of(late), ImmutableList.of());
         next.handleReport("t", recorder.lastExtension("t").sequenceNumber(), report, ms(700));
 
-        assertThat(statedStarts(pendingStarts.review(ImmutableList.of(next), ms(710))))
+        assertThat(statedStarts(pendingStarts.takeDueStatements(ImmutableList.of(next), ms(710))))
                 .containsExactly(START);
     }
 
@@ -292,9 +298,10 @@
         answerLastExtension(master, 1_126, ms(126));
         assertThat(master.pendingStarts()).isEmpty();
 
-        assertThat(statedStarts(pendingStarts.review(ImmutableList.of(master), ms(130))))
+        assertThat(statedStarts(pendingStarts.takeDueStatements(ImmutableList.of(master), ms(130))))
                 .containsExactly(START);
-        assertThat(pendingStarts.review(ImmutableList.of(master), ms(430))).containsExactly(refused(START));
+        assertThat(pendingStarts.takeDueStatements(ImmutableList.of(master), ms(430)))
+                .containsExactly(refused(START));
     }
 
     /** Guards against a job that is never accepted again, because its target is silent from time to time. */
@@ -303,12 +310,12 @@
         pendingStarts.record(pending(START), 0);
         PoolMaster next = newMaster(2, ms(500));
         answerLastExtension(next, 5_000, ms(510));
-        pendingStarts.review(ImmutableList.of(next), ms(600));
+        pendingStarts.takeDueStatements(ImmutableList.of(next), ms(600));
         next.handleReportFailure("t", recorder.lastExtension("t").sequenceNumber(), OrderVerdict.UNKNOWN, ms(700));
-        pendingStarts.review(ImmutableList.of(next), PendingStarts.HOLD_NANOS - 1);
+        pendingStarts.takeDueStatements(ImmutableList.of(next), PendingStarts.HOLD_NANOS - 1);
         assertThat(pendingStarts.contains("job")).isTrue();
 
-        pendingStarts.review(ImmutableList.of(next), PendingStarts.HOLD_NANOS);
+        pendingStarts.takeDueStatements(ImmutableList.of(next), PendingStarts.HOLD_NANOS);
         assertThat(pendingStarts.contains("job")).isFalse();
     }
 
@@ -322,7 +329,7 @@
         assertThat(ofNewHost.contains("job")).isFalse();
 
         PoolMaster next = newMaster(2, ms(1_100));
-        assertThat(statedStarts(ofNewHost.review(ImmutableList.of(next), ms(1_110))))
+        assertThat(statedStarts(ofNewHost.takeDueStatements(ImmutableList.of(next), ms(1_110))))
                 .containsExactly(START);
     }
 
@@ -330,11 +337,12 @@
     @Test
     void a_start_that_is_confirmed_late_is_refused() {
         PoolMaster master = newMasterWithPendingStart();
-        pendingStarts.review(ImmutableList.of(master), ms(130));
+        pendingStarts.takeDueStatements(ImmutableList.of(master), ms(130));
 
         master.handleStartResponse("t", recorder.startedRuns.get(0), OrderVerdict.DONE, 1_200, ms(200));
 
-        assertThat(pendingStarts.review(ImmutableList.of(master), ms(430))).containsExactly(refused(START));
+        assertThat(pendingStarts.takeDueStatements(ImmutableList.of(master), ms(430)))
+                .containsExactly(refused(START));
         assertThat(pendingStarts.contains("job")).isFalse();
     }
 
@@ -359,7 +367,7 @@
 
         assertThat(pendingStarts.contains("job-0")).isFalse();
         assertThat(pendingStarts.contains("job-1")).isTrue();
-        List<PendingStartStatement> statements = pendingStarts.review(ImmutableList.of(), ms(1));
+        List<PendingStartStatement> statements = pendingStarts.takeDueStatements(ImmutableList.of(), ms(1));
         assertThat(statements).hasSize(PendingStarts.MAX_STARTS / PendingStarts.MAX_STATED);
         statements.forEach(statement -> assertThat(statement.pending().size()).isAtMost(PendingStarts.MAX_STATED));
     }
