Log the starts that are expected to miss the deadline, and the starts of a job at its end

Operators could not see with how much time left a task was started: that a job was begun in part, and that a task had no chance from its start, showed only in the texts of jobs that a running task had ended. The size of a job stood in the line of its entry host only.

run.at_risk (info) is a start with less time left to the deadline than the task is expected to take; run.started (debug) is any other. Both have target, step, index, attempt, expected time, time left and time waited. They are two events, as job.complete and job.failed are, so that each has one level and the frequent one can't use up the bound on lines of the other. job.ended has the declared work and, if the master has started tasks of the job, the first and the last start and the least time left in percent of the expected time.

The lines of a master move from PoolRunner to MasterLog, so that tests read them without a target. CapturedLines captures at debug too, and no longer leaves a level of its own to the tests after it.

No decision of a master is changed.

--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -25,6 +25,7 @@
 import org.mustardlink.pool.FencingToken;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
+import org.mustardlink.pool.JobSummary;
 import org.mustardlink.pool.LeaseExtension;
 import org.mustardlink.pool.LeaseLimits;
 import org.mustardlink.pool.OrderAdmission;
@@ -37,6 +38,7 @@
 import org.mustardlink.pool.RequestConfirmations;
 import org.mustardlink.pool.RequestId;
 import org.mustardlink.pool.RunId;
+import org.mustardlink.pool.StartTiming;
 import org.mustardlink.pool.TargetEntry;
 
 /** Runs the masters of this host's pools and sends the orders to their targets. Runs on the loop thread. */
@@ -308,11 +310,13 @@
         private final PoolId pool;
         private final int round;
         private final PoolOwnership ownership;
+        private final MasterLog masterLog;
 
         private MasterActions(PoolId pool, int round, PoolOwnership ownership) {
             this.pool = pool;
             this.round = round;
             this.ownership = ownership;
+            this.masterLog = new MasterLog(log, pool, round);
         }
 
         /**
@@ -365,22 +369,12 @@
         }
 
         @Override
-        public void sendResult(RequestId request, String job, JobResult result) {
+        public void sendResult(RequestId request, JobSummary job, JobResult result) {
             long now = System.nanoTime();
             OptionalLong admittedNanos = orderAdmission.admittedNanos(request);
             long elapsedMs =
                     admittedNanos.isEmpty() ? -1 : TimeUnit.NANOSECONDS.toMillis(now - admittedNanos.getAsLong());
-            PoolLoad load = load(pool, now).orElse(PoolLoad.NONE);
-            log.line(LogEvent.JOB_ENDED)
-                    .with(LogField.JOB, job)
-                    .with(LogField.POOL, pool)
-                    .with(LogField.ROUND, round)
-                    .with(LogField.ANSWER, result.getClass().getSimpleName())
-                    .with(LogField.REASON, result)
-                    .with(LogField.ELAPSED_MS, elapsedMs)
-                    .with(LogField.FREE_CPU, load.freeCpuMillis())
-                    .with(LogField.WIDEST_CPU, load.maxTargetFreeCpuMillis())
-                    .write();
+            masterLog.logJobEnd(job, result, elapsedMs, load(pool, now).orElse(PoolLoad.NONE));
             orderAdmission.recordResult(pool, round, request, result);
             resultHandler.handleResult(pool, round, request, result);
         }
@@ -390,26 +384,19 @@
             postToMaster((_master, now) -> ownership.recordFencingRejection(pool, now));
         }
 
+        @Override
+        public void logStart(TargetEntry target, RunId run, StartTiming timing) {
+            masterLog.logStart(target, run, timing);
+        }
+
         @Override
         public void logJobChange(String job, String change, String reason) {
-            log.line(LogEvent.JOB_CHANGED)
-                    .with(LogField.JOB, job)
-                    .with(LogField.POOL, pool)
-                    .with(LogField.ROUND, round)
-                    .with(LogField.CHANGE, change)
-                    .with(LogField.REASON, reason)
-                    .write();
+            masterLog.logJobChange(job, change, reason);
         }
 
         @Override
         public void logTargetChange(TargetEntry target, String change, String reason) {
-            log.line(LogEvent.TARGET_CHANGED)
-                    .with(LogField.TARGET, target.id())
-                    .with(LogField.POOL, pool)
-                    .with(LogField.ROUND, round)
-                    .with(LogField.CHANGE, change)
-                    .with(LogField.REASON, reason)
-                    .write();
+            masterLog.logTargetChange(target, change, reason);
         }
     }
 
--- a/src/main/java/org/mustardlink/observe/EventLog.java
+++ b/src/main/java/org/mustardlink/observe/EventLog.java
@@ -93,6 +93,11 @@
         Configurator.setRootLevel(Level.OFF);
     }
 
+    /** Returns whether the lines of an event are written, apart from the rate limit. */
+    public boolean isEnabled(LogEvent event) {
+        return LOGGER.isEnabled(event.level());
+    }
+
     /** Starts a line for an event. */
     public Line line(LogEvent event) {
         return new Line(event);
@@ -106,7 +111,7 @@
 
         private Line(LogEvent event) {
             this.event = event;
-            this.enabled = LOGGER.isEnabled(event.level());
+            this.enabled = isEnabled(event);
         }
 
         /** Adds a field. */
--- a/src/main/java/org/mustardlink/observe/LogEvent.java
+++ b/src/main/java/org/mustardlink/observe/LogEvent.java
@@ -53,6 +53,10 @@
     REQUEST_ANSWERED("request.answered", StandardLevel.INFO),
     /** The master of a pool ended a job. */
     JOB_ENDED("job.ended", StandardLevel.INFO),
+    /** The master of a pool ordered the start of a task that is expected to end before the caller's deadline. */
+    RUN_STARTED("run.started", StandardLevel.DEBUG),
+    /** The master of a pool ordered the start of a task that is expected to end after the caller's deadline. */
+    RUN_AT_RISK("run.at_risk", StandardLevel.INFO),
     /** The master of a pool adopted or lost a run of an open job, or stopped the job. */
     JOB_CHANGED("job.changed", StandardLevel.INFO),
     /** The master of a pool changed its assessment of a target. */
--- a/src/main/java/org/mustardlink/observe/LogField.java
+++ b/src/main/java/org/mustardlink/observe/LogField.java
@@ -86,6 +86,22 @@
     FREE_CPU,
     /** Largest number of free processors on a single target of a pool, in thousandths of a core. */
     WIDEST_CPU,
+    /** Number of the step of a job, from 0. */
+    STEP,
+    /** Number of the task within its step, from 0. */
+    TASK_INDEX,
+    /** Expected running time of a task on its target, in milliseconds. */
+    EXPECTED_MS,
+    /** Time left until the caller's deadline, in milliseconds. */
+    LEFT_MS,
+    /** Time since the job arrived at the master of the pool, in milliseconds. */
+    WAITED_MS,
+    /** Time from the arrival of a job at the master to the first start of one of its tasks, in milliseconds. */
+    FIRST_START_MS,
+    /** Time from the arrival of a job at the master to the last start of one of its tasks, in milliseconds. */
+    LAST_START_MS,
+    /** Smallest ratio of the time left to the expected running time at any start of a job's tasks, in percent. */
+    LEAST_LEFT_PERCENT,
     /** Processor time of the process since its start, in milliseconds. */
     PROCESSOR_MS,
     /** Number of passes of the event loop. */
--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -79,7 +79,7 @@
         if (!job.order().mayHaveStarted()) {
             Optional<JobResult> refusal = refusalOf(job, now);
             if (refusal.isPresent()) {
-                actions.sendResult(order.request(), order.job(), refusal.get());
+                actions.sendResult(order.request(), job.summary(), refusal.get());
                 return Optional.empty();
             }
         }
@@ -232,7 +232,8 @@
         }
         job.close();
         tables.remove(job);
-        job.requests().forEach(request -> actions.sendResult(request, job.id(), result));
+        JobSummary summary = job.summary();
+        job.requests().forEach(request -> actions.sendResult(request, summary, result));
     }
 
     /** Ends the jobs that can no longer be completed in time; returns those with tasks that may be running. */
--- a/src/main/java/org/mustardlink/pool/PoolActions.java
+++ b/src/main/java/org/mustardlink/pool/PoolActions.java
@@ -23,7 +23,7 @@
     void extendLease(TargetEntry target, LeaseExtension extension);
 
     /** Sends the result of a job to the entry host of a request. */
-    void sendResult(RequestId request, String job, JobResult result);
+    void sendResult(RequestId request, JobSummary job, JobResult result);
 
     /**
      * Reports that this master's tokens no longer suffice for a target: another host may be the master, or a claim's
@@ -31,6 +31,9 @@
      */
     void reportFenced(TargetEntry target);
 
+    /** Logs the start of a run. */
+    void logStart(TargetEntry target, RunId run, StartTiming timing);
+
     /** Logs a decision about a job. */
     void logJobChange(String job, String change, String reason);
 
--- a/src/main/java/org/mustardlink/pool/PoolJob.java
+++ b/src/main/java/org/mustardlink/pool/PoolJob.java
@@ -39,6 +39,7 @@
     private final double workMilliCoreNanos;
     private long lastSubmittedNanos;
     private boolean started;
+    private Optional<JobSummary.Starts> starts = Optional.empty();
     private boolean closed;
     private double logFactorSum;
     private int factorSamples;
@@ -154,6 +155,20 @@
         started = true;
     }
 
+    /** Records that the start of a task is being ordered on a target where it is expected to run for the given time. */
+    StartTiming recordStart(long expectedNanos, long now) {
+        StartTiming timing = new StartTiming(expectedNanos, deadlineNanos - now, now - arrivedNanos);
+        starts = Optional.of(
+                starts.map(earlier -> earlier.plus(timing)).orElseGet(() -> JobSummary.Starts.first(timing)));
+        markStarted();
+        return timing;
+    }
+
+    /** Returns what is known about the job, for the log. */
+    JobSummary summary() {
+        return new JobSummary(id(), order.workMilliCoreNanos(), starts);
+    }
+
     /**
      * Records the running time of a task, to correct the estimates for the others.
      *
--- a/src/main/java/org/mustardlink/pool/RunSystem.java
+++ b/src/main/java/org/mustardlink/pool/RunSystem.java
@@ -54,13 +54,14 @@
         Run run = Run.ordered(task.nextRunId(), task, now, target, expectedNanos);
         tables.add(target, run);
         task.setState(PoolTask.State.ACTIVE);
-        task.job().markStarted();
+        StartTiming timing = task.job().recordStart(expectedNanos, now);
         actions.startRun(
                 target.entry(),
                 run.id(),
                 task.job().order().payload(),
                 deadlineMs,
                 target.token().value());
+        actions.logStart(target.entry(), run.id(), timing);
     }
 
     /**
--- a/src/test/java/org/mustardlink/host/DispatchHostTest.java
+++ b/src/test/java/org/mustardlink/host/DispatchHostTest.java
@@ -4,7 +4,9 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.awaitility.Awaitility.await;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Iterables;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -14,6 +16,8 @@
 import org.junit.jupiter.api.Test;
 import org.mustardlink.exercise.StandInDeployment;
 import org.mustardlink.http.HttpReply;
+import org.mustardlink.observe.CapturedLines;
+import org.mustardlink.observe.LogEvent;
 import org.mustardlink.platform.StoreTopics;
 import org.mustardlink.platform.standin.StandInRunner;
 import org.mustardlink.platform.standin.StandInStore;
@@ -81,6 +85,25 @@
         assertThat(starts).isEqualTo(180);
     }
 
+    /** Guards against log lines of starts and ends that a host doesn't write although its masters report them. */
+    @Test
+    void a_job_leaves_a_line_for_each_start_and_its_starts_in_the_line_of_its_end() {
+        try (CapturedLines captured = CapturedLines.startAtDebug()) {
+            assertThat(deployment.submit("east-1", jobId(1), 3, 20).join().status())
+                    .isEqualTo(200);
+
+            assertThat(captured.lines(LogEvent.RUN_STARTED).stream()
+                            .filter(line -> line.path("job").asText().equals(jobId(1)))
+                            .map(line -> line.path("task_index").asInt()))
+                    .containsExactly(0, 1, 2);
+            JsonNode end = Iterables.getOnlyElement(captured.lines(LogEvent.JOB_ENDED));
+            assertThat(end.path("job").asText()).isEqualTo(jobId(1));
+            assertThat(end.path("last_start_ms").asLong())
+                    .isAtLeast(end.path("first_start_ms").asLong());
+            assertThat(end.path("least_left_percent").asLong()).isAtLeast(100);
+        }
+    }
+
     @Test
     void a_killed_master_is_replaced_and_its_running_tasks_are_not_started_again() {
         String master = deployment.host("east-1").ownsAnyPool() ? "east-1" : "east-2";
--- a/src/test/java/org/mustardlink/observe/CapturedLines.java
+++ b/src/test/java/org/mustardlink/observe/CapturedLines.java
@@ -1,6 +1,9 @@
 package org.mustardlink.observe;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
 import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableList;
 import java.io.StringWriter;
 import java.util.List;
 import org.apache.logging.log4j.Level;
@@ -9,14 +12,15 @@
 import org.apache.logging.log4j.core.Logger;
 import org.apache.logging.log4j.core.appender.WriterAppender;
 import org.apache.logging.log4j.core.config.Configurator;
+import org.mustardlink.http.Json;
 
-/** Captures the lines that event logs write at level INFO and above, until it is closed. */
-final class CapturedLines implements AutoCloseable {
+/** Captures the lines that event logs write, until it is closed. */
+public final class CapturedLines implements AutoCloseable {
     private final StringWriter written = new StringWriter();
     private final Logger logger = (Logger) LogManager.getLogger("org.mustardlink.events");
     private final Appender appender;
 
-    private CapturedLines() {
+    private CapturedLines(Level level) {
         appender = WriterAppender.newBuilder()
                 .setName("test")
                 .setLayout(new JsonLineLayout())
@@ -24,20 +28,45 @@
                 .build();
         appender.start();
         logger.addAppender(appender);
-        Configurator.setLevel("org.mustardlink", Level.INFO);
+        Configurator.setAllLevels("org.mustardlink", level);
     }
 
-    static CapturedLines start() {
-        return new CapturedLines();
+    /** Starts to capture lines of level INFO and above. */
+    public static CapturedLines start() {
+        return new CapturedLines(Level.INFO);
+    }
+
+    /** Starts to capture lines of level DEBUG and above. */
+    public static CapturedLines startAtDebug() {
+        return new CapturedLines(Level.DEBUG);
     }
 
     List<String> lines() {
         return Splitter.on('\n').omitEmptyStrings().splitToList(written.toString());
     }
 
+    /** Returns the lines of an event, as JSON objects. */
+    public ImmutableList<JsonNode> lines(LogEvent event) {
+        return lines().stream()
+                .map(CapturedLines::parse)
+                .filter(line -> line.path("event").asText().equals(event.id()))
+                .collect(ImmutableList.toImmutableList());
+    }
+
+    private static JsonNode parse(String line) {
+        try {
+            return Json.mapper().readTree(line);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("not a JSON object: " + line, e);
+        }
+    }
+
     @Override
     public void close() {
         logger.removeAppender(appender);
+        // Adding the appender has given the logger a level of its own, which later tests could not change.
+        logger.getContext().getConfiguration().removeLogger(logger.getName());
+        logger.getContext().updateLoggers();
         EventLog.disableLogging();
     }
 }
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -1146,8 +1146,8 @@
         }
 
         @Override
-        public void sendResult(RequestId request, String job, JobResult result) {
-            log(() -> "result of job " + job + " by " + host.id + " " + claim.pool() + ": " + result);
+        public void sendResult(RequestId request, JobSummary job, JobResult result) {
+            log(() -> "result of job " + job.id() + " by " + host.id + " " + claim.pool() + ": " + result);
             host.orderAdmission.recordResult(claim.pool(), claim.round(), request, result);
             host.sendResult(claim, request, result);
         }
@@ -1155,6 +1155,9 @@
         @Override
         public void reportFenced(TargetEntry _target) {}
 
+        @Override
+        public void logStart(TargetEntry _target, RunId _run, StartTiming _timing) {}
+
         @Override
         public void logJobChange(String job, String change, String reason) {
             log(() -> change + ": job " + job + " by " + host.id + " " + claim.pool() + " round " + claim.round() + ": "
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -564,7 +564,7 @@
         }
 
         @Override
-        public void sendResult(RequestId request, String _job, JobResult result) {
+        public void sendResult(RequestId request, JobSummary _job, JobResult result) {
             SimulatedHost host = hosts.get(request.host());
             schedule(
                     now + host.delayNanos(claim.pool()),
@@ -574,6 +574,9 @@
         @Override
         public void reportFenced(TargetEntry _target) {}
 
+        @Override
+        public void logStart(TargetEntry _target, RunId _run, StartTiming _timing) {}
+
         @Override
         public void logJobChange(String _job, String _change, String _reason) {}
 
--- a/src/test/java/org/mustardlink/pool/RecordingPoolActions.java
+++ b/src/test/java/org/mustardlink/pool/RecordingPoolActions.java
@@ -16,6 +16,8 @@
     final List<String> startTargets = new ArrayList<>();
     final List<RunId> stoppedRuns = new ArrayList<>();
     final List<JobResult> results = new ArrayList<>();
+    final List<JobSummary> summaries = new ArrayList<>();
+    final List<StartTiming> startTimings = new ArrayList<>();
     final List<String> fenced = new ArrayList<>();
     /** Tells for which requests callers are known to wait; by default for all of them. */
     RequestConfirmations confirmations = (_request, now) -> now;
@@ -68,8 +70,9 @@
     }
 
     @Override
-    public void sendResult(RequestId _request, String _job, JobResult result) {
+    public void sendResult(RequestId _request, JobSummary job, JobResult result) {
         results.add(result);
+        summaries.add(job);
     }
 
     @Override
@@ -77,6 +80,11 @@
         fenced.add(target.id());
     }
 
+    @Override
+    public void logStart(TargetEntry _target, RunId _run, StartTiming timing) {
+        startTimings.add(timing);
+    }
+
     @Override
     public void logJobChange(String _job, String _change, String _reason) {}
 
