Count final answers by queue, size of the job and outcome

Operators could not see what share of the jobs of a queue was served by size: answers were counted by kind only, and a queue whose large jobs are refused or thrown away looked like one that is short of room.

mustardlink_jobs{queue,size,outcome} is counted where the caller gets its final answer, on its entry host, so that a job that was redirected or sent to a new master counts once. The size is the declared processor time relative to the moving mean of the jobs of the queue that arrived at the host before: below half, up to the mean, up to twice, above. Queues beyond the bound on series share one set of counters; a queue's twelve counters appear together, from zero.

--- a/src/main/java/org/mustardlink/host/OpenRequests.java
+++ b/src/main/java/org/mustardlink/host/OpenRequests.java
@@ -9,8 +9,10 @@
 import org.mustardlink.front.CallerResponse;
 import org.mustardlink.observe.EntryMetrics;
 import org.mustardlink.observe.EventLog;
+import org.mustardlink.observe.JobOutcome;
 import org.mustardlink.observe.LogEvent;
 import org.mustardlink.observe.LogField;
+import org.mustardlink.observe.SizeClass;
 import org.mustardlink.ownership.Claim;
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
@@ -21,20 +23,27 @@
     private final String domain;
     private final EntryMetrics metrics;
     private final EventLog log;
+    private final JobSizes jobSizes = new JobSizes();
     private final Map<Long, PendingRequest> requestsByNumber = new HashMap<>();
 
     private static final class PendingRequest {
         private final JobOrder order;
         private final long configVersion;
         private final long arrivedNanos;
+        private final SizeClass size;
         private final Consumer<CallerResponse> onResponse;
         private Optional<PoolId> pool = Optional.empty();
 
         private PendingRequest(
-                JobOrder order, long configVersion, long arrivedNanos, Consumer<CallerResponse> onResponse) {
+                JobOrder order,
+                long configVersion,
+                long arrivedNanos,
+                SizeClass size,
+                Consumer<CallerResponse> onResponse) {
             this.order = order;
             this.configVersion = configVersion;
             this.arrivedNanos = arrivedNanos;
+            this.size = size;
             this.onResponse = onResponse;
         }
     }
@@ -46,7 +55,8 @@
     }
 
     void add(JobOrder order, long configVersion, Consumer<CallerResponse> onResponse, long now) {
-        requestsByNumber.put(order.request().number(), new PendingRequest(order, configVersion, now, onResponse));
+        SizeClass size = jobSizes.classify(order.route(), order.workMilliCoreNanos());
+        requestsByNumber.put(order.request().number(), new PendingRequest(order, configVersion, now, size, onResponse));
     }
 
     /** Records that a request was sent to a master whose last heartbeat arrived {@code heartbeatAgeMs} ago. */
@@ -90,7 +100,7 @@
     void respond(long number, CallerResponse response, long now) {
         PendingRequest request = requestsByNumber.remove(number);
         if (request != null) {
-            recordResponse(request, response.kind().name(), response.reason(), now);
+            recordResponse(request, response.kind().name(), outcomeOf(response.kind()), response.reason(), now);
             request.onResponse.accept(response);
         }
     }
@@ -99,17 +109,26 @@
     void recordCallerDisconnect(long number, long now) {
         PendingRequest request = requestsByNumber.remove(number);
         if (request != null) {
-            recordResponse(request, "CALLER_GONE", "the caller closed its connection", now);
+            recordResponse(request, "CALLER_GONE", JobOutcome.ENDED, "the caller closed its connection", now);
         }
     }
 
-    private void recordResponse(PendingRequest request, String outcome, String reason, long now) {
-        metrics.countAnswer(Ascii.toLowerCase(outcome));
+    private static JobOutcome outcomeOf(CallerResponse.Kind kind) {
+        return switch (kind) {
+            case COMPLETE -> JobOutcome.COMPLETE;
+            case NOT_RUN -> JobOutcome.REFUSED;
+            case FAILED, MAY_HAVE_RUN, TIMED_OUT -> JobOutcome.ENDED;
+        };
+    }
+
+    private void recordResponse(PendingRequest request, String answer, JobOutcome outcome, String reason, long now) {
+        metrics.countAnswer(Ascii.toLowerCase(answer));
+        metrics.countJob(request.order.route(), request.size, outcome);
         metrics.recordResponseTime(domain, request.order.route(), now - request.arrivedNanos);
         log.line(LogEvent.REQUEST_ANSWERED)
                 .with(LogField.JOB, request.order.job())
                 .with(LogField.ROUTE, request.order.route())
-                .with(LogField.ANSWER, outcome)
+                .with(LogField.ANSWER, answer)
                 .with(LogField.REASON, reason)
                 .with(LogField.POOL, request.pool.map(PoolId::toString).orElse(""))
                 .with(LogField.CONFIG_VERSION, request.configVersion)
--- a/src/main/java/org/mustardlink/observe/EntryMetrics.java
+++ b/src/main/java/org/mustardlink/observe/EntryMetrics.java
@@ -8,6 +8,7 @@
 import com.codahale.metrics.Timer;
 import com.google.common.base.CharMatcher;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableTable;
 import com.google.common.collect.Maps;
 import java.lang.management.ManagementFactory;
 import java.lang.management.MemoryUsage;
@@ -30,6 +31,7 @@
     static final String OTHER_LABEL = "other";
 
     static final String RESPONSE_TIME = "response_time";
+    static final String JOBS = "jobs";
 
     private static final long MIN_RECORDED_NANOS = 1_000;
     private static final long MAX_RECORDED_NANOS = TimeUnit.HOURS.toNanos(1);
@@ -42,6 +44,7 @@
 
     private final MetricRegistry registry = new MetricRegistry();
     private final Map<Series, Timer> responseTimers = new ConcurrentHashMap<>();
+    private final Map<String, JobCounters> jobCounters = new ConcurrentHashMap<>();
     private final ImmutableMap<Reason, Counter> verdicts;
     private final ImmutableMap<MessageKind, Counter> messages;
     private final Counter forwardedCalls = registry.counter("forwarded_calls");
@@ -74,11 +77,33 @@
         }
     }
 
+    /** Counters of the jobs of one queue, by size and outcome. */
+    private static final class JobCounters {
+        private final ImmutableTable<SizeClass, JobOutcome, Counter> counters;
+
+        private JobCounters(MetricRegistry registry, String queue) {
+            ImmutableTable.Builder<SizeClass, JobOutcome, Counter> builder = ImmutableTable.builder();
+            for (SizeClass size : SizeClass.values()) {
+                for (JobOutcome outcome : JobOutcome.values()) {
+                    builder.put(
+                            size,
+                            outcome,
+                            registry.counter(MetricRegistry.name(JOBS, queue, size.label(), outcome.label())));
+                }
+            }
+            counters = builder.buildOrThrow();
+        }
+
+        private void count(SizeClass size, JobOutcome outcome) {
+            counters.get(size, outcome).inc();
+        }
+    }
+
     /**
      * Creates empty metrics.
      *
-     * @param maxSeries maximum number of histograms, one for each team and class; all further pairs share one histogram
-     *     whose labels are {@code other}
+     * @param maxSeries maximum number of histograms, one for each team and class, and of queues whose jobs are counted
+     *     by size; all further ones share one histogram or one set of counters whose labels are {@code other}
      * @param significantDigits number of significant decimal digits that the histograms keep, 1 to 3
      */
     public static EntryMetrics create(int maxSeries, int significantDigits) {
@@ -119,6 +144,11 @@
         registry.counter("answers." + kind).inc();
     }
 
+    /** Counts one job that got its final answer. */
+    public void countJob(String queue, SizeClass size, JobOutcome outcome) {
+        jobCounters(toLabel(queue)).count(size, outcome);
+    }
+
     /** Counts one request that was forwarded to the entry host that owns its session. */
     public void countForwardedCall() {
         forwardedCalls.inc();
@@ -168,6 +198,18 @@
                 labels, key -> registerTimer(MetricRegistry.name(RESPONSE_TIME, key.team(), key.jobClass())));
     }
 
+    private JobCounters jobCounters(String queue) {
+        return Optional.ofNullable(jobCounters.get(queue)).orElseGet(() -> addJobCounters(queue));
+    }
+
+    /** Synchronized, so that concurrent first jobs of many queues cannot exceed the maximum number of series. */
+    private synchronized JobCounters addJobCounters(String queue) {
+        String label = jobCounters.size() < maxSeries || jobCounters.containsKey(queue) ? queue : OTHER_LABEL;
+        // Registers every counter of a queue at once, so that readers need not distinguish a missing series from a
+        // zero.
+        return jobCounters.computeIfAbsent(label, key -> new JobCounters(registry, key));
+    }
+
     private Timer registerTimer(String name) {
         return registry.timer(name, this::newTimer);
     }
--- a/src/main/java/org/mustardlink/observe/MetricsExporter.java
+++ b/src/main/java/org/mustardlink/observe/MetricsExporter.java
@@ -40,6 +40,10 @@
                     EntryMetrics.RESPONSE_TIME + ".*.*",
                     EntryMetrics.RESPONSE_TIME,
                     ImmutableMap.of("team", "${0}", "class", "${1}")),
+            new MapperConfig(
+                    EntryMetrics.JOBS + ".*.*.*",
+                    EntryMetrics.JOBS,
+                    ImmutableMap.of("queue", "${0}", "size", "${1}", "outcome", "${2}")),
             new MapperConfig("answers.*", "answers", ImmutableMap.of("kind", "${0}")),
             new MapperConfig("verdicts.*", "verdicts", ImmutableMap.of("reason", "${0}")),
             new MapperConfig("messages.*", "messages", ImmutableMap.of("kind", "${0}"))));
--- a/src/test/java/org/mustardlink/observe/EntryMetricsTest.java
+++ b/src/test/java/org/mustardlink/observe/EntryMetricsTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.mustardlink.core.Reason;
@@ -36,6 +37,42 @@
                 .isEqualTo(2);
     }
 
+    /** Guards against a configuration with ever new queues that fills the heap. */
+    @Test
+    void queues_beyond_the_bound_share_one_set_of_counters() {
+        for (int i = 0; i < 100; i++) {
+            metrics.countJob("queue" + i, SizeClass.UP_TO_MEAN, JobOutcome.COMPLETE);
+        }
+        metrics.countJob("queue1", SizeClass.UP_TO_MEAN, JobOutcome.COMPLETE);
+
+        assertThat(metrics.registry().counter("jobs.queue1.up_to_mean.complete").getCount())
+                .isEqualTo(2);
+        assertThat(metrics.registry().counter("jobs.other.up_to_mean.complete").getCount())
+                .isEqualTo(98);
+        assertThat(metrics.registry().getCounters().keySet()).doesNotContain("jobs.queue2.up_to_mean.complete");
+    }
+
+    /** Guards against shares by size that can't be computed because sizes or outcomes that never occurred are missing. */
+    @Test
+    void both_formats_show_every_size_and_outcome_of_a_queue() {
+        metrics.countJob("large.jobs", SizeClass.ABOVE_TWICE, JobOutcome.REFUSED);
+        MetricsExporter text = MetricsExporter.of(metrics);
+
+        String prometheus = text.toPrometheusText();
+        for (String size : ImmutableList.of("below_half", "up_to_mean", "up_to_twice", "above_twice")) {
+            for (String outcome : ImmutableList.of("complete", "refused", "ended")) {
+                boolean counted = size.equals("above_twice") && outcome.equals("refused");
+                assertThat(prometheus)
+                        .contains("mustardlink_jobs_total{outcome=\"%s\",queue=\"large_jobs\",size=\"%s\"} %s"
+                                .formatted(outcome, size, counted ? "1.0" : "0.0"));
+            }
+        }
+        assertThat(text.toJson()
+                        .at("/counters/jobs.large_jobs.above_twice.refused/count")
+                        .asInt())
+                .isEqualTo(1);
+    }
+
     /** Guards against units or labels in the exports that differ from those of the recorded metrics. */
     @Test
     void both_formats_show_every_reason_and_the_right_units() {
