Readmit a lost entry host only when it acknowledges a later heartbeat

Callers could see: a second run of a task beside the one of their next try. An entry host ends while one of its connections is stalled. Its caller sends the job again 1.3 s later through another host. TCP then delivers what lay in the connection, a heartbeat and the order behind it, and the order is admitted and started as well.

Cause: the arrival of any heartbeat counted as a sign that its sender lives, and readmitted an entry host that had been declared lost. When a heartbeat was written can't be told from its arrival.

Evidence: FailoverSimulation now also ends hosts whose links have stalled, and delivers their last messages 0.2 to 3 s later.

Change: a heartbeat says which heartbeat of its receiver its sender has seen last. A host notes the number of its last heartbeat when it declares an entry host lost, and readmits it when that one acknowledges a higher number. Only a process that has outlived the loss can know such a number. The numbers count the heartbeats to all hosts now: numbers that restart when a host is registered again would make an old acknowledgment look new. So that a host that was merely silent comes back soon, it is sent a heartbeat as soon as it is declared lost, and its first heartbeat after a silence is answered at once. The wire format stays as it is. A new peer.changed state READMITTED shows when orders are taken again.

What stays: a host to which this one has no connection isn't readmitted, but results couldn't reach it either. Until the readmission (up to 0.3 s for a host with jobs here, by reading), orders are answered as possibly run.

The cost in callers' second tries wasn't measured.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -392,7 +392,7 @@
     }
 
     private void withdrawRequestsOf(HostInfo host, long now) {
-        poolRunner.handleEntryHostLoss(host.id(), host.incarnation(), now);
+        poolRunner.handleEntryHostLoss(host.id(), host.incarnation(), peerMonitor.lastHeartbeatNumber(), now);
     }
 
     private void refreshTargets(long now) {
@@ -612,7 +612,8 @@
                 nextTimersNanos = now;
             }
             if (ownership.isAlive(sender.id(), sender.incarnation(), now)) {
-                poolRunner.readmitEntryHost(sender.id(), sender.incarnation());
+                poolRunner.readmitEntryHost(
+                        sender.id(), sender.incarnation(), peerMonitor.acknowledgedNumber(sender.id()));
             }
         } else if (message instanceof PeerMessage.Submit submit) {
             poolRunner.submit(submit.pool(), submit.round(), submit.order(), now);
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -30,7 +30,8 @@
  * Exchanges heartbeats with the other hosts, and keeps the loads of pools that they report. Runs on the loop thread.
  *
  * <p>{@link HeartbeatSchedule} determines how often this host sends heartbeats to each of the others. A heartbeat whose
- * claims differ from those of the sender's previous heartbeat is answered at once.
+ * claims differ from those of the sender's previous heartbeat is answered at once, and so is the first one after a
+ * silence.
  */
 final class PeerMonitor {
     private static final long URGENT_INTERVAL_NANOS = HeartbeatSchedule.URGENT_INTERVAL.toNanos();
@@ -64,6 +65,11 @@
     private long scheduleReviewedNanos;
     private PeerLinks links;
     private long lastCycleNanos;
+    /**
+     * Number of the last heartbeat sent to any host. The numbers don't restart when a host is registered again, so a
+     * number that a host acknowledges tells which heartbeats had been sent before.
+     */
+    private long lastHeartbeatNumber;
 
     private static final class Peer {
         private HostInfo info;
@@ -146,6 +152,7 @@
         }
         Peer peer = new Peer();
         peer.info = info;
+        peer.lastSentNumber = lastHeartbeatNumber;
         peer.lastSentNanos = now - RARE_INTERVAL_NANOS;
         peer.connectedNanos = now;
         peer.lastReceivedNanos = now;
@@ -183,6 +190,7 @@
             return false;
         }
         metrics.count(MessageKind.HEARTBEAT_RECEIVED);
+        boolean firstHeartbeat = peer.lastReceivedNumber == 0;
         peer.lastReceivedNumber = heartbeat.sequence();
         // After a restart of this host, the sender may still acknowledge heartbeats of the earlier incarnation.
         if (heartbeat.acknowledgedIncarnation() == self.incarnation()) {
@@ -218,6 +226,8 @@
         peer.declaredLost = false;
         if (!peer.alive) {
             peer.alive = true;
+            // Each of the two hosts may take the other for lost, until a heartbeat that it sends now is acknowledged.
+            peer.sendImmediately |= !firstHeartbeat;
             logStateChange(sender, "ALIVE", "heard");
         }
         return claimsChanged || peer.sendImmediately || heartbeat.stopping();
@@ -334,6 +344,8 @@
         }
         if (!peer.declaredLost && ownership.shouldAbandonWork(peer.info.id(), peer.info.incarnation(), now)) {
             peer.declaredLost = true;
+            // Only the acknowledgment of a heartbeat that is sent from now on shows that the host is alive.
+            peer.sendImmediately = true;
             logStateChange(peer.info, "GIVEN_UP", "no heartbeat for too long, or connections refused");
             listener.onHostLost(peer.info, now);
         }
@@ -358,7 +370,8 @@
     private void sendHeartbeat(Peer peer, Status status, long now) {
         peer.sendImmediately = false;
         peer.lastSentNanos = now;
-        peer.lastSentNumber++;
+        lastHeartbeatNumber++;
+        peer.lastSentNumber = lastHeartbeatNumber;
         if (peer.unacknowledgedNumber == 0) {
             peer.unacknowledgedNumber = peer.lastSentNumber;
             peer.unacknowledgedSinceNanos = now;
@@ -399,6 +412,17 @@
         return peer.acknowledgedNumber >= announcement.heartbeatNumbers().getOrDefault(peer.info.id(), 1L);
     }
 
+    /** Returns the number of the last heartbeat that this host has sent to any host. */
+    long lastHeartbeatNumber() {
+        return lastHeartbeatNumber;
+    }
+
+    /** Returns the highest number of a heartbeat that the known incarnation of a host has acknowledged, 0 if none. */
+    long acknowledgedNumber(String host) {
+        Peer peer = peers.get(host);
+        return peer == null ? 0 : peer.acknowledgedNumber;
+    }
+
     /** Returns whether this host is the master of a pool or may become one. */
     boolean isMasterOrCandidate() {
         return schedule.masterOrCandidate();
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -227,18 +227,30 @@
 
     /**
      * Withdraws the requests of a lost entry host: all that have arrived, and those that arrive before
-     * {@link #readmitEntryHost} is called.
+     * {@link #readmitEntryHost} accepts the entry host again.
+     *
+     * @param lastSentHeartbeat number of the last heartbeat that this host has sent
      */
-    void handleEntryHostLoss(String host, long incarnation, long now) {
+    void handleEntryHostLoss(String host, long incarnation, long lastSentHeartbeat, long now) {
         masters.values().forEach(master -> master.handleEntryHostLoss(host, incarnation, now));
-        orderAdmission.recordEntryHostLoss(host, incarnation);
+        orderAdmission.recordEntryHostLoss(host, incarnation, lastSentHeartbeat);
     }
 
     /**
-     * Accepts new requests of an entry host that sends heartbeats; if it was considered lost, it had only been silent.
+     * Accepts new requests of an entry host that was considered lost, if it has acknowledged a heartbeat that was sent
+     * after the loss.
+     *
+     * @param acknowledgedHeartbeat highest number of a heartbeat of this host that the entry host has acknowledged
      */
-    void readmitEntryHost(String host, long incarnation) {
-        orderAdmission.readmitEntryHost(host, incarnation);
+    void readmitEntryHost(String host, long incarnation, long acknowledgedHeartbeat) {
+        if (orderAdmission.readmitEntryHost(host, incarnation, acknowledgedHeartbeat)) {
+            log.line(LogEvent.PEER_CHANGED)
+                    .with(LogField.MEMBER, host)
+                    .with(LogField.INCARNATION, incarnation)
+                    .with(LogField.STATE, "READMITTED")
+                    .with(LogField.REASON, "acknowledged a heartbeat that was sent after its loss")
+                    .write();
+        }
     }
 
     void updateTargets(long now) {
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -32,8 +32,10 @@
     /**
      * Reports that the sender is alive and which pools it is the master of.
      *
-     * @param sequence sequence number of the heartbeat within the sender's incarnation
-     * @param acknowledged sequence number of the receiver's last heartbeat that the sender received
+     * @param sequence sequence number of the heartbeat within the sender's incarnation, which counts its heartbeats to
+     *     all receivers
+     * @param acknowledged sequence number of the receiver's last heartbeat that the sender received; shows that the
+     *     sender was alive after that heartbeat had been sent
      * @param acknowledgedIncarnation incarnation of the receiver that sent the acknowledged heartbeat; sequence numbers
      *     restart with each incarnation
      * @param untilNext time until the sender's next heartbeat to the receiver
--- a/src/main/java/org/mustardlink/pool/OrderAdmission.java
+++ b/src/main/java/org/mustardlink/pool/OrderAdmission.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.errorprone.annotations.CanIgnoreReturnValue;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Iterator;
@@ -47,10 +48,10 @@
     /** Requests that no caller waits for any more, with the result that their orders get. */
     private final ExpiringMap<RequestId, JobResult> withdrawnRequests = new ExpiringMap<>();
     /**
-     * Incarnations of entry hosts that were lost and have sent no heartbeat since, with the result that their orders
-     * get.
+     * Incarnations of entry hosts that were lost and not readmitted, with the number of the last heartbeat that this
+     * host had sent at the loss.
      */
-    private final ExpiringMap<EntryHostIncarnation, JobResult> lostEntryHosts = new ExpiringMap<>();
+    private final ExpiringMap<EntryHostIncarnation, Long> lostEntryHosts = new ExpiringMap<>();
 
     private long lastExpiryNanos;
     /** Time for which the host has run, without the time for which it was frozen. */
@@ -123,11 +124,16 @@
     /** Returns the result for an order whose request no caller waits for any more; empty if one may wait. */
     private Optional<JobResult> withdrawalOf(JobOrder order) {
         RequestId request = order.request();
-        Optional<JobResult> lost = lostEntryHosts.get(new EntryHostIncarnation(request.host(), request.incarnation()));
-        // If the entry host was only silent, it ends the request with this result and may already have repeated the
-        // order.
-        lost.ifPresent(result -> withdrawnRequests.put(request, result, deadlineNanos(order) + MAX_TRANSIT.toNanos()));
-        return lost.or(() -> withdrawnRequests.get(request));
+        if (isLost(request.host(), request.incarnation())) {
+            // If the entry host was only silent, it ends the request with this result and may already have repeated
+            // the order.
+            withdrawnRequests.put(request, WITHDRAWN, deadlineNanos(order) + MAX_TRANSIT.toNanos());
+        }
+        return withdrawnRequests.get(request);
+    }
+
+    private boolean isLost(String host, long incarnation) {
+        return lostEntryHosts.get(new EntryHostIncarnation(host, incarnation)).isPresent();
     }
 
     private long deadlineNanos(JobOrder order) {
@@ -161,9 +167,12 @@
 
     /**
      * Withdraws the requests of a lost entry host: all whose orders have arrived, and those whose orders arrive before
-     * {@link #readmitEntryHost} is called.
+     * {@link #readmitEntryHost} accepts the entry host again.
+     *
+     * @param lastSentHeartbeat number of the last heartbeat that this host has sent to any host; numbers rise within
+     *     this host's process
      */
-    public void recordEntryHostLoss(String host, long incarnation) {
+    public void recordEntryHostLoss(String host, long incarnation, long lastSentHeartbeat) {
         for (Iterator<Map.Entry<RequestId, OpenOrder>> orders =
                         openOrders.entrySet().iterator();
                 orders.hasNext(); ) {
@@ -176,17 +185,29 @@
         }
         lostEntryHosts.put(
                 new EntryHostIncarnation(host, incarnation),
-                WITHDRAWN,
+                lastSentHeartbeat,
                 clockNanos + LOST_ENTRY_HOST_RETENTION.toNanos());
     }
 
     /**
-     * Accepts new requests of an entry host that sends heartbeats; if it was considered lost, it had only been silent.
+     * Accepts new requests of a lost entry host that had only been silent. That a heartbeat of it arrives doesn't show
+     * this, because a stalled connection may deliver the heartbeat long after the end of its sender. Only a process
+     * that has outlived the loss can acknowledge a heartbeat that was sent to it afterwards.
+     *
+     * @param acknowledgedHeartbeat highest number of a heartbeat of this host that the entry host has acknowledged
+     * @return whether the entry host was lost and is accepted from now on
      */
-    public void readmitEntryHost(String host, long incarnation) {
-        if (lostEntryHosts.size() > 0) {
-            lostEntryHosts.remove(new EntryHostIncarnation(host, incarnation));
+    @CanIgnoreReturnValue
+    public boolean readmitEntryHost(String host, long incarnation, long acknowledgedHeartbeat) {
+        EntryHostIncarnation entryHost = new EntryHostIncarnation(host, incarnation);
+        boolean readmitted = lostEntryHosts
+                .get(entryHost)
+                .filter(lastSentHeartbeat -> acknowledgedHeartbeat > lastSentHeartbeat)
+                .isPresent();
+        if (readmitted) {
+            lostEntryHosts.remove(entryHost);
         }
+        return readmitted;
     }
 
     /**
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -7,6 +7,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -275,6 +276,88 @@
         assertThat(isAcknowledgedBy(1, self.incarnation())).isTrue();
     }
 
+    private void receive(long number, long seen, long now) {
+        monitor.receiveHeartbeat(master, heartbeat(number, seen, self.incarnation()), now);
+    }
+
+    private long acknowledgedNumber() {
+        return monitor.acknowledgedNumber(master.id());
+    }
+
+    /**
+     * Guards against an entry host that was only silent, and whose orders are answered without a run until its next
+     * heartbeat but one, seconds later.
+     */
+    @Test
+    void the_first_heartbeat_after_a_silence_is_answered_at_once() {
+        long now = System.nanoTime();
+        tick(now);
+        receive(1, 1, now);
+        long resumed = now + Duration.ofSeconds(2).toNanos();
+        tick(resumed);
+        long lostNumber = monitor.lastHeartbeatNumber();
+
+        assertWithMessage("the timers, which send the answer, must run at once")
+                .that(monitor.receiveHeartbeat(master, heartbeat(2, 1, self.incarnation()), resumed))
+                .isTrue();
+        tick(resumed + NANOS_PER_MILLI);
+        assertThat(monitor.lastHeartbeatNumber()).isEqualTo(lostNumber + 1);
+
+        receive(3, lostNumber + 1, resumed + 2 * NANOS_PER_MILLI);
+        tick(resumed + 3 * NANOS_PER_MILLI);
+        assertWithMessage("the answer must not be answered in turn")
+                .that(monitor.lastHeartbeatNumber())
+                .isEqualTo(lostNumber + 1);
+    }
+
+    /** Guards against a silent host that could acknowledge no heartbeat, because none is sent to it after its loss. */
+    @Test
+    void a_heartbeat_is_sent_to_a_host_as_soon_as_it_is_declared_lost() {
+        long now = System.nanoTime();
+        tick(now);
+        receive(1, 1, now);
+        List<Long> numberAtLoss = new ArrayList<>();
+        long silent = now + Duration.ofSeconds(2).toNanos();
+        monitor.tick(
+                PeerMonitorTest::status,
+                Set::of,
+                (_host, _now) -> numberAtLoss.add(monitor.lastHeartbeatNumber()),
+                silent);
+        assertThat(numberAtLoss).hasSize(1);
+
+        tick(silent + NANOS_PER_MILLI);
+
+        assertThat(monitor.lastHeartbeatNumber()).isEqualTo(numberAtLoss.get(0) + 1);
+    }
+
+    /** Guards against a late acknowledgment that is taken for one of a heartbeat sent after the host was replaced. */
+    @Test
+    void heartbeat_numbers_do_not_restart_when_a_host_is_registered_again() {
+        long now = System.nanoTime();
+        monitor.announce(status(), now);
+        monitor.announce(status(), now);
+        HostInfo next = new HostInfo(
+                master.id(), master.domain(), master.incarnation() + 1, master.address(), master.cpuMillis());
+        List<Long> numberAtLoss = new ArrayList<>();
+        monitor.registerPeer(next, true, (_host, _now) -> numberAtLoss.add(monitor.lastHeartbeatNumber()), now);
+        monitor.announce(status(), now);
+
+        assertThat(numberAtLoss).containsExactly(2L);
+        assertThat(monitor.lastHeartbeatNumber()).isEqualTo(3);
+    }
+
+    /** Guards against an acknowledgment to an ended process of this host that readmits a lost entry host. */
+    @Test
+    void an_acknowledgment_to_an_earlier_incarnation_is_not_counted() {
+        long now = System.nanoTime();
+        monitor.receiveHeartbeat(master, heartbeat(1, 500, self.incarnation() - 1), now);
+        assertThat(acknowledgedNumber()).isEqualTo(0);
+
+        monitor.announce(status(), now);
+        receive(2, 1, now);
+        assertThat(acknowledgedNumber()).isEqualTo(1);
+    }
+
     private final class MessageRecorder extends IgnoringPeerListener {
         @Override
         public void onMessage(HostInfo _sender, PeerMessage message) {
--- a/src/test/java/org/mustardlink/host/PoolRunnerTest.java
+++ b/src/test/java/org/mustardlink/host/PoolRunnerTest.java
@@ -34,6 +34,8 @@
     private static final HostInfo SELF = new HostInfo("west-1", "west", 2, "127.0.0.1:1", 750);
     private static final int ROUND = 1;
     private static final int LINES_PER_SECOND = 10;
+    /** Number of the last heartbeat that the host has sent when it loses an entry host. */
+    private static final long LAST_HEARTBEAT = 7;
     /** Requests of other callers between two orders of a request; a busy host ends as many jobs within a second. */
     private static final int OTHER_REQUEST_COUNT = 2_000;
 
@@ -173,7 +175,7 @@
     /** Guards against two runs of a task: callers of a lost entry host send their jobs again through other hosts. */
     @Test
     void an_order_that_arrives_after_the_loss_of_its_entry_host_is_answered_but_not_accepted() {
-        runner.handleEntryHostLoss("east-1", 1, 0);
+        runner.handleEntryHostLoss("east-1", 1, LAST_HEARTBEAT, 0);
         runner.submit(EAST, ROUND, order(1), 1);
 
         assertThat(results).containsExactly(WITHDRAWN);
@@ -182,10 +184,10 @@
 
     /** Guards against an entry host that was only silent, and whose new jobs would all be answered without a run. */
     @Test
-    void after_a_lost_entry_host_sends_heartbeats_again_its_new_requests_are_accepted_but_not_the_withdrawn_ones() {
+    void after_a_lost_entry_host_is_readmitted_its_new_requests_are_accepted_but_not_the_withdrawn_ones() {
         runner.submit(EAST, ROUND, order(1), 0);
-        runner.handleEntryHostLoss("east-1", 1, 1);
-        runner.readmitEntryHost("east-1", 1);
+        runner.handleEntryHostLoss("east-1", 1, LAST_HEARTBEAT, 1);
+        runner.readmitEntryHost("east-1", 1, LAST_HEARTBEAT + 1);
         runner.submit(EAST, ROUND, order(1), 2);
         assertThat(results).containsExactly(WITHDRAWN);
         assertThat(openJobs(EAST)).isEqualTo(0);
@@ -251,12 +253,26 @@
         assertThat(openJobs(EAST)).isEqualTo(0);
     }
 
+    /**
+     * Guards against two runs of a task: a stalled connection delivers a heartbeat of an ended entry host and the order
+     * behind it, while the caller sends the job again through another host.
+     */
+    @Test
+    void an_order_behind_a_late_heartbeat_of_its_lost_entry_host_is_answered_but_not_accepted() {
+        runner.handleEntryHostLoss("east-1", 1, LAST_HEARTBEAT, 0);
+        runner.readmitEntryHost("east-1", 1, LAST_HEARTBEAT);
+        runner.submit(EAST, ROUND, order(1), 1);
+
+        assertThat(results).containsExactly(WITHDRAWN);
+        assertThat(openJobs(EAST)).isEqualTo(0);
+    }
+
     /** Guards against two runs of a task because a host of a large fleet forgets which entry hosts were lost. */
     @Test
     void an_order_of_a_lost_entry_host_is_not_accepted_after_the_loss_of_many_others() {
-        runner.handleEntryHostLoss("east-1", 1, 0);
+        runner.handleEntryHostLoss("east-1", 1, LAST_HEARTBEAT, 0);
         for (int i = 0; i < OTHER_REQUEST_COUNT; i++) {
-            runner.handleEntryHostLoss("north-" + i, 1, 1);
+            runner.handleEntryHostLoss("north-" + i, 1, LAST_HEARTBEAT, 1);
         }
         runner.submit(EAST, ROUND, order(1), 2);
 
@@ -270,9 +286,9 @@
      */
     @Test
     void an_order_that_was_answered_while_its_entry_host_was_lost_is_not_accepted_when_it_is_repeated() {
-        runner.handleEntryHostLoss("east-1", 1, 0);
+        runner.handleEntryHostLoss("east-1", 1, LAST_HEARTBEAT, 0);
         runner.submit(EAST, ROUND, order(1), 1);
-        runner.readmitEntryHost("east-1", 1);
+        runner.readmitEntryHost("east-1", 1, LAST_HEARTBEAT + 1);
         runner.submit(EAST, ROUND, order(1), 2);
 
         assertThat(results).containsExactly(WITHDRAWN, WITHDRAWN);
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -75,6 +75,15 @@
     /** Time after a message within which its link is reset; its answer is under way by then. */
     private static final long LINK_RESET_DELAY_NANOS = 5 * NANOS_PER_MS;
 
+    /** Makes the draws of stalled links differ from the other draws of the same seed. */
+    private static final long STALL_SEED = 0x6c617465;
+    /** Longest time for which the links of a host stall before the host ends; shorter than the detection of silence. */
+    private static final long MAX_STALL_NANOS = 800 * NANOS_PER_MS;
+    /** Shortest lateness of a message of an ended host; all other hosts have noticed the end by then. */
+    private static final long MIN_LATENESS_NANOS = 200 * NANOS_PER_MS;
+    /** Longest lateness of such a message. */
+    private static final long MAX_LATENESS_NANOS = 3_000 * NANOS_PER_MS;
+
     private final long seed;
     private final SplittableRandom random;
     private final boolean lateLeasesCountFromArrival;
@@ -102,6 +111,8 @@
     /** Draws the resets of links; empty if links aren't reset. */
     private Optional<SplittableRandom> linkRandom = Optional.empty();
 
+    private int lateOrderCount;
+
     private record ScheduledEvent(long timeNanos, long sequence, Runnable action) {}
 
     /**
@@ -170,6 +181,11 @@
         return linkResetCount;
     }
 
+    /** Returns the number of orders that arrived after the end of their entry host, see {@link #enableLateMessages}. */
+    int lateOrderCount() {
+        return lateOrderCount;
+    }
+
     private void schedule(long timeNanos, Runnable action) {
         events.add(new ScheduledEvent(timeNanos, sequence++, action));
     }
@@ -207,6 +223,27 @@
         return this;
     }
 
+    /**
+     * Makes the simulation end hosts whose links have stalled. What such a host has sent last, heartbeats as well as
+     * orders, arrives after the other hosts have noticed its end, unless its next process has connected to them before.
+     */
+    FailoverSimulation enableLateMessages() {
+        SplittableRandom stalls = new SplittableRandom(seed ^ STALL_SEED);
+        long timeNanos = now + NANOS_PER_MS * 1_000;
+        while (timeNanos < endNanos - NANOS_PER_MS * 5_000) {
+            timeNanos += stalls.nextLong(3_000 * NANOS_PER_MS);
+            long stallNanos = stalls.nextLong(MAX_STALL_NANOS);
+            long lateNanos = stalls.nextLong(MIN_LATENESS_NANOS, MAX_LATENESS_NANOS);
+            schedule(timeNanos, () -> {
+                List<Host> candidates = hosts.values().stream()
+                        .filter(host -> host.isAwake() && !host.isolated)
+                        .toList();
+                candidates.get(stalls.nextInt(candidates.size())).stallAndKill(stallNanos, lateNanos);
+            });
+        }
+        return this;
+    }
+
     private void log(Supplier<String> line) {
         if (traceEnabled) {
             trace.add("%.4f %s".formatted((now - TimeUnit.SECONDS.toNanos(1)) / 1e9, line.get()));
@@ -454,7 +491,7 @@
                         hosted.master.handleEntryHostLoss(lostHost.id, incarnation, now);
                         hosted.master.tickIfDue(now);
                     });
-                    host.orderAdmission.recordEntryHostLoss(lostHost.id, incarnation);
+                    host.orderAdmission.recordEntryHostLoss(lostHost.id, incarnation, host.lastHeartbeatNumber);
                 });
             }
         }
@@ -484,6 +521,10 @@
         private long number;
 
         private long attemptedNanos = Long.MIN_VALUE / 2;
+        /** Whether messages wait in the connection instead of arriving. */
+        private boolean stalled;
+        /** Delivers the messages that wait in the connection, in the order of their arrival. */
+        private final List<Runnable> stalledMessages = new ArrayList<>();
     }
 
     /** An incarnation of an entry host. */
@@ -501,6 +542,10 @@
         private final HostDirectory directory = new HostDirectory();
         private final List<Withdrawal> withdrawals = new ArrayList<>();
         private final Map<EntryHost, Long> confirmedNanos = new HashMap<>();
+        /** Number of the last heartbeat received from each process of another host. */
+        private final Map<EntryHost, Long> receivedHeartbeats = new HashMap<>();
+
+        private long lastHeartbeatNumber;
         private final RequestConfirmations confirmations = (request, nanos) ->
                 request.host().equals(Host.this.id) && request.incarnation() == Host.this.incarnation
                         ? nanos
@@ -537,6 +582,8 @@
             masters.clear();
             withdrawals.clear();
             confirmedNanos.clear();
+            receivedHeartbeats.clear();
+            lastHeartbeatNumber = 0;
             pendingStarts = new PendingStarts();
             knownClaims.clear();
             knownClaims.putAll(claims);
@@ -607,21 +654,25 @@
                 if (receiver == this || receiver.dead || isolated || !linkTo(receiver).open) {
                     continue;
                 }
-                long arrivalNanos = now + 3 * NETWORK_DELAY_NANOS;
                 long receiverIncarnation = receiver.incarnation;
-                long linkNumber = linkTo(receiver).number;
-                schedule(arrivalNanos, () -> {
-                    if (!receiver.isolated && linkTo(receiver).number == linkNumber) {
-                        receiver.runWhenAwake(receiverIncarnation, () -> {
-                            sent.stream()
-                                    .filter(withdrawal ->
-                                            withdrawal.master().host().equals(receiver.id))
-                                    .forEach(receiver::receiveWithdrawal);
-                            receiver.confirmedNanos.put(sender, arrivalNanos);
-                            receiver.orderAdmission.readmitEntryHost(sender.id(), sender.incarnation());
-                        });
-                    }
-                });
+                Link link = linkTo(receiver);
+                long linkNumber = link.number;
+                lastHeartbeatNumber++;
+                long number = lastHeartbeatNumber;
+                long acknowledged =
+                        receivedHeartbeats.getOrDefault(new EntryHost(receiver.id, receiver.incarnation), 0L);
+                Runnable delivery = () -> {
+                    long arrivalNanos = now;
+                    receiver.runWhenAwake(receiverIncarnation, () -> {
+                        sent.stream()
+                                .filter(withdrawal -> withdrawal.master().host().equals(receiver.id))
+                                .forEach(receiver::receiveWithdrawal);
+                        receiver.confirmedNanos.put(sender, arrivalNanos);
+                        receiver.receivedHeartbeats.put(sender, number);
+                        receiver.orderAdmission.readmitEntryHost(sender.id(), sender.incarnation(), acknowledged);
+                    });
+                };
+                schedule(now + 3 * NETWORK_DELAY_NANOS, () -> deliver(receiver, link, linkNumber, delivery, delivery));
             }
         }
 
@@ -656,6 +707,33 @@
             });
         }
 
+        /** Stalls the links on which this host sends, and ends its process some time later. */
+        private void stallAndKill(long stallNanos, long lateNanos) {
+            log(() -> "stall the links of host " + id);
+            long expectedIncarnation = incarnation;
+            hosts.values().forEach(other -> linkTo(other).stalled = true);
+            schedule(now + stallNanos, () -> {
+                if (!dead && incarnation == expectedIncarnation) {
+                    kill();
+                }
+                for (Host other : hosts.values()) {
+                    Link link = linkTo(other);
+                    ImmutableList<Runnable> messages = ImmutableList.copyOf(link.stalledMessages);
+                    link.stalledMessages.clear();
+                    link.stalled = false;
+                    schedule(now + lateNanos, () -> deliverLate(messages, expectedIncarnation, other));
+                }
+            });
+        }
+
+        /** Delivers what an ended process has sent; the connection of its successor replaces that of the process. */
+        private void deliverLate(ImmutableList<Runnable> messages, long sentIncarnation, Host receiver) {
+            if (incarnation == sentIncarnation && !receiver.isolated) {
+                log(() -> "late messages of host " + id + " arrive at " + receiver.id);
+                messages.forEach(Runnable::run);
+            }
+        }
+
         private void freeze(long durationNanos) {
             log(() -> "freeze host " + id + " for " + durationNanos / NANOS_PER_MS + " ms");
             frozenUntilNanos = Math.max(frozenUntilNanos, now + durationNanos);
@@ -900,6 +978,9 @@
 
         /** Handles an order that was sent to a claim of this host. */
         private void receiveOrder(Claim claim, JobOrder order) {
+            Host sender = hosts.get(order.request().host());
+            lateOrderCount +=
+                    sender.dead || sender.incarnation != order.request().incarnation() ? 1 : 0;
             HostedMaster hosted = masters.get(claim.pool());
             OptionalInt masterRound = hosted == null ? OptionalInt.empty() : OptionalInt.of(hosted.claim.round());
             orderAdmission
@@ -977,13 +1058,9 @@
         }
         long linkNumber = link.number;
         long receiverIncarnation = to.incarnation;
-        schedule(now + 3 * NETWORK_DELAY_NANOS, () -> {
-            if (!to.isolated && link.number == linkNumber) {
-                to.runWhenAwake(
-                        receiverIncarnation,
-                        () -> statements.forEach(statement -> to.pendingStarts.record(statement, now)));
-            }
-        });
+        Runnable delivery = () -> to.runWhenAwake(
+                receiverIncarnation, () -> statements.forEach(statement -> to.pendingStarts.record(statement, now)));
+        schedule(now + 3 * NETWORK_DELAY_NANOS, () -> deliver(to, link, linkNumber, delivery, delivery));
     }
 
     private void sendMessage(Host from, Host to, Runnable action) {
@@ -996,16 +1073,33 @@
             return;
         }
         long linkNumber = link.number;
-        to.scheduleAfter(from.domain.equals(to.domain) ? NETWORK_DELAY_NANOS : 3 * NETWORK_DELAY_NANOS, () -> {
-            if (!to.isolated && link.number == linkNumber) {
-                action.run();
-            }
-        });
+        long receiverIncarnation = to.incarnation;
+        Runnable lateDelivery = () -> to.runWhenAwake(receiverIncarnation, action);
+        to.scheduleAfter(
+                from.domain.equals(to.domain) ? NETWORK_DELAY_NANOS : 3 * NETWORK_DELAY_NANOS,
+                () -> deliver(to, link, linkNumber, action, lateDelivery));
         linkRandom
                 .filter(resets -> resets.nextInt(MESSAGES_PER_LINK_RESET) == 0)
                 .ifPresent(resets -> scheduleLinkReset(from, to, resets));
     }
 
+    /**
+     * Delivers a message that has arrived, unless its connection was replaced or has stalled.
+     *
+     * @param delivery handles the message now
+     * @param lateDelivery handles the message when the connection carries data again
+     */
+    private void deliver(Host to, Link link, long linkNumber, Runnable delivery, Runnable lateDelivery) {
+        if (to.isolated || link.number != linkNumber) {
+            return;
+        }
+        if (link.stalled) {
+            link.stalledMessages.add(lateDelivery);
+        } else {
+            delivery.run();
+        }
+    }
+
     private void scheduleLinkReset(Host from, Host to, SplittableRandom resets) {
         int kind = resets.nextInt(3);
         schedule(now + resets.nextLong(LINK_RESET_DELAY_NANOS), () -> {
--- a/src/test/java/org/mustardlink/pool/FailoverTest.java
+++ b/src/test/java/org/mustardlink/pool/FailoverTest.java
@@ -100,6 +100,22 @@
         assertThat(resetCount).isGreaterThan(0);
     }
 
+    /**
+     * Guards against the same violations when heartbeats and orders of an ended host arrive after its end was noticed,
+     * because their connection had stalled.
+     */
+    @Test
+    void resent_jobs_run_at_most_once_at_a_time_when_messages_of_an_ended_host_arrive_late() {
+        int lateOrderCount = 0;
+        for (long seed : seeds()) {
+            FailoverSimulation simulation = new FailoverSimulation(seed, false, DURATION).enableLateMessages();
+            simulation.run();
+            assertWithMessage("seed " + seed).that(simulation.violations()).isEmpty();
+            lateOrderCount += simulation.lateOrderCount();
+        }
+        assertThat(lateOrderCount).isGreaterThan(0);
+    }
+
     /** Guards against a return of the faults that {@link #REGRESSION_SEEDS} lists. */
     @Test
     void seeds_that_once_failed_pass() {
--- a/src/test/java/org/mustardlink/pool/OrderAdmissionTest.java
+++ b/src/test/java/org/mustardlink/pool/OrderAdmissionTest.java
@@ -18,6 +18,8 @@
     private static final JobResult WITHDRAWN = new JobResult.Abandoned("withdrawn");
     private static final Duration CALLER_TIMEOUT = Duration.ofMillis(1_500);
     private static final Duration CALL_INTERVAL = Duration.ofMillis(100);
+    /** Number of the last heartbeat that the host has sent when it loses an entry host. */
+    private static final long LAST_HEARTBEAT = 7;
 
     private static final StepSpec ONE_TASK = new StepSpec(
             1,
@@ -78,13 +80,45 @@
     @Test
     void a_request_that_was_withdrawn_with_its_entry_host_stays_withdrawn_until_its_last_order_can_arrive() {
         assertThat(admit(order(1))).isEmpty();
-        admission.recordEntryHostLoss("east-1", 1);
-        admission.readmitEntryHost("east-1", 1);
+        admission.recordEntryHostLoss("east-1", 1, LAST_HEARTBEAT);
+        admission.readmitEntryHost("east-1", 1, LAST_HEARTBEAT + 1);
         run(CALLER_TIMEOUT.plus(OrderAdmission.MAX_TRANSIT).minusMillis(1));
 
         assertThat(admit(repeatedOrder(1, CALLER_TIMEOUT))).hasValue(WITHDRAWN);
     }
 
+    /**
+     * Guards against two runs of a task: a stalled connection delivers a heartbeat of an ended entry host and the order
+     * behind it, while the caller sends the job again through another host.
+     */
+    @Test
+    void an_order_behind_a_heartbeat_that_was_written_before_the_loss_of_its_sender_is_not_accepted() {
+        admission.recordEntryHostLoss("east-1", 1, LAST_HEARTBEAT);
+        assertThat(admission.readmitEntryHost("east-1", 1, LAST_HEARTBEAT)).isFalse();
+
+        assertThat(admit(order(1))).hasValue(WITHDRAWN);
+    }
+
+    /** Guards against an entry host that was only silent, and whose new jobs would all be answered without a run. */
+    @Test
+    void a_lost_entry_host_is_readmitted_when_it_has_seen_a_heartbeat_that_was_sent_after_the_loss() {
+        admission.recordEntryHostLoss("east-1", 1, LAST_HEARTBEAT);
+        assertThat(admission.readmitEntryHost("east-1", 1, LAST_HEARTBEAT + 1)).isTrue();
+
+        assertThat(admit(order(1))).isEmpty();
+    }
+
+    /** Guards against an entry host that is lost again and readmitted by what it had seen before. */
+    @Test
+    void an_entry_host_that_is_lost_again_is_not_readmitted_by_an_acknowledgment_from_before() {
+        admission.recordEntryHostLoss("east-1", 1, LAST_HEARTBEAT);
+        admission.readmitEntryHost("east-1", 1, LAST_HEARTBEAT + 1);
+        admission.recordEntryHostLoss("east-1", 1, LAST_HEARTBEAT + 1);
+        assertThat(admission.readmitEntryHost("east-1", 1, LAST_HEARTBEAT + 1)).isFalse();
+
+        assertThat(admit(order(1))).hasValue(WITHDRAWN);
+    }
+
     /** Guards against an order that lay in the socket of a frozen host and is judged anew when the host continues. */
     @Test
     void the_time_for_which_the_host_was_frozen_does_not_count() {
@@ -105,7 +139,7 @@
         admission.recordResult(EAST, ROUND, order(1).request(), REDIRECTED);
         admission.recordWithdrawal(order(2).request());
         admission.recordWithdrawal(order(2).request());
-        admission.recordEntryHostLoss("east-1", 1);
+        admission.recordEntryHostLoss("east-1", 1, LAST_HEARTBEAT);
         run(CALLER_TIMEOUT.plus(OrderAdmission.MAX_TRANSIT));
         assertThat(admission.keptCount()).isEqualTo(1);
 
