Starts without a response are not forgotten for lack of memory

Callers saw: nothing yet; a trial showed that a job could run a second time. With 34 starts a millisecond that get no response, PendingStarts, which kept 10,000 starts, forgot the first one after 0.3 s. Its caller comes back after 1.3 s, and the job was accepted while its late start could still be carried out.

Cause: knowledge about an order was bounded by count and dropped while the order lived on.

Before the change six tests of PendingStartsTest failed: the first of 34 starts a millisecond isn't known after 1.3 s; an own start isn't stated any more after 10,000 of other hosts; of 20,000 own starts the first aren't known; a master orders a start although its host knows of 5,000 or can't keep one of an earlier master (twice); a master whose starts get no response orders 400 where 100 more can be kept.

Change: from 5,000 known starts on, the masters of a host order no further start; each counts its own unconfirmed ones against its share of the rest. All starts of a host's own masters are therefore kept, and stated until they are resolved. Of the starts that other hosts state 10,000 are kept. While a further one is pending, the host answers every job that it may have run and starts nothing; a newly connected host is told so by a new field of the statement. The masters read the pending starts of a job from PendingStarts itself instead of copies that were made each 0.1 s for each of them.

Why it works: a full table leads to fewer starts, and, if starts of many hosts cross, to an answer that is true whatever wasn't kept. 34 starts a millisecond add 4,400 between the order and the statement 0.13 s later, which the second half of the table takes.

--- a/src/main/java/org/mustardlink/link/PeerCodec.java
+++ b/src/main/java/org/mustardlink/link/PeerCodec.java
@@ -144,6 +144,7 @@
         for (PendingStart start : statement.refused()) {
             write(out, start);
         }
+        out.writeI64(statement.unlisted().toNanos());
     }
 
     private static PendingStartStatement readPendingStarts(TCompactProtocol in) throws TException {
@@ -155,7 +156,7 @@
         for (int i = readCount(in); i > 0; i--) {
             refused.add(readPendingStart(in));
         }
-        return new PendingStartStatement(pending.buildKeepingLast(), refused.build());
+        return new PendingStartStatement(pending.buildKeepingLast(), refused.build(), Duration.ofNanos(in.readI64()));
     }
 
     private static void write(TCompactProtocol out, PendingStart start) throws TException {
--- a/src/main/java/org/mustardlink/pool/PendingStartStatement.java
+++ b/src/main/java/org/mustardlink/pool/PendingStartStatement.java
@@ -14,11 +14,15 @@
  * @param pending starts that may still be carried out, with the time for which the receiver keeps them unless they are
  *     stated again; not negative
  * @param refused starts that the current process of their target refuses
+ * @param unlisted time for which starts may be pending that the sender doesn't know one by one; zero if there are none
  */
-public record PendingStartStatement(ImmutableMap<PendingStart, Duration> pending, ImmutableList<PendingStart> refused) {
+public record PendingStartStatement(
+        ImmutableMap<PendingStart, Duration> pending, ImmutableList<PendingStart> refused, Duration unlisted) {
     public PendingStartStatement {
         checkNotNull(pending, "pending");
         checkNotNull(refused, "refused");
+        checkNotNull(unlisted, "unlisted");
+        checkArgument(!unlisted.isNegative(), "negative time: %s", unlisted);
         checkArgument(pending.values().stream().noneMatch(Duration::isNegative), "negative time: %s", pending);
     }
 }
--- a/src/main/java/org/mustardlink/pool/PendingStarts.java
+++ b/src/main/java/org/mustardlink/pool/PendingStarts.java
@@ -1,16 +1,16 @@
 package org.mustardlink.pool;
 
-import com.google.common.collect.HashMultiset;
+import com.google.common.collect.HashMultimap;
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.Iterables;
 import com.google.common.collect.Lists;
 import com.google.common.collect.Maps;
-import com.google.common.collect.Multiset;
+import com.google.common.collect.SetMultimap;
 import com.google.common.collect.Sets;
 import java.time.Duration;
 import java.util.Collection;
+import java.util.Collections;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -29,6 +29,11 @@
  * its next process has confirmed a token, the start is pending again. A start that nobody states any more, because its
  * target has left for good, is forgotten after {@link #HOLD_NANOS}, and so is a refused one.
  *
+ * <p>No start is forgotten for lack of memory. The masters of this host order no starts while {@link #MAX_STARTS_BEFORE_SUSPENSION}
+ * or more are known, counting their own that await a response, so all starts of this host can be kept. Of the starts
+ * that other hosts state, {@link #MAX_STARTS} are kept; while a further one is pending, any job may be the one that it
+ * belongs to.
+ *
  * <p>Not thread-safe. Every method takes the current time, in nanoseconds of a monotonic clock.
  */
 public final class PendingStarts {
@@ -41,17 +46,26 @@
     static final long HOLD_NANOS = TimeUnit.SECONDS.toNanos(15);
     /** Time for which it is repeated that a start is refused; a host that misses all repetitions was cut off. */
     private static final long REFUSED_REPEAT_NANOS = 4 * REPEAT_INTERVAL_NANOS;
-    /** Maximum number of starts that are kept, which bounds memory; the ones stated first are dropped. */
+    /** Number of known starts above which a start that another host states isn't kept. */
     static final int MAX_STARTS = 10_000;
+    /**
+     * Number of known starts from which no further one is ordered. The rest of {@link #MAX_STARTS} is for the starts that
+     * masters of other hosts have ordered by then and haven't stated yet.
+     */
+    static final int MAX_STARTS_BEFORE_SUSPENSION = MAX_STARTS / 2;
     /** Maximum number of pending starts in a statement, which then takes some 30 kB. */
     static final int MAX_STATED = 500;
 
     private final Map<PendingStart, Hold> holds = new LinkedHashMap<>();
-    /** The jobs of the starts that are pending, once for each start. */
-    private final Multiset<String> jobs = HashMultiset.create();
+    /** The starts that are pending, by job. */
+    private final SetMultimap<String, PendingStart> pendingByJob = HashMultimap.create();
 
     private final Map<PendingStart, Long> refusedStatedUntilNanos = new LinkedHashMap<>();
     private Optional<Long> statedNanos = Optional.empty();
+    /** When the last start ends that another host has stated and that isn't kept; empty if all pending ones are kept. */
+    private Optional<Long> unlistedUntilNanos = Optional.empty();
+    /** Number of masters of this host, which share the number of starts that may be ordered. */
+    private int masterCount;
 
     /**
      * What is known of a start.
@@ -77,7 +91,19 @@
 
     /** Returns whether a start of a task of the job may still be carried out by some target. */
     public boolean contains(String job) {
-        return jobs.contains(job);
+        return unlistedUntilNanos.isPresent() || pendingByJob.containsKey(job);
+    }
+
+    /** Returns the pending starts of a job, as far as they are kept. */
+    Set<PendingStart> startsOf(String job) {
+        return Collections.unmodifiableSet(pendingByJob.get(job));
+    }
+
+    /** Returns how many unconfirmed starts a master of this host may have before it stops ordering further ones. */
+    int maxUnconfirmedStartsPerMaster() {
+        return unlistedUntilNanos.isPresent()
+                ? 0
+                : Math.max(0, MAX_STARTS_BEFORE_SUSPENSION - holds.size()) / Math.max(1, masterCount);
     }
 
     /** Records the starts that a master of this host has ordered, and that stay pending when it is released. */
@@ -90,10 +116,27 @@
 
     /** Records the statement of another host. */
     public void record(PendingStartStatement statement, long now) {
-        statement
-                .pending()
-                .forEach((start, time) -> holdUntil(start, false, now + Math.min(HOLD_NANOS, time.toNanos())));
+        statement.pending().forEach((start, time) -> recordForeign(start, now + limitedHoldNanos(time)));
         statement.refused().forEach(this::markRefused);
+        if (!statement.unlisted().isZero()) {
+            recordUnlisted(now + limitedHoldNanos(statement.unlisted()));
+        }
+    }
+
+    private static long limitedHoldNanos(Duration time) {
+        return Math.min(HOLD_NANOS, time.toNanos());
+    }
+
+    private void recordForeign(PendingStart start, long untilNanos) {
+        if (holds.size() < MAX_STARTS || holds.containsKey(start)) {
+            holdUntil(start, false, untilNanos);
+        } else {
+            recordUnlisted(untilNanos);
+        }
+    }
+
+    private void recordUnlisted(long untilNanos) {
+        unlistedUntilNanos = Optional.of(Math.max(unlistedUntilNanos.orElse(untilNanos), untilNanos));
     }
 
     private void holdUntil(PendingStart start, boolean orderedHere, long untilNanos) {
@@ -103,34 +146,28 @@
                 known == null
                         ? new Hold(untilNanos, orderedHere, false, false)
                         : known.pendingUntil(untilNanos, orderedHere));
-        if (known == null || known.refused()) {
-            jobs.add(start.job());
-        }
-        if (holds.size() > MAX_STARTS) {
-            PendingStart first = Iterables.getFirst(holds.keySet(), start);
-            if (!holds.remove(first).refused()) {
-                jobs.remove(first.job());
-            }
-        }
+        pendingByJob.put(start.job(), start);
     }
 
     private void markRefused(PendingStart start) {
         Hold known = holds.get(start);
         if (known != null && !known.refused()) {
             holds.put(start, known.asRefused());
-            jobs.remove(start.job());
+            pendingByJob.remove(start.job(), start);
         }
     }
 
     /**
-     * Updates the known starts by what the masters of this host know, and tells the masters all pending starts. Returns
-     * the statements that are due to all other hosts: at once the starts that have become pending, and all starts every
+     * Updates the known starts by what the masters of this host know, and makes them known to the masters. Returns the
+     * statements that are due to all other hosts: at once the starts that have become pending, and all starts every
      * {@link #REPEAT_INTERVAL_NANOS}.
      *
      * @param masters the masters of this host
      */
     public ImmutableList<PendingStartStatement> takeDueStatements(Collection<PoolMaster> masters, long now) {
         expire(now);
+        masterCount = masters.size();
+        masters.forEach(master -> master.observe(this));
         ImmutableSet.Builder<PendingStart> builder = ImmutableSet.builder();
         masters.forEach(master -> builder.addAll(master.pendingStarts()).addAll(master.takeUnansweredStarts()));
         ImmutableSet<PendingStart> ordered = builder.build();
@@ -138,13 +175,9 @@
         ImmutableSet<PendingStart> added =
                 ImmutableSet.copyOf(Sets.union(Sets.difference(ordered, pendingStarts()), startsPendingAgain(masters)));
         recordOwn(due ? ordered : Sets.intersection(ordered, added), now);
-        // Some of them may just have been dropped because there are too many.
-        ImmutableSet<PendingStart> kept =
-                Sets.intersection(added, holds.keySet()).immutableCopy();
-        kept.forEach(start -> holdUntil(start, false, holds.get(start).untilNanos()));
+        added.forEach(start -> holdUntil(start, false, holds.get(start).untilNanos()));
         if (!due) {
-            updateMasters(masters);
-            return statements(Maps.toMap(kept, start -> holds.get(start).remaining(now)), ImmutableSet.of());
+            return statements(Maps.toMap(added, start -> holds.get(start).remaining(now)), ImmutableSet.of());
         }
         Map<PendingStart, Duration> pending = new LinkedHashMap<>();
         for (PendingStart start : ImmutableList.copyOf(holds.keySet())) {
@@ -169,7 +202,6 @@
                 }
             }
         }
-        updateMasters(masters);
         if (pending.isEmpty() && refusedStatedUntilNanos.isEmpty()) {
             return ImmutableList.of();
         }
@@ -188,16 +220,15 @@
                 .collect(ImmutableSet.toImmutableSet());
     }
 
-    private void updateMasters(Collection<PoolMaster> masters) {
-        masters.forEach(master -> master.updateEarlierStarts(pendingStarts()));
-    }
-
     /** Returns the statements from which a host that has just been connected learns all known starts. */
     public ImmutableList<PendingStartStatement> known(long now) {
         expire(now);
-        return Lists.partition(ImmutableList.copyOf(holds.entrySet()), MAX_STATED).stream()
-                .map(part -> knownStatement(part, now))
-                .collect(ImmutableList.toImmutableList());
+        ImmutableList.Builder<PendingStartStatement> statements = ImmutableList.builder();
+        Lists.partition(ImmutableList.copyOf(holds.entrySet()), MAX_STATED)
+                .forEach(part -> statements.add(knownStatement(part, now)));
+        unlistedUntilNanos.ifPresent(untilNanos -> statements.add(
+                new PendingStartStatement(ImmutableMap.of(), ImmutableList.of(), Duration.ofNanos(untilNanos - now))));
+        return statements.build();
     }
 
     private static PendingStartStatement knownStatement(List<Map.Entry<PendingStart, Hold>> part, long now) {
@@ -209,32 +240,34 @@
                 refused.add(entry.getKey());
             }
         }
-        return new PendingStartStatement(times.buildOrThrow(), refused.build());
+        return new PendingStartStatement(times.buildOrThrow(), refused.build(), Duration.ZERO);
     }
 
     private void expire(long now) {
         refusedStatedUntilNanos.values().removeIf(untilNanos -> now >= untilNanos);
+        unlistedUntilNanos = unlistedUntilNanos.filter(untilNanos -> now < untilNanos);
         Iterator<Map.Entry<PendingStart, Hold>> entries = holds.entrySet().iterator();
         while (entries.hasNext()) {
             Map.Entry<PendingStart, Hold> entry = entries.next();
             if (now >= entry.getValue().untilNanos()) {
                 entries.remove();
-                if (!entry.getValue().refused()) {
-                    jobs.remove(entry.getKey().job());
-                }
+                pendingByJob.remove(entry.getKey().job(), entry.getKey());
             }
         }
     }
 
     private static PendingStart.Status statusOf(PendingStart start, Collection<PoolMaster> masters) {
-        ImmutableSet<PendingStart.Status> statuses =
-                masters.stream().map(master -> master.statusOf(start)).collect(ImmutableSet.toImmutableSet());
-        if (statuses.contains(PendingStart.Status.REFUSED)) {
-            return PendingStart.Status.REFUSED;
+        PendingStart.Status status = PendingStart.Status.UNKNOWN;
+        for (PoolMaster master : masters) {
+            switch (master.statusOf(start)) {
+                case REFUSED -> {
+                    return PendingStart.Status.REFUSED;
+                }
+                case POSSIBLE -> status = PendingStart.Status.POSSIBLE;
+                case UNKNOWN -> {}
+            }
         }
-        return statuses.contains(PendingStart.Status.POSSIBLE)
-                ? PendingStart.Status.POSSIBLE
-                : PendingStart.Status.UNKNOWN;
+        return status;
     }
 
     private static ImmutableList<PendingStartStatement> statements(
@@ -245,7 +278,9 @@
         ImmutableList.Builder<PendingStartStatement> statements = ImmutableList.builder();
         for (int i = 0; i < Math.max(pendingParts.size(), refusedParts.size()); i++) {
             statements.add(new PendingStartStatement(
-                    ImmutableMap.copyOf(part(pendingParts, i)), ImmutableList.copyOf(part(refusedParts, i))));
+                    ImmutableMap.copyOf(part(pendingParts, i)),
+                    ImmutableList.copyOf(part(refusedParts, i)),
+                    Duration.ZERO));
         }
         return statements.build();
     }
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -4,7 +4,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableSet;
-import com.google.common.collect.ImmutableSetMultimap;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -69,8 +68,8 @@
     private final Set<PendingStart> unansweredStarts = new LinkedHashSet<>();
 
     private boolean released;
-    /** Pending starts of earlier masters by job, as far as this host knows them. */
-    private ImmutableSetMultimap<String, PendingStart> earlierStarts = ImmutableSetMultimap.of();
+    /** The pending starts that this host knows of. */
+    private PendingStarts knownStarts = new PendingStarts();
 
     /**
      * Creates the master of a pool.
@@ -307,13 +306,29 @@
     }
 
     private void placeTasks(long now) {
-        placement.tick(now, now > earlierLeasesEndNanos || allTargetsTakenOver(now), this::hasEarlierStart);
+        if (mayOrderStarts()) {
+            placement.tick(now, now > earlierLeasesEndNanos || allTargetsTakenOver(now), this::hasEarlierStart);
+        }
         lastPlacementNanos = tables.queue().isEmpty() ? now - PLACEMENT_INTERVAL_NANOS : now;
     }
 
     /** Returns whether a target may still carry out the start of a task of a job that an earlier master has ordered. */
     private boolean hasEarlierStart(String job) {
-        return earlierStarts.get(job).stream().anyMatch(start -> statusOf(start) == PendingStart.Status.POSSIBLE);
+        return knownStarts.startsOf(job).stream()
+                .anyMatch(start ->
+                        start.fencingToken() < firstToken.value() && statusOf(start) == PendingStart.Status.POSSIBLE);
+    }
+
+    /** Returns whether the hosts can keep the start of a further task if it gets no response. */
+    private boolean mayOrderStarts() {
+        int unconfirmed = unansweredStarts.size();
+        int limit = knownStarts.maxUnconfirmedStartsPerMaster();
+        for (PoolTarget target : tables.targets()) {
+            for (Run run : target.runs()) {
+                unconfirmed += run.startConfirmed() ? 0 : 1;
+            }
+        }
+        return unconfirmed < limit;
     }
 
     /** Returns whether every target that may run a task for an earlier master has confirmed this master's token. */
@@ -397,17 +412,11 @@
     }
 
     /**
-     * Replaces the known pending starts. Those that an earlier master of a target has ordered keep the tasks of their
-     * jobs from being started, until the target refuses them.
+     * Makes the pending starts that this host knows of available to this master. Those that an earlier master of a target
+     * has ordered keep the tasks of their jobs from being started, until the target refuses them.
      */
-    void updateEarlierStarts(Collection<PendingStart> starts) {
-        ImmutableSetMultimap.Builder<String, PendingStart> byJob = ImmutableSetMultimap.builder();
-        for (PendingStart start : starts) {
-            if (start.fencingToken() < firstToken.value()) {
-                byJob.put(start.job(), start);
-            }
-        }
-        earlierStarts = byJob.build();
+    void observe(PendingStarts starts) {
+        knownStarts = starts;
     }
 
     /** Returns what this master knows about a pending start, which an earlier master may have ordered. */
