Withdrawals are kept until they are acknowledged, however many there are

Callers saw: nothing that is known of; found by reading. A host kept 1,000 unacknowledged withdrawals for each other host and dropped the oldest beyond that. Its heartbeats went on and confirmed every request that they didn't withdraw, so the job of a caller who had left could run on, with its lease extended, beside the caller's next try.

Cause: knowledge about a request was bounded by count and dropped while the request lived on.

Before the change the new test of PeerMonitorTest failed: of 2,500 withdrawals that the heartbeats should list, 1,500 were missing.

Change: all withdrawals are kept. A heartbeat lists the first 1,000, and the next ones follow as soon as these are acknowledged; a withdrawal counts as acknowledged only with a heartbeat that has listed it. A heartbeat that lists 1,000 withdrawals may leave others out, so its receiver doesn't take it for a confirmation of the sender's requests: their leases aren't extended meanwhile. The wire format stays as it is.

Why it works: requests are confirmed only by a heartbeat that lists every withdrawal the receiver may have missed.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -606,7 +606,9 @@
             for (PeerMessage.Withdraw withdrawal : heartbeat.withdrawals()) {
                 poolRunner.withdraw(withdrawal.pool(), withdrawal.request(), withdrawal.job(), now);
             }
-            confirmations.confirm(sender, receivedNanos);
+            if (heartbeat.confirmsRequests()) {
+                confirmations.confirm(sender, receivedNanos);
+            }
             if (peerMonitor.receiveHeartbeat(sender, heartbeat, now)) {
                 updatePoolLayout();
                 nextTimersNanos = now;
--- a/src/main/java/org/mustardlink/host/EntryHostConfirmations.java
+++ b/src/main/java/org/mustardlink/host/EntryHostConfirmations.java
@@ -7,8 +7,8 @@
 import org.mustardlink.pool.RequestId;
 
 /**
- * When each entry host last confirmed its open requests. A heartbeat confirms all requests of its sender, because it
- * lists the withdrawals that the receiver may have missed. Requests of this host itself are always up to date. Runs on
+ * When each entry host last confirmed its open requests. A heartbeat confirms all requests of its sender if it lists all
+ * withdrawals that the receiver may have missed. Requests of this host itself are always up to date. Runs on
  * the loop thread.
  */
 final class EntryHostConfirmations implements RequestConfirmations {
@@ -21,7 +21,7 @@
         this.self = self;
     }
 
-    /** Records that a heartbeat of an entry host was received. */
+    /** Records that a heartbeat of an entry host was received that confirms its requests. */
     void confirm(HostInfo entryHost, long receivedNanos) {
         lastByHost.put(entryHost.id(), new Confirmation(entryHost.incarnation(), receivedNanos));
     }
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -5,9 +5,9 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -50,8 +50,6 @@
     private static final long ACKNOWLEDGMENT_TIMEOUT_NANOS = TimeUnit.MILLISECONDS.toNanos(500);
     /** Minimum age of a link before it is replaced for a lack of heartbeats. */
     private static final long MIN_LINK_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
-    /** Withdrawals kept for a host that acknowledges none; every heartbeat repeats them, in a frame of limited size. */
-    private static final int MAX_UNACKNOWLEDGED_WITHDRAWALS = 1_000;
 
     private final HostInfo self;
     private final PoolOwnership ownership;
@@ -80,9 +78,15 @@
         private long unacknowledgedSinceNanos;
         /** The claims in the last heartbeat received from the host. */
         private ImmutableList<Claim> lastReceivedClaims = ImmutableList.of();
-        /** Withdrawals that every heartbeat to the host repeats until the host has acknowledged one of them. */
+        /**
+         * Withdrawals that the host hasn't acknowledged, in the order in which heartbeats list them. None is dropped,
+         * because a heartbeat that lists all withdrawals confirms the other requests.
+         */
         private final Map<RequestId, UnacknowledgedWithdrawal> withdrawals = new LinkedHashMap<>();
 
+        /** Whether the last heartbeat sent to the host listed as many withdrawals as fit. */
+        private boolean moreWithdrawalsDue;
+
         private long lastSentNanos;
         private long connectedNanos;
         private long lastReceivedNanos;
@@ -97,9 +101,20 @@
     /**
      * A withdrawal that its master may not have received.
      *
-     * @param firstHeartbeatNumber number of the first heartbeat that repeats the withdrawal
+     * @param firstHeartbeatNumber number of the first heartbeat that has listed the withdrawal, as all later ones do;
+     *     empty if none has
      */
-    private record UnacknowledgedWithdrawal(PeerMessage.Withdraw message, long firstHeartbeatNumber) {}
+    private record UnacknowledgedWithdrawal(PeerMessage.Withdraw message, OptionalLong firstHeartbeatNumber) {
+        boolean isAcknowledged(long acknowledgedNumber) {
+            return firstHeartbeatNumber.isPresent() && firstHeartbeatNumber.getAsLong() <= acknowledgedNumber;
+        }
+
+        UnacknowledgedWithdrawal listedIn(long heartbeatNumber) {
+            return firstHeartbeatNumber.isPresent()
+                    ? this
+                    : new UnacknowledgedWithdrawal(message, OptionalLong.of(heartbeatNumber));
+        }
+    }
 
     /** Is notified when an incarnation of another host is lost. */
     @FunctionalInterface
@@ -187,9 +202,11 @@
         // After a restart of this host, the sender may still acknowledge heartbeats of the earlier incarnation.
         if (heartbeat.acknowledgedIncarnation() == self.incarnation()) {
             peer.acknowledgedNumber = Math.max(peer.acknowledgedNumber, heartbeat.acknowledged());
-            peer.withdrawals
+            boolean withdrawalsAcknowledged = peer.withdrawals
                     .values()
-                    .removeIf(withdrawal -> withdrawal.firstHeartbeatNumber() <= peer.acknowledgedNumber);
+                    .removeIf(withdrawal -> withdrawal.isAcknowledged(peer.acknowledgedNumber));
+            // The requests are confirmed again only by a heartbeat that lists all withdrawals.
+            peer.sendImmediately |= withdrawalsAcknowledged && peer.moreWithdrawalsDue;
         }
         if (peer.acknowledgedNumber >= peer.unacknowledgedNumber) {
             peer.unacknowledgedNumber = 0;
@@ -291,13 +308,7 @@
     void withdraw(String host, PeerMessage.Withdraw withdrawal) {
         Peer peer = peers.get(host);
         if (peer != null) {
-            peer.withdrawals.put(
-                    withdrawal.request(), new UnacknowledgedWithdrawal(withdrawal, peer.lastSentNumber + 1));
-            if (peer.withdrawals.size() > MAX_UNACKNOWLEDGED_WITHDRAWALS) {
-                Iterator<RequestId> oldestFirst = peer.withdrawals.keySet().iterator();
-                oldestFirst.next();
-                oldestFirst.remove();
-            }
+            peer.withdrawals.put(withdrawal.request(), new UnacknowledgedWithdrawal(withdrawal, OptionalLong.empty()));
         }
         links.send(host, withdrawal);
     }
@@ -376,9 +387,23 @@
                         status.stopping(),
                         ownership.ownClaims(),
                         status.loads(),
-                        peer.withdrawals.values().stream()
-                                .map(UnacknowledgedWithdrawal::message)
-                                .collect(ImmutableList.toImmutableList())));
+                        listWithdrawals(peer)));
+    }
+
+    /** Returns the withdrawals for the heartbeat to a host that was numbered last. */
+    private static ImmutableList<PeerMessage.Withdraw> listWithdrawals(Peer peer) {
+        ImmutableList.Builder<PeerMessage.Withdraw> listed = ImmutableList.builder();
+        int count = 0;
+        for (Map.Entry<RequestId, UnacknowledgedWithdrawal> entry : peer.withdrawals.entrySet()) {
+            if (count == PeerMessage.Heartbeat.MAX_WITHDRAWALS) {
+                break;
+            }
+            count++;
+            entry.setValue(entry.getValue().listedIn(peer.lastSentNumber));
+            listed.add(entry.getValue().message());
+        }
+        peer.moreWithdrawalsDue = count == PeerMessage.Heartbeat.MAX_WITHDRAWALS;
+        return listed.build();
     }
 
     /** Returns whether every host that may be alive has acknowledged an announcement; silent hosts count as dead. */
--- a/src/main/java/org/mustardlink/link/PeerMessage.java
+++ b/src/main/java/org/mustardlink/link/PeerMessage.java
@@ -1,5 +1,6 @@
 package org.mustardlink.link;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
@@ -40,8 +41,8 @@
      * @param stopping whether the sender is shutting down
      * @param claims claims that make the sender the master of a pool
      * @param loads load of each pool that the sender is the master of
-     * @param withdrawals withdrawals that the receiver hasn't acknowledged yet; a {@link Withdraw} alone is lost with
-     *     its connection
+     * @param withdrawals withdrawals that the receiver hasn't acknowledged yet, the first ones if there are more than
+     *     {@link #MAX_WITHDRAWALS}; a {@link Withdraw} alone is lost with its connection
      */
     record Heartbeat(
             long sequence,
@@ -53,11 +54,23 @@
             ImmutableMap<PoolId, PoolLoad> loads,
             ImmutableList<Withdraw> withdrawals)
             implements PeerMessage {
+        /** Maximum number of withdrawals in a heartbeat, which bounds the size of its frame. */
+        public static final int MAX_WITHDRAWALS = 1_000;
+
         public Heartbeat {
             checkNotNull(untilNext, "next");
             checkNotNull(claims, "claims");
             checkNotNull(loads, "loads");
             checkNotNull(withdrawals, "withdrawals");
+            checkArgument(withdrawals.size() <= MAX_WITHDRAWALS, "too many withdrawals: %s", withdrawals.size());
+        }
+
+        /**
+         * Returns whether callers wait for all requests of the sender that the heartbeat doesn't withdraw. A heartbeat
+         * with the maximum number of withdrawals may not list all of them.
+         */
+        public boolean confirmsRequests() {
+            return withdrawals.size() < MAX_WITHDRAWALS;
         }
     }
 
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -7,10 +7,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -231,6 +233,67 @@
         assertThat(withdrawalsOfLastHeartbeat()).isEmpty();
     }
 
+    /**
+     * Guards against jobs that run on beside their second attempts: the first of many withdrawals was dropped while the
+     * heartbeats went on.
+     */
+    @Test
+    void many_withdrawals_are_repeated_in_parts_until_their_master_has_acknowledged_all_of_them() {
+        int count = 2_500;
+        long now = System.nanoTime();
+        tick(now);
+        await().until(() -> announcedIntervals().size() == 1);
+        ImmutableList<PeerMessage.Withdraw> withdrawals = IntStream.range(0, count)
+                .mapToObj(i -> new PeerMessage.Withdraw(
+                        new PoolId("yard", "west"), new RequestId(self.id(), self.incarnation(), i), "job-" + i))
+                .collect(ImmutableList.toImmutableList());
+        withdrawals.forEach(withdrawal -> monitor.withdraw(master.id(), withdrawal));
+
+        Set<PeerMessage.Withdraw> listed = new HashSet<>();
+        for (int heartbeats = 2; heartbeats <= 4; heartbeats++) {
+            int expectedCount = heartbeats;
+            monitor.announce(status(), now);
+            await().until(() -> announcedIntervals().size() == expectedCount);
+            listed.addAll(withdrawalsOfLastHeartbeat());
+            monitor.receiveHeartbeat(master, heartbeat(heartbeats, heartbeats, self.incarnation()), now);
+        }
+
+        assertThat(listed).containsExactlyElementsIn(withdrawals);
+        monitor.announce(status(), now);
+        await().until(() -> announcedIntervals().size() == 5);
+        assertThat(withdrawalsOfLastHeartbeat()).isEmpty();
+    }
+
+    /** Guards against a lease that is extended for a caller who has left, as another heartbeat lists its withdrawal. */
+    @Test
+    void a_heartbeat_confirms_requests_only_if_it_lists_all_withdrawals() {
+        long now = System.nanoTime();
+        tick(now);
+        await().until(() -> announcedIntervals().size() == 1);
+        for (int i = 0; i <= PeerMessage.Heartbeat.MAX_WITHDRAWALS; i++) {
+            RequestId request = new RequestId(self.id(), self.incarnation(), i);
+            monitor.withdraw(master.id(), new PeerMessage.Withdraw(new PoolId("yard", "west"), request, "job-" + i));
+        }
+        monitor.announce(status(), now);
+        await().until(() -> announcedIntervals().size() == 2);
+        assertThat(lastHeartbeat().confirmsRequests()).isFalse();
+
+        assertWithMessage("the rest of the withdrawals must be sent at once")
+                .that(monitor.receiveHeartbeat(master, heartbeat(1, 2, self.incarnation()), now))
+                .isTrue();
+        tick(now);
+        await().until(() -> announcedIntervals().size() == 3);
+        assertThat(lastHeartbeat().withdrawals()).hasSize(1);
+        assertThat(lastHeartbeat().confirmsRequests()).isTrue();
+    }
+
+    private PeerMessage.Heartbeat lastHeartbeat() {
+        return (PeerMessage.Heartbeat) received.stream()
+                .filter(PeerMessage.Heartbeat.class::isInstance)
+                .reduce((_earlier, later) -> later)
+                .orElseThrow();
+    }
+
     /** Guards against a master that learns of the repeated withdrawals, but acknowledges them seconds later. */
     @Test
     void a_heartbeat_with_withdrawals_is_answered_at_once() {
