Tests: a job handed back stays with its pool, a started job isn't refused

Both guards keep one request from being started in two pools. Both tests pass on the present code and fail with their guard taken out (markStarted in RunSystem.startRun as well).

--- a/src/test/java/org/mustardlink/front/RequestDispatcherTest.java
+++ b/src/test/java/org/mustardlink/front/RequestDispatcherTest.java
@@ -329,6 +329,25 @@
         assertThat(sentOrders.get(1).order().remaining()).isEqualTo(Duration.ofMillis(1_300));
     }
 
+    /** Guards against first runs in two pools: a master that hands a job back may have started some of its tasks. */
+    @Test
+    void a_job_that_its_master_hands_back_waits_for_the_next_master_of_the_same_pool() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        submit(1, 0);
+
+        masters.remove(EAST);
+        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Moved(), ms(1));
+        dispatcher.tick(ms(60));
+        assertThat(sentOrders).hasSize(1);
+        masters.put(EAST, EAST_SUCCESSOR);
+        dispatcher.tick(ms(80));
+
+        assertThat(sentOrders).hasSize(2);
+        assertThat(sentOrders.get(1).master()).isEqualTo(EAST_SUCCESSOR);
+        assertThat(sentOrders.get(1).order().mayHaveStarted()).isTrue();
+    }
+
     /** Guards against a message storm between an entry host and a host that is no longer the master. */
     @Test
     void a_job_is_resent_to_a_host_that_has_denied_being_the_master_only_after_a_pause() {
--- a/src/test/java/org/mustardlink/pool/PoolMasterTest.java
+++ b/src/test/java/org/mustardlink/pool/PoolMasterTest.java
@@ -95,6 +95,27 @@
         assertThat(recorder.startedRuns.get(1).attempt()).isGreaterThan(first.attempt());
     }
 
+    /** Guards against first runs in two pools: a refused job is offered to another pool, which starts all its tasks. */
+    @Test
+    void a_job_that_has_started_a_task_is_not_refused_when_its_other_tasks_wait_too_long() {
+        StepSpec threeTasks = new StepSpec(
+                3,
+                new Capacity(1_000, 1, 0),
+                Duration.ofMillis(50),
+                ImmutableList.of(),
+                Optional.empty(),
+                Integer.MAX_VALUE);
+        master.submitJob(JobOrders.of(1, "job", threeTasks, true), ms(2));
+        master.tick(ms(2));
+        assertThat(recorder.startedRuns).hasSize(2);
+        recorder.startedRuns.forEach(run -> master.handleStartResponse("t", run, OrderVerdict.DONE, 1_003, ms(3)));
+
+        // A job of 50 ms that has started nothing is refused long before its caller's deadline at 1,502 ms.
+        master.tick(ms(1_400));
+
+        assertThat(recorder.results).isEmpty();
+    }
+
     /**
      * Guards against jobs of other pools that are queued here, although their own pool could have queued them as well.
      */
