KNOWN-RED: a run whose start order arrives late is stopped as stalled

The time without progress counts from the order, so a start that was delayed by 0.1 s or more is stopped by the first report that shows 0%, and its healthy target is paused. The first test fails for that on the present code; the second one, that a run which stands still after a late start is still stopped, passes.

--- a/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
+++ b/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
@@ -148,6 +148,31 @@
         assertThat(recorder.stoppedRuns).containsExactly(recorder.startedRuns.get(0));
     }
 
+    /** Guards against stopping a healthy run whose start order was delayed: its target can't report progress yet. */
+    @Test
+    void a_run_whose_start_order_arrives_late_is_not_stopped_by_its_first_report() {
+        submitWithoutStartAnswers("job", 1, 2);
+        // The target doesn't list the run yet, so the run begins after this report.
+        report(recorder.startTargets.get(0), 295, ImmutableList.of(), ImmutableList.of());
+        master.handleStartResponse(
+                recorder.startTargets.get(0), recorder.startedRuns.get(0), OrderVerdict.DONE, 1_300, ms(300));
+        reportProgress(0, 0, 302);
+
+        assertThat(recorder.stoppedRuns).isEmpty();
+    }
+
+    /** Guards against a hanging task that is never stopped because its start order was delayed. */
+    @Test
+    void a_run_whose_start_order_arrives_late_is_stopped_when_it_makes_no_progress_afterwards() {
+        submitWithoutStartAnswers("job", 1, 2);
+        report(recorder.startTargets.get(0), 295, ImmutableList.of(), ImmutableList.of());
+        master.handleStartResponse(
+                recorder.startTargets.get(0), recorder.startedRuns.get(0), OrderVerdict.DONE, 1_300, ms(300));
+        reportProgress(0, 0, 602);
+
+        assertThat(recorder.stoppedRuns).containsExactly(recorder.startedRuns.get(0));
+    }
+
     /** Guards against progress that is learned too late: a target with a single long task reports only on request. */
     @Test
     void the_target_of_a_long_task_is_asked_for_its_progress() {
