Count a run as stalled from its confirmed start, not from its order

Callers saw a job take longer, or end after its deadline, because a healthy run was stopped and its target paused for 0.4 s: "a run makes no progress". Cause: the time without progress counted from the order, so a start order that was delayed by 0.1 s, or 0.3 of the expected time if that is longer, was stopped by the first report that showed 0%. Evidence: ProgressSystemTest.a_run_whose_start_order_arrives_late_is_not_stopped_by_its_first_report failed each time. Now the time counts from the first confirmation of the start; a run that stands still after a late start is still stopped, as its neighbour in ProgressSystemTest shows. The tests of pool and front pass.

--- a/src/main/java/org/mustardlink/pool/Run.java
+++ b/src/main/java/org/mustardlink/pool/Run.java
@@ -179,6 +179,10 @@
     }
 
     void confirmRunning(long clockMs, long now) {
+        if (!startConfirmed && percent == 0) {
+            // The order may have been delayed. Until it arrives, the run can't make progress.
+            lastProgressNanos = now;
+        }
         startConfirmed = true;
         confirmedClockMs = clockMs;
         if (state == State.STARTING || state == State.UNKNOWN) {
