Compare the incarnation of an acknowledged heartbeat with the lost one

A lost entry host is readmitted by the number of an acknowledged heartbeat, which was looked up by the host's id alone: a late message of an incarnation that has ended could have used the number of its successor. By reading only; PoolOwnership.isAlive kept the two apart. Now PeerMonitor returns the number for one incarnation.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -615,7 +615,9 @@
             }
             if (ownership.isAlive(sender.id(), sender.incarnation(), now)) {
                 poolRunner.readmitEntryHost(
-                        sender.id(), sender.incarnation(), peerMonitor.acknowledgedNumber(sender.id()));
+                        sender.id(),
+                        sender.incarnation(),
+                        peerMonitor.acknowledgedNumber(sender.id(), sender.incarnation()));
             }
         } else if (message instanceof PeerMessage.Submit submit) {
             poolRunner.submit(submit.pool(), submit.round(), submit.order(), now);
--- a/src/main/java/org/mustardlink/host/PeerMonitor.java
+++ b/src/main/java/org/mustardlink/host/PeerMonitor.java
@@ -442,10 +442,10 @@
         return lastHeartbeatNumber;
     }
 
-    /** Returns the highest number of a heartbeat that the known incarnation of a host has acknowledged, 0 if none. */
-    long acknowledgedNumber(String host) {
+    /** Returns the highest number of a heartbeat that an incarnation of a host has acknowledged, 0 if none is known. */
+    long acknowledgedNumber(String host, long incarnation) {
         Peer peer = peers.get(host);
-        return peer == null ? 0 : peer.acknowledgedNumber;
+        return peer == null || peer.info.incarnation() != incarnation ? 0 : peer.acknowledgedNumber;
     }
 
     /** Returns whether this host is the master of a pool or may become one. */
--- a/src/test/java/org/mustardlink/host/PeerMonitorTest.java
+++ b/src/test/java/org/mustardlink/host/PeerMonitorTest.java
@@ -344,7 +344,7 @@
     }
 
     private long acknowledgedNumber() {
-        return monitor.acknowledgedNumber(master.id());
+        return monitor.acknowledgedNumber(master.id(), master.incarnation());
     }
 
     /**
