Plan the tasks of waiting jobs with fewer scans of the targets

Cause: streams over the schedule of each target for each waiting task in each tick. Now loops, and once one task of a step fits nowhere now, the others of the step are only planned for later.

--- a/src/main/java/org/mustardlink/pool/TargetSchedule.java
+++ b/src/main/java/org/mustardlink/pool/TargetSchedule.java
@@ -76,31 +76,43 @@
         if (fitsNow(need, durationNanos)) {
             return OptionalLong.of(now);
         }
-        return slots.stream()
-                .mapToLong(Slot::endNanos)
-                .filter(endNanos -> endNanos > now && endNanos != Long.MAX_VALUE)
-                .sorted()
-                .filter(endNanos -> fits(need, endNanos, durationNanos))
-                .findFirst();
+        long earliestNanos = Long.MAX_VALUE;
+        for (Slot slot : slots) {
+            if (now < slot.endNanos()
+                    && slot.endNanos() < earliestNanos
+                    && fits(need, slot.endNanos(), durationNanos)) {
+                earliestNanos = slot.endNanos();
+            }
+        }
+        return earliestNanos == Long.MAX_VALUE ? OptionalLong.empty() : OptionalLong.of(earliestNanos);
     }
 
     private boolean fits(Capacity need, long startNanos, long durationNanos) {
-        long endNanos = startNanos + durationNanos;
+        if (!fitsAt(need, startNanos)) {
+            return false;
+        }
         // The use rises only where a run starts.
-        return fitsAt(need, startNanos)
-                && slots.stream()
-                        .mapToLong(Slot::startNanos)
-                        .filter(nanos -> startNanos < nanos && nanos < endNanos)
-                        .allMatch(nanos -> fitsAt(need, nanos));
+        for (Slot slot : slots) {
+            if (startNanos < slot.startNanos()
+                    && slot.startNanos() < startNanos + durationNanos
+                    && !fitsAt(need, slot.startNanos())) {
+                return false;
+            }
+        }
+        return true;
     }
 
     private boolean fitsAt(Capacity need, long nanos) {
-        Capacity used = need;
+        int cpuMillis = need.cpuMillis();
+        int memoryMb = need.memoryMb();
+        int gpus = need.gpus();
         for (Slot slot : slots) {
             if (slot.covers(nanos)) {
-                used = used.plus(slot.need());
+                cpuMillis += slot.need().cpuMillis();
+                memoryMb += slot.need().memoryMb();
+                gpus += slot.need().gpus();
             }
         }
-        return capacity.covers(used);
+        return cpuMillis <= capacity.cpuMillis() && memoryMb <= capacity.memoryMb() && gpus <= capacity.gpus();
     }
 }
--- a/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
@@ -165,13 +165,21 @@
      */
     private boolean placeTasks(PoolJob job, List<PoolTarget> candidates, boolean mayReserve, long now) {
         List<Placement> placements = new ArrayList<>();
+        // The tasks of a step have the same needs: once one fits nowhere now, the others don't either.
+        int stepWithoutRoom = -1;
         for (PoolTask task : job.tasks()) {
             if (task.state() != PoolTask.State.WAITING
                     || !job.dependenciesDone(task)
                     || tables.presentRun(task.name()).isPresent()) {
                 continue;
             }
-            Optional<Placement> placement = findPlacement(task, candidates, placements, mayReserve, now);
+            List<PoolTarget> eligible = eligibleTargets(task, candidates, placements);
+            Optional<Placement> placement =
+                    task.name().step() == stepWithoutRoom ? Optional.empty() : findPlacementNow(task, eligible, now);
+            if (placement.isEmpty() && mayReserve) {
+                stepWithoutRoom = task.name().step();
+                placement = findEarliestEnd(task, eligible, now);
+            }
             if (placement.isPresent()) {
                 Placement found = placement.get();
                 scheduleOf(found.target(), now).add(found.slot());
@@ -211,14 +219,12 @@
     }
 
     /**
-     * Returns where a task is to run: on the best target on which it can start now, or else where it is expected to end
-     * first; empty if it isn't expected to end before the caller's deadline anywhere.
+     * Returns the targets that can run a task, whether they have free capacity or not.
      *
      * @param placements the placements of the job's other tasks, which haven't started yet
-     * @param mayReserve whether the task may start later than now
      */
-    private Optional<Placement> findPlacement(
-            PoolTask task, List<PoolTarget> candidates, List<Placement> placements, boolean mayReserve, long now) {
+    private static List<PoolTarget> eligibleTargets(
+            PoolTask task, List<PoolTarget> candidates, List<Placement> placements) {
         List<PoolTarget> eligible = new ArrayList<>();
         for (PoolTarget target : candidates) {
             if (target.entry().capacity().covers(task.spec().need())
@@ -227,9 +233,11 @@
                 eligible.add(target);
             }
         }
-        return findBestTarget(task, eligible, now)
-                .map(target -> new Placement(task, target, slotOf(task, target, now)))
-                .or(() -> mayReserve ? findEarliestEnd(task, eligible, now) : Optional.empty());
+        return eligible;
+    }
+
+    private Optional<Placement> findPlacementNow(PoolTask task, List<PoolTarget> targets, long now) {
+        return findBestTarget(task, targets, now).map(target -> new Placement(task, target, slotOf(task, target, now)));
     }
 
     private static boolean isPlannedOn(PoolTarget target, List<Placement> placements) {
