--- a/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
+++ b/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
@@ -76,6 +76,14 @@
         master.tick(ms(atMs));
     }
 
+    /** Submits a job of one task whose target doesn't list the run at 295 ms and confirms its start at 300 ms. */
+    private void submitWithLateStart() {
+        submitWithoutStartAnswers("job", 1, 2);
+        report(recorder.startTargets.get(0), 295, ImmutableList.of(), ImmutableList.of());
+        master.handleStartResponse(
+                recorder.startTargets.get(0), recorder.startedRuns.get(0), OrderVerdict.DONE, 1_300, ms(300));
+    }
+
     /** Guards against a missed deadline on a slow target although another target could run the task in time. */
     @Test
     void a_task_that_would_miss_its_deadline_on_a_target_moves_while_another_has_room() {
@@ -151,11 +159,7 @@
     /** Guards against stopping a healthy run whose start order was delayed: its target can't report progress yet. */
     @Test
     void a_run_whose_start_order_arrives_late_is_not_stopped_by_its_first_report() {
-        submitWithoutStartAnswers("job", 1, 2);
-        // The target doesn't list the run yet, so the run begins after this report.
-        report(recorder.startTargets.get(0), 295, ImmutableList.of(), ImmutableList.of());
-        master.handleStartResponse(
-                recorder.startTargets.get(0), recorder.startedRuns.get(0), OrderVerdict.DONE, 1_300, ms(300));
+        submitWithLateStart();
         reportProgress(0, 0, 302);
 
         assertThat(recorder.stoppedRuns).isEmpty();
@@ -164,10 +168,7 @@
     /** Guards against a hanging task that is never stopped because its start order was delayed. */
     @Test
     void a_run_whose_start_order_arrives_late_is_stopped_when_it_makes_no_progress_afterwards() {
-        submitWithoutStartAnswers("job", 1, 2);
-        report(recorder.startTargets.get(0), 295, ImmutableList.of(), ImmutableList.of());
-        master.handleStartResponse(
-                recorder.startTargets.get(0), recorder.startedRuns.get(0), OrderVerdict.DONE, 1_300, ms(300));
+        submitWithLateStart();
         reportProgress(0, 0, 602);
 
         assertThat(recorder.stoppedRuns).containsExactly(recorder.startedRuns.get(0));
