Count placements and planned jobs in host.work

Placement plans every waiting job in each of its passes, and the logs don't tell how many passes there are, so the processor time of a master can't be attributed. host.work and the metrics now have the number of placements and of the jobs planned in them.

--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -396,6 +396,11 @@
             postToMaster((_master, now) -> ownership.recordFencingRejection(pool, now));
         }
 
+        @Override
+        public void recordPlacement(int plannedJobs) {
+            metrics.countPlacement(plannedJobs);
+        }
+
         @Override
         public void logStart(TargetEntry target, RunId run, StartTiming timing) {
             masterLog.logStart(target, run, timing);
--- a/src/main/java/org/mustardlink/observe/EntryMetrics.java
+++ b/src/main/java/org/mustardlink/observe/EntryMetrics.java
@@ -49,6 +49,8 @@
     private final ImmutableMap<MessageKind, Counter> messages;
     private final Counter forwardedCalls = registry.counter("forwarded_calls");
     private final Counter droppedAnswers = registry.counter("dropped_answers");
+    private final Counter placements = registry.counter("placements");
+    private final Counter plannedJobs = registry.counter("planned_jobs");
     private final int maxSeries;
     private final int significantDigits;
     private final Timer loopLag;
@@ -130,6 +132,22 @@
         messages.get(kind).inc(number);
     }
 
+    /** Counts one placement of waiting tasks, for which the given number of jobs was planned. */
+    public void countPlacement(int jobs) {
+        placements.inc();
+        plannedJobs.inc(jobs);
+    }
+
+    /** Returns the number of placements since the process started. */
+    public long placementCount() {
+        return placements.getCount();
+    }
+
+    /** Returns the number of jobs planned in all placements since the process started. */
+    public long plannedJobCount() {
+        return plannedJobs.getCount();
+    }
+
     /** Counts one verdict that was delivered to a requester. */
     public void count(Reason reason) {
         verdicts.get(reason).inc();
--- a/src/main/java/org/mustardlink/observe/HostWorkLogger.java
+++ b/src/main/java/org/mustardlink/observe/HostWorkLogger.java
@@ -52,6 +52,8 @@
                 .with(LogField.STARTS, metrics.messageCount(MessageKind.START))
                 .with(LogField.REPORTS, metrics.messageCount(MessageKind.REPORT))
                 .with(LogField.TARGET_ENTRIES, metrics.messageCount(MessageKind.TARGET_ENTRY))
+                .with(LogField.PLACEMENTS, metrics.placementCount())
+                .with(LogField.PLANNED_JOBS, metrics.plannedJobCount())
                 .write();
     }
 
--- a/src/main/java/org/mustardlink/observe/LogField.java
+++ b/src/main/java/org/mustardlink/observe/LogField.java
@@ -117,7 +117,11 @@
     /** Number of reports requested from targets. */
     REPORTS,
     /** Number of target entries read from the store. */
-    TARGET_ENTRIES;
+    TARGET_ENTRIES,
+    /** Number of times that the masters of the host have planned the start of waiting tasks. */
+    PLACEMENTS,
+    /** Number of jobs planned in all placements. */
+    PLANNED_JOBS;
 
     /** Returns the stable name of the field, as written to the log. */
     public String id() {
--- a/src/main/java/org/mustardlink/pool/PoolActions.java
+++ b/src/main/java/org/mustardlink/pool/PoolActions.java
@@ -31,6 +31,9 @@
      */
     void reportFenced(TargetEntry target);
 
+    /** Records that the start of waiting tasks was planned, for the given number of jobs. */
+    void recordPlacement(int plannedJobs);
+
     /** Logs the start of a run. */
     void logStart(TargetEntry target, RunId run, StartTiming timing);
 
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -108,7 +108,7 @@
         this.leases = new LeaseSystem(tables, actions, runs, grants);
         this.targetList = checkNotNull(targetList, "targetList");
         this.earlierStartsEndNanos = now;
-        this.placement = new TaskPlacementSystem(tables, runs, grants);
+        this.placement = new TaskPlacementSystem(tables, actions, runs, grants);
         this.progress = new ProgressSystem(tables, runs, leases, placement);
         this.lastScanNanos = now - SCAN_INTERVAL_NANOS;
         this.lastEntryRequestNanos = now - ENTRY_REQUEST_INTERVAL_NANOS;
--- a/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
@@ -64,6 +64,7 @@
     private static final double LAST_CHANCE_DEADLINE_MARGIN = 0.5;
 
     private final PoolTables tables;
+    private final PoolActions actions;
     private final RunSystem runs;
     private final LeaseGrants grants;
     private double fastestSlowness = 1;
@@ -77,8 +78,9 @@
      */
     private record Placement(PoolTask task, PoolTarget target, TargetSchedule.Slot slot) {}
 
-    TaskPlacementSystem(PoolTables tables, RunSystem runs, LeaseGrants grants) {
+    TaskPlacementSystem(PoolTables tables, PoolActions actions, RunSystem runs, LeaseGrants grants) {
         this.tables = tables;
+        this.actions = actions;
         this.runs = runs;
         this.grants = grants;
     }
@@ -123,16 +125,19 @@
                 candidates.stream().mapToDouble(PoolTarget::slowness).min().orElse(1);
         schedules.clear();
         int reservingJobs = 0;
+        int plannedJobs = 0;
         for (PoolJob job : jobsInOrder(now)) {
             if ((job.order().mayHaveStarted() && !earlierRunsKnown)
                     || hasEarlierStart.test(job.id())
                     || !grants.allowStart(job, now)) {
                 continue;
             }
+            plannedJobs++;
             boolean started = job.started();
             boolean reserves = placeTasks(job, candidates, started || reservingJobs < MAX_RESERVING_JOBS, now);
             reservingJobs += reserves && !started ? 1 : 0;
         }
+        actions.recordPlacement(plannedJobs);
         Iterator<PoolJob> queued = tables.queue().iterator();
         while (queued.hasNext()) {
             if (!queued.next().hasWaitingTask()) {
--- a/src/test/java/org/mustardlink/observe/HostWorkLoggerTest.java
+++ b/src/test/java/org/mustardlink/observe/HostWorkLoggerTest.java
@@ -32,6 +32,7 @@
     void one_line_every_ten_seconds_reports_the_work_since_the_start() throws JsonProcessingException {
         metrics.count(MessageKind.HEARTBEAT);
         metrics.count(MessageKind.TARGET_ENTRY, 52);
+        metrics.countPlacement(3);
         workLogger.countLoopPass();
         workLogger.writeIfDue(seconds(9));
         assertThat(captured.lines()).isEmpty();
@@ -49,6 +50,8 @@
         assertThat(first.path("heartbeats_sent").asLong()).isEqualTo(1);
         assertThat(first.path("target_entries").asLong()).isEqualTo(52);
         assertThat(first.path("loop_passes").asLong()).isEqualTo(1);
+        assertThat(first.path("placements").asLong()).isEqualTo(1);
+        assertThat(first.path("planned_jobs").asLong()).isEqualTo(3);
         assertThat(Json.mapper().readTree(lines.get(1)).path("heartbeats_sent").asLong())
                 .isEqualTo(2);
     }
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -1249,6 +1249,9 @@
         @Override
         public void reportFenced(TargetEntry _target) {}
 
+        @Override
+        public void recordPlacement(int _plannedJobs) {}
+
         @Override
         public void logStart(TargetEntry _target, RunId _run, StartTiming _timing) {}
 
--- a/src/test/java/org/mustardlink/pool/RecordingPoolActions.java
+++ b/src/test/java/org/mustardlink/pool/RecordingPoolActions.java
@@ -19,6 +19,8 @@
     final List<JobSummary> summaries = new ArrayList<>();
     final List<StartTiming> startTimings = new ArrayList<>();
     final List<String> fenced = new ArrayList<>();
+    /** Number of jobs planned in each placement. */
+    final List<Integer> placements = new ArrayList<>();
     /** Tells for which requests callers are known to wait; by default for all of them. */
     RequestConfirmations confirmations = (_request, now) -> now;
 
@@ -80,6 +82,11 @@
         fenced.add(target.id());
     }
 
+    @Override
+    public void recordPlacement(int plannedJobs) {
+        placements.add(plannedJobs);
+    }
+
     @Override
     public void logStart(TargetEntry _target, RunId _run, StartTiming timing) {
         startTimings.add(timing);
