Plan waiting jobs only when something changed and a target has room

Cause: each placement planned every waiting job on every target, each 3 ms while any job waited, whether or not a run or a job had come or gone and whether or not any target had room. What a placement reserves holds until the next one only, so a placement that can start nothing has no effect.

Evidence: three tests that count placements and planned jobs failed before: 75 placements instead of none in 189 ms while all targets are busy, 40 instead of 10 at most in 100 ms while nothing changes, 5 planned jobs instead of one when the first takes the last room.

Change: a placement ends when no target has room for the smallest need of any waiting task, before it plans and after each job that it starts; and between two scans (10 ms) tasks are placed only after a job or a run has come or gone. Time alone (a deadline, the end of a pause) waits for the next scan.

--- a/src/main/java/org/mustardlink/pool/Capacity.java
+++ b/src/main/java/org/mustardlink/pool/Capacity.java
@@ -51,6 +51,12 @@
                 Math.max(0, gpus - other.gpus));
     }
 
+    /** Returns the smaller amount of each resource. */
+    public Capacity min(Capacity other) {
+        return new Capacity(
+                Math.min(cpuMillis, other.cpuMillis), Math.min(memoryMb, other.memoryMb), Math.min(gpus, other.gpus));
+    }
+
     // Written by hand, because every entry of the target list is compared, and the generated methods of records are
     // several times slower without the C2 compiler.
     @Override
--- a/src/main/java/org/mustardlink/pool/PoolJob.java
+++ b/src/main/java/org/mustardlink/pool/PoolJob.java
@@ -38,6 +38,7 @@
     private final long latestUsefulStartNanos;
     private final long deadlineNanos;
     private final double workMilliCoreNanos;
+    private final Capacity smallestNeed;
     private long lastSubmittedNanos;
     /** When the first task was ordered to start or adopted; empty before. */
     private OptionalLong startedNanos = OptionalLong.empty();
@@ -76,6 +77,8 @@
         latestUsefulStartNanos = Math.min(now + MAX_OBJECTIVES * objectiveDurationNanos, deadlineNanos)
                 - (long) (EXPIRY_MARGIN * fastestExpectedNanos);
         workMilliCoreNanos = order.workMilliCoreNanos() * criticalPathNanos / Math.max(1, declaredPathNanos);
+        smallestNeed =
+                order.steps().stream().map(StepSpec::need).reduce(Capacity::min).orElse(Capacity.NONE);
         ImmutableList.Builder<PoolTask> builder = ImmutableList.builder();
         for (int step = 0; step < order.steps().size(); step++) {
             for (int index = 0; index < order.steps().get(step).taskCount(); index++) {
@@ -149,6 +152,11 @@
         return workMilliCoreNanos;
     }
 
+    /** Returns the smallest amount of each resource that any task of the job needs. */
+    Capacity smallestNeed() {
+        return smallestNeed;
+    }
+
     /** Returns whether this master has ordered the start of a task of the job, or has adopted a run of one. */
     boolean started() {
         return startedNanos.isPresent();
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -30,7 +30,7 @@
      * of milliseconds.
      */
     private static final long SCAN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
-    /** Minimum interval between two attempts to place tasks that found no free capacity. */
+    /** Minimum interval between two placements of waiting tasks, so that one serves several events. */
     private static final long PLACEMENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
     /** Minimum interval between two requests to read the list of targets, so that each is answered before the next. */
     private static final long ENTRY_REQUEST_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
@@ -281,13 +281,13 @@
     }
 
     /**
-     * Does the periodic work that is due. Waiting tasks are placed at short intervals; runs and targets are scanned
-     * less often, because a scan costs the same after one event as after many.
+     * Does the periodic work that is due. Waiting tasks are placed soon after a job or a run has come or gone; runs and
+     * targets are scanned less often, because a scan costs the same after one event as after many.
      */
     public void tickIfDue(long now) {
         if (now - lastScanNanos >= SCAN_INTERVAL_NANOS) {
             tick(now);
-        } else if (!released && !tables.queue().isEmpty() && now - lastPlacementNanos >= PLACEMENT_INTERVAL_NANOS) {
+        } else if (!released && awaitsPlacement() && now - lastPlacementNanos >= PLACEMENT_INTERVAL_NANOS) {
             placeTasks(now);
         }
     }
@@ -309,9 +309,15 @@
         if (mayOrderStarts()) {
             placement.tick(now, now > earlierLeasesEndNanos || allTargetsTakenOver(now), this::hasEarlierStart);
         }
+        tables.markPlaced();
         lastPlacementNanos = tables.queue().isEmpty() ? now - PLACEMENT_INTERVAL_NANOS : now;
     }
 
+    /** Returns whether a change may let waiting tasks start. Other reasons, such as the time, wait for the next scan. */
+    private boolean awaitsPlacement() {
+        return !tables.queue().isEmpty() && tables.changedSincePlacement();
+    }
+
     /** Returns whether a target may still carry out the start of a task of a job that an earlier master has ordered. */
     private boolean hasEarlierStart(String job) {
         return knownStarts.startsOf(job).stream()
@@ -376,9 +382,9 @@
             return now + IDLE_TICK_INTERVAL_NANOS;
         }
         long nextScanNanos = lastScanNanos + SCAN_INTERVAL_NANOS;
-        return tables.queue().isEmpty()
-                ? nextScanNanos
-                : Math.min(nextScanNanos, lastPlacementNanos + PLACEMENT_INTERVAL_NANOS);
+        return awaitsPlacement()
+                ? Math.min(nextScanNanos, lastPlacementNanos + PLACEMENT_INTERVAL_NANOS)
+                : nextScanNanos;
     }
 
     /**
--- a/src/main/java/org/mustardlink/pool/PoolTables.java
+++ b/src/main/java/org/mustardlink/pool/PoolTables.java
@@ -26,6 +26,7 @@
     private final KindSlowness kindSlowness = new KindSlowness();
     private final RunTimeEstimator runTimeEstimator = new RunTimeEstimator();
     private long jobSequence;
+    private boolean changedSincePlacement;
 
     /** A run and the target on which it may be present. */
     record PresentRun(PoolTarget target, Run run) {
@@ -75,6 +76,16 @@
         return Optional.ofNullable(jobs.get(id));
     }
 
+    /** Returns whether a job or a run has been added or removed since the last call of {@link #markPlaced}. */
+    boolean changedSincePlacement() {
+        return changedSincePlacement;
+    }
+
+    /** Records that the start of waiting tasks has been planned. */
+    void markPlaced() {
+        changedSincePlacement = false;
+    }
+
     long nextSequence() {
         return jobSequence++;
     }
@@ -82,11 +93,13 @@
     void add(PoolJob job) {
         jobs.put(job.id(), job);
         queue.add(job);
+        changedSincePlacement = true;
     }
 
     void remove(PoolJob job) {
         jobs.remove(job.id());
         queue.remove(job);
+        changedSincePlacement = true;
     }
 
     NavigableSet<PoolJob> queue() {
@@ -126,11 +139,13 @@
 
     void add(PoolTarget target, Run run) {
         target.add(run);
+        changedSincePlacement = true;
         runsByTask.computeIfAbsent(run.id().task(), _task -> new HashSet<>()).add(new PresentRun(target, run));
     }
 
     void remove(PoolTarget target, Run run) {
         target.remove(run);
+        changedSincePlacement = true;
         Set<PresentRun> runs = runsByTask.get(run.id().task());
         if (runs != null) {
             runs.removeIf(other -> other.run() == run);
--- a/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
+++ b/src/main/java/org/mustardlink/pool/TaskPlacementSystem.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.IdentityHashMap;
-import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -78,6 +77,16 @@
      */
     private record Placement(PoolTask task, PoolTarget target, TargetSchedule.Slot slot) {}
 
+    /**
+     * What a tick has done for a job.
+     *
+     * @param startedTasks number of tasks that were started
+     * @param reserves whether capacity is reserved for other tasks
+     */
+    private record JobPlacement(int startedTasks, boolean reserves) {
+        private static final JobPlacement NONE = new JobPlacement(0, false);
+    }
+
     TaskPlacementSystem(PoolTables tables, PoolActions actions, RunSystem runs, LeaseGrants grants) {
         this.tables = tables;
         this.actions = actions;
@@ -112,9 +121,14 @@
      *     carried out
      */
     void tick(long now, boolean earlierRunsKnown, Predicate<String> hasEarlierStart) {
+        removeJobsWithoutWaitingTask();
         if (tables.queue().isEmpty()) {
             return;
         }
+        Capacity smallestNeed = smallestNeed();
+        if (!canAnyTargetStart(smallestNeed, now)) {
+            return;
+        }
         List<PoolTarget> candidates = new ArrayList<>();
         for (PoolTarget target : tables.targets()) {
             if (acceptsTasks(target, now) && grants.allowStart(target, now)) {
@@ -134,16 +148,37 @@
             }
             plannedJobs++;
             boolean started = job.started();
-            boolean reserves = placeTasks(job, candidates, started || reservingJobs < MAX_RESERVING_JOBS, now);
-            reservingJobs += reserves && !started ? 1 : 0;
+            JobPlacement placed = placeTasks(job, candidates, started || reservingJobs < MAX_RESERVING_JOBS, now);
+            reservingJobs += placed.reserves() && !started ? 1 : 0;
+            if (placed.startedTasks() > 0 && !canAnyTargetStart(smallestNeed, now)) {
+                // Reservations of later jobs would have no effect, because they are made anew in each tick.
+                break;
+            }
         }
         actions.recordPlacement(plannedJobs);
-        Iterator<PoolJob> queued = tables.queue().iterator();
-        while (queued.hasNext()) {
-            if (!queued.next().hasWaitingTask()) {
-                queued.remove();
+        removeJobsWithoutWaitingTask();
+    }
+
+    private void removeJobsWithoutWaitingTask() {
+        tables.queue().removeIf(job -> !job.hasWaitingTask());
+    }
+
+    /** Returns the smallest amount of each resource that any task of a queued job needs. */
+    private Capacity smallestNeed() {
+        return tables.queue().stream()
+                .map(PoolJob::smallestNeed)
+                .reduce(Capacity::min)
+                .orElseThrow();
+    }
+
+    /** Returns whether any target takes tasks and has free capacity for a need. */
+    private boolean canAnyTargetStart(Capacity need, long now) {
+        for (PoolTarget target : tables.targets()) {
+            if (target.freeCapacity().covers(need) && acceptsTasks(target, now)) {
+                return true;
             }
         }
+        return false;
     }
 
     /** Returns the queued jobs in the order in which they get capacity. */
@@ -164,11 +199,11 @@
 
     /**
      * Starts the waiting tasks of a job that fit now, and reserves capacity for the others; starts none if the job isn't
-     * started and one of its tasks isn't expected to end in time. Returns whether capacity is reserved.
+     * started and one of its tasks isn't expected to end in time.
      *
      * @param mayReserve whether capacity may be reserved for the job
      */
-    private boolean placeTasks(PoolJob job, List<PoolTarget> candidates, boolean mayReserve, long now) {
+    private JobPlacement placeTasks(PoolJob job, List<PoolTarget> candidates, boolean mayReserve, long now) {
         List<Placement> placements = new ArrayList<>();
         // The tasks of a step have the same needs: once one fits nowhere now, the others don't either.
         int stepWithoutRoom = -1;
@@ -194,19 +229,21 @@
                 break;
             } else {
                 placements.forEach(planned -> scheduleOf(planned.target(), now).remove(planned.slot()));
-                return false;
+                return JobPlacement.NONE;
             }
         }
+        int startedTasks = 0;
         boolean reserves = false;
         for (Placement placement : placements) {
             if (canStartNow(placement, now)) {
                 runs.startRun(
                         placement.target(), placement.task(), now, expectedNanos(placement.task(), placement.target()));
+                startedTasks++;
             } else {
                 reserves = true;
             }
         }
-        return reserves;
+        return new JobPlacement(startedTasks, reserves);
     }
 
     private TargetSchedule scheduleOf(PoolTarget target, long now) {
--- a/src/test/java/org/mustardlink/pool/TaskPlacementSystemTest.java
+++ b/src/test/java/org/mustardlink/pool/TaskPlacementSystemTest.java
@@ -150,6 +150,53 @@
         assertThat(startedJobs()).containsExactly("limited", "limited", "limited");
     }
 
+    /** Guards against processor time for planning jobs of which no task could start on any target. */
+    @Test
+    void waiting_jobs_are_not_planned_while_no_target_has_room_for_any_of_their_tasks() {
+        takeOverTargets("t0", "t1");
+        submit("first", 2, 600, 2);
+        submit("waiting", 2, 200, 10);
+        recorder.placements.clear();
+
+        for (long atMs = 11; atMs < 200; atMs++) {
+            master.tickIfDue(ms(atMs));
+        }
+
+        assertThat(recorder.placements).isEmpty();
+    }
+
+    /** Guards against processor time for planning jobs that can't start on the free targets again and again. */
+    @Test
+    void waiting_jobs_that_find_no_suitable_target_are_planned_once_per_scan_until_something_changes() {
+        takeOverTargets("t0", "t1");
+        StepSpec onlyOnFirstTarget = step(1, 600, Optional.of("t0"), Integer.MAX_VALUE);
+        submit("first", onlyOnFirstTarget, 2);
+        submit("waiting", step(1, 200, Optional.of("t0"), Integer.MAX_VALUE), 10);
+        recorder.placements.clear();
+
+        for (long atMs = 11; atMs <= 110; atMs++) {
+            master.tickIfDue(ms(atMs));
+        }
+
+        int scans = 10;
+        assertThat(recorder.placements.size()).isAtMost(scans);
+    }
+
+    /** Guards against planning all waiting jobs although the first of them take the last free target. */
+    @Test
+    void jobs_behind_those_that_take_the_last_room_are_not_planned() {
+        takeOverTargets("t0");
+        submit("first", 1, 100, 2);
+        for (int i = 0; i < 5; i++) {
+            submit("waiting-" + i, 1, 50, 10 + i);
+        }
+        recorder.placements.clear();
+        end("t0", 102);
+
+        assertThat(startedJobs()).hasSize(2);
+        assertThat(recorder.placements).containsExactly(1);
+    }
+
     /** Guards against jobs that wait for one busy target and keep all others idle. */
     @Test
     void jobs_that_wait_for_reserved_capacity_do_not_keep_others_from_idle_targets() {
