Check the progress of short runs only when they should have ended

Cause: each run was checked at 0.2, 0.4, 0.7, 1 and 1.4 of its expected time, 100 ms after its start at the earliest. A check is for a run that has to be moved before its caller's deadline is out of reach. A task of 200 ms whose caller waits 1,500 ms can be stopped after its expected end and run again in full.

Change: while a run could be checked at 1.4 of its expected time, stopped, and run again in full before the deadline, it is checked at 1 and 1.4 only. Long tasks are checked as before.

Evidence: a_run_that_could_be_repeated_in_full_is_not_checked_before_its_expected_end fails without the change (3 reports requested within 190 ms instead of none), and so does its counterpart until 250 ms (4 instead of 1).

--- a/src/main/java/org/mustardlink/pool/ProgressSystem.java
+++ b/src/main/java/org/mustardlink/pool/ProgressSystem.java
@@ -13,6 +13,11 @@
 final class ProgressSystem {
     /** Shares of a run's expected time after which its progress is requested, unless a recent report contains it. */
     private static final double[] PROGRESS_CHECK_SHARES = {0.2, 0.4, 0.7, 1, 1.4};
+    /**
+     * Replaces {@link #PROGRESS_CHECK_SHARES} for a run whose task could still run in full elsewhere after the last
+     * check: an earlier check would cost a call to the target, and nothing is lost without it.
+     */
+    private static final double[] REPEATABLE_CHECK_SHARES = {1, 1.4};
     /** Minimum age of a run at its first progress check; a report takes 3 ms between failure domains. */
     private static final long MIN_PROGRESS_CHECK_AGE_NANOS = TimeUnit.MILLISECONDS.toNanos(100);
     /** Share of a run's expected time for which a report counts as recent; ends of other runs cause reports as well. */
@@ -96,12 +101,12 @@
 
     /** Counts the next progress check of a run if it is due; returns whether a report must be requested for it. */
     private static boolean takeDueCheck(Run run, long now) {
-        if (run.progressChecks() == PROGRESS_CHECK_SHARES.length) {
+        double[] shares = isRepeatable(run) ? REPEATABLE_CHECK_SHARES : PROGRESS_CHECK_SHARES;
+        if (run.progressChecks() >= shares.length) {
             return false;
         }
         long dueNanos = run.startOrderedNanos()
-                + Math.max(MIN_PROGRESS_CHECK_AGE_NANOS, (long)
-                        (PROGRESS_CHECK_SHARES[run.progressChecks()] * run.expectedNanos()));
+                + Math.max(MIN_PROGRESS_CHECK_AGE_NANOS, (long) (shares[run.progressChecks()] * run.expectedNanos()));
         if (now < dueNanos) {
             return false;
         }
@@ -109,6 +114,13 @@
         return now - run.lastReportNanos() > FRESH_REPORT_SHARE * run.expectedNanos();
     }
 
+    /** Returns whether a run may be checked last, be stopped and run again in full before its caller's deadline. */
+    private static boolean isRepeatable(Run run) {
+        double shares = REPEATABLE_CHECK_SHARES[REPEATABLE_CHECK_SHARES.length - 1] + 1;
+        return run.startOrderedNanos() + (long) (shares * run.expectedNanos()) + MOVE_DELAY_NANOS
+                <= run.task().get().job().deadlineNanos();
+    }
+
     /** Stops a run if it is stalled or its task can end in time elsewhere, or marks its deadline as unreachable. */
     private void checkRun(PoolTarget target, Run run, PoolTask task, long now) {
         if (run.percent() < 100
--- a/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
+++ b/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
@@ -70,8 +70,12 @@
     }
 
     private void submitWithoutStartAnswers(String job, int tasks, long atMs) {
-        StepSpec step =
-                new StepSpec(tasks, TARGET_CAPACITY, Duration.ofMillis(900), ImmutableList.of(), Optional.empty(), 100);
+        submitWithoutStartAnswers(job, tasks, 900, atMs);
+    }
+
+    private void submitWithoutStartAnswers(String job, int tasks, long taskMs, long atMs) {
+        StepSpec step = new StepSpec(
+                tasks, TARGET_CAPACITY, Duration.ofMillis(taskMs), ImmutableList.of(), Optional.empty(), 100);
         master.submitJob(JobOrders.of(atMs, job, step, false), ms(atMs));
         master.tick(ms(atMs));
     }
@@ -84,6 +88,36 @@
                 recorder.startTargets.get(0), recorder.startedRuns.get(0), OrderVerdict.DONE, 1_300, ms(300));
     }
 
+    /** Submits a job of one task; returns how many reports are requested of its target until a given time. */
+    private int countReportsRequested(long taskMs, long untilMs) {
+        submitWithoutStartAnswers("job", 1, taskMs, 2);
+        String target = recorder.startTargets.get(0);
+        master.handleStartResponse(target, recorder.startedRuns.get(0), OrderVerdict.DONE, 1_002, ms(2));
+        int before = recorder.extensionCount(target);
+        for (long atMs = 3; atMs <= untilMs; atMs++) {
+            master.tickIfDue(ms(atMs));
+        }
+        return recorder.extensionCount(target) - before;
+    }
+
+    /** Guards against calls to targets for the progress of short tasks, which no decision needs. */
+    @Test
+    void a_run_that_could_be_repeated_in_full_is_not_checked_before_its_expected_end() {
+        assertThat(countReportsRequested(200, 190)).isEqualTo(0);
+    }
+
+    /** Guards against a short task on a target that hangs, for which nobody looks until its deadline. */
+    @Test
+    void a_run_that_could_be_repeated_in_full_is_checked_after_its_expected_end() {
+        assertThat(countReportsRequested(200, 250)).isEqualTo(1);
+    }
+
+    /** Guards against a long task whose slow target is noticed when no time is left to run it elsewhere. */
+    @Test
+    void a_run_that_could_not_be_repeated_in_full_is_checked_early() {
+        assertThat(countReportsRequested(900, 250)).isEqualTo(1);
+    }
+
     /** Guards against a missed deadline on a slow target although another target could run the task in time. */
     @Test
     void a_task_that_would_miss_its_deadline_on_a_target_moves_while_another_has_room() {
