Scan runs and targets every 20 ms

A master woke up 100 times a second to scan all runs and targets, also while nothing happened between two scans. What a scan detects (overdue and stalled runs, expired jobs, missed reports) develops over tens of milliseconds, and what can't wait (an end, a new job) is handled by its event since placement follows changes.

Change: 20 ms instead of 10.

--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -29,7 +29,7 @@
      * Minimum interval between two scans of all runs and targets. The conditions that a scan detects develop over tens
      * of milliseconds.
      */
-    private static final long SCAN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    private static final long SCAN_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
     /** Minimum interval between two placements of waiting tasks, so that one serves several events. */
     private static final long PLACEMENT_INTERVAL_NANOS = TimeUnit.MILLISECONDS.toNanos(3);
     /** Minimum interval between two requests to read the list of targets, so that each is answered before the next. */
