Decode entries of targets whose sequence number may be invalid

What callers could see: after a valid entry of a target, another writer's entry under its key with a sequence number that is too large for a long, or starts with a zero, still named the target.

Cause: the reader takes an entry that differs from the last one in the digits of its sequence number only for that one, without decoding it.

Change: digits that may not be a valid number are decoded. Every number of 18 digits at most without a leading zero is a long.

--- a/src/main/java/org/mustardlink/platform/TargetEntryReader.java
+++ b/src/main/java/org/mustardlink/platform/TargetEntryReader.java
@@ -16,6 +16,9 @@
     /** The sequence number, which increases with each write and is not part of the decoded entry. */
     private static final Pattern SEQUENCE = Pattern.compile("\"seq\":\\s*(\\d+)");
 
+    /** Every number of this many digits is a {@code long}. */
+    private static final int MAX_SEQUENCE_DIGITS = 18;
+
     private final Map<String, DecodedEntry> decodedByTarget = new HashMap<>();
 
     /**
@@ -45,11 +48,17 @@
             }
             int rest = value.length() - sequenceEnd;
             return (end > sequenceStart) == (sequenceEnd > sequenceStart)
+                    && isValidSequence(other, sequenceStart, end)
                     && other.length() - end == rest
                     && other.regionMatches(0, value, 0, sequenceStart)
                     && other.regionMatches(end, value, sequenceEnd, rest);
         }
 
+        /** Returns whether digits are certain to form a JSON number that is a {@code long}; other ones are decoded. */
+        private static boolean isValidSequence(String text, int start, int end) {
+            return end - start <= MAX_SEQUENCE_DIGITS && (end - start <= 1 || text.charAt(start) != '0');
+        }
+
         private static boolean isDigit(char character) {
             return character >= '0' && character <= '9';
         }
--- a/src/test/java/org/mustardlink/platform/TargetEntryReaderTest.java
+++ b/src/test/java/org/mustardlink/platform/TargetEntryReaderTest.java
@@ -6,6 +6,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.mustardlink.pool.TargetEntry;
 
 /** Tests that an entry is decoded again exactly if more than its sequence number has changed. */
@@ -44,6 +45,16 @@
         assertThat(read(entry(3, "ready"))).isNotEqualTo(Optional.empty());
     }
 
+    /** Guards against an entry of another writer that counts as well-formed because the one before it was. */
+    @ParameterizedTest
+    @ValueSource(strings = {"123456789012345678901234567890", "9223372036854775808", "007"})
+    void an_entry_with_an_invalid_sequence_number_names_no_target_after_a_valid_one(String sequence) {
+        String valid = entry(1, "ready");
+        assertThat(read(valid)).isNotEqualTo(Optional.empty());
+
+        assertThat(read(valid.replace("\"seq\":1", "\"seq\":" + sequence))).isEqualTo(Optional.empty());
+    }
+
     /** Guards against a changed entry that is taken for the cached one because it has the same length or prefix. */
     @ParameterizedTest
     @CsvSource(
