Reject entries of targets whose bytes are not valid UTF-8

The users' page says that an entry of bytes that can't be read names no target to use.

Cause: the bytes were decoded with replacement characters, so that damaged text counted as a valid one.

Change: an entry is checked for valid UTF-8 before it is decoded; one that isn't is logged and skipped like any malformed entry. The configuration, claims and hosts' records are read as before.

--- a/src/main/java/org/mustardlink/platform/TargetEntryReader.java
+++ b/src/main/java/org/mustardlink/platform/TargetEntryReader.java
@@ -1,5 +1,7 @@
 package org.mustardlink.platform;
 
+import com.google.common.base.Utf8;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -79,13 +81,20 @@
         if (before != null && before.differsOnlyInSequence(value)) {
             return Optional.of(before.entry());
         }
-        Optional<TargetEntry> entry = record.text().flatMap(text -> DocumentDecoder.decodeTarget(record.key(), text));
+        Optional<TargetEntry> entry = record.text()
+                .filter(_text -> isUtf8(value))
+                .flatMap(text -> DocumentDecoder.decodeTarget(record.key(), text));
         entry.ifPresentOrElse(
                 decoded -> decodedByTarget.put(record.key(), DecodedEntry.of(value, decoded)),
                 () -> evict(record.key()));
         return entry;
     }
 
+    /** Returns whether bytes are valid UTF-8. Decoding them doesn't show it, because it replaces invalid bytes. */
+    private static boolean isUtf8(String bytes) {
+        return Utf8.isWellFormed(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** Removes the cached entry of a target that no longer exists. */
     public void evict(String id) {
         decodedByTarget.remove(id);
--- a/src/test/java/org/mustardlink/platform/TargetEntryReaderTest.java
+++ b/src/test/java/org/mustardlink/platform/TargetEntryReaderTest.java
@@ -55,6 +55,15 @@
         assertThat(read(valid.replace("\"seq\":1", "\"seq\":" + sequence))).isEqualTo(Optional.empty());
     }
 
+    /** Guards against starts on the target of another service under whose key another writer stored damaged bytes. */
+    @Test
+    void an_entry_with_bytes_that_are_not_valid_text_names_no_target() {
+        assertThat(read(entry(1, "ready").replace("v1", "v\u00c3\u00a9"))).isNotEqualTo(Optional.empty());
+
+        assertThat(read(entry(2, "ready").replace("v1", "v\u00ff"))).isEqualTo(Optional.empty());
+        assertThat(read(entry(3, "ready").replace("v1", "v\u00c3"))).isEqualTo(Optional.empty());
+    }
+
     /** Guards against a changed entry that is taken for the cached one because it has the same length or prefix. */
     @ParameterizedTest
     @CsvSource(
