--- a/src/main/java/org/mustardlink/platform/TargetEntryReader.java
+++ b/src/main/java/org/mustardlink/platform/TargetEntryReader.java
@@ -1,5 +1,7 @@
 package org.mustardlink.platform;
 
+import com.google.common.base.Utf8;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +18,9 @@
     /** The sequence number, which increases with each write and is not part of the decoded entry. */
     private static final Pattern SEQUENCE = Pattern.compile("\"seq\":\\s*(\\d+)");
 
+    /** Every number of this many digits is a {@code long}. */
+    private static final int MAX_SEQUENCE_DIGITS = 18;
+
     private final Map<String, DecodedEntry> decodedByTarget = new HashMap<>();
 
     /**
@@ -45,11 +50,17 @@
             }
             int rest = value.length() - sequenceEnd;
             return (end > sequenceStart) == (sequenceEnd > sequenceStart)
+                    && isValidSequence(other, sequenceStart, end)
                     && other.length() - end == rest
                     && other.regionMatches(0, value, 0, sequenceStart)
                     && other.regionMatches(end, value, sequenceEnd, rest);
         }
 
+        /** Returns whether digits are certain to form a JSON number that is a {@code long}; other ones are decoded. */
+        private static boolean isValidSequence(String text, int start, int end) {
+            return end - start <= MAX_SEQUENCE_DIGITS && (end - start <= 1 || text.charAt(start) != '0');
+        }
+
         private static boolean isDigit(char character) {
             return character >= '0' && character <= '9';
         }
@@ -70,13 +81,20 @@
         if (before != null && before.differsOnlyInSequence(value)) {
             return Optional.of(before.entry());
         }
-        Optional<TargetEntry> entry = record.text().flatMap(text -> DocumentDecoder.decodeTarget(record.key(), text));
+        Optional<TargetEntry> entry = record.text()
+                .filter(_text -> isUtf8(value))
+                .flatMap(text -> DocumentDecoder.decodeTarget(record.key(), text));
         entry.ifPresentOrElse(
                 decoded -> decodedByTarget.put(record.key(), DecodedEntry.of(value, decoded)),
                 () -> evict(record.key()));
         return entry;
     }
 
+    /** Returns whether bytes are valid UTF-8. Decoding them doesn't show it, because it replaces invalid bytes. */
+    private static boolean isUtf8(String bytes) {
+        return Utf8.isWellFormed(bytes.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
     /** Removes the cached entry of a target that no longer exists. */
     public void evict(String id) {
         decodedByTarget.remove(id);
