Time out calls by one look at those in flight instead of a scheduled task each

Every call over HTTP put a task into the queue of a ScheduledThreadPoolExecutor and removed it when the reply came, both under the queue's lock, and woke the timer's thread whenever its task was the earliest.

Cause: the timer kept its queue in order although nearly every call ends before its time-out.

Which of reply, time-out and failed connection ends a call is now decided by one flag of the call, so that a time-out that comes with the reply cannot fail the next call on the connection.

--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -8,12 +8,10 @@
 import java.util.LinkedHashMap;
 import java.util.Locale;
 import java.util.Map;
-import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.Future;
-import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Predicate;
 import org.glassfish.grizzly.Connection;
@@ -63,13 +61,11 @@
     private final TCPNIOTransport transport;
     private final MultiEndpointPool<SocketAddress> pool;
     private final TCPNIOConnectorHandler connector;
-    private final ScheduledThreadPoolExecutor timer;
+    private final CallTimer timer;
     private final Map<SocketAddress, Long> staleBeforeNanos = new ConcurrentHashMap<>();
     private final AtomicLong unexpectedReplies = new AtomicLong();
     private volatile long allStaleBeforeNanos = System.nanoTime();
 
-    // Cancelled timeouts must leave the queue immediately. Only ScheduledThreadPoolExecutor itself offers this policy.
-    @SuppressWarnings("DangerousThreadPoolExecutorUsage")
     private HttpRequester(Limits limits) {
         transport = TCPNIOTransportBuilder.newInstance()
                 .setIOStrategy(SameThreadIOStrategy.getInstance())
@@ -90,12 +86,7 @@
                 .asyncPollTimeout(limits.connectTimeout().toMillis(), TimeUnit.MILLISECONDS)
                 .keepAliveTimeout(limits.idleTimeout().toMillis(), TimeUnit.MILLISECONDS)
                 .build();
-        timer = new ScheduledThreadPoolExecutor(1, task -> {
-            Thread thread = new Thread(task, "http-client-timer");
-            thread.setDaemon(true);
-            return thread;
-        });
-        timer.setRemoveOnCancelPolicy(true);
+        timer = CallTimer.start("http-client-timer");
     }
 
     /**
@@ -151,12 +142,9 @@
     public CompletableFuture<HttpReply> send(
             InetSocketAddress address, HttpCall call, Predicate<HttpReply> matchesRequest) {
         Exchange exchange = new Exchange(
-                new CompletableFuture<>(),
-                matchesRequest,
-                call.charset(),
-                System.nanoTime() + call.timeout().toNanos());
+                call, matchesRequest, System.nanoTime() + call.timeout().toNanos());
         takeConnection(address, call, exchange, MAX_CONNECTION_ATTEMPTS);
-        return exchange.reply();
+        return exchange.reply;
     }
 
     /** Marks every idle connection to an address as stale; such a connection is replaced instead of used again. */
@@ -176,7 +164,7 @@
     }
 
     private void takeConnection(InetSocketAddress address, HttpCall call, Exchange exchange, int attemptsLeft) {
-        CompletableFuture<HttpReply> reply = exchange.reply();
+        CompletableFuture<HttpReply> reply = exchange.reply;
         pool.take(toEndpoint(address), new EmptyCompletionHandler<>() {
             @Override
             @SuppressWarnings({"unchecked", "RawTypes"})
@@ -227,25 +215,21 @@
 
     private void writeRequest(
             Connection<SocketAddress> connection, InetSocketAddress address, HttpCall call, Exchange exchange) {
-        long remainingNanos = exchange.deadlineNanos - System.nanoTime();
-        if (remainingNanos <= 0) {
+        if (exchange.dueNanos() - System.nanoTime() <= 0) {
             UNUSED_SINCE_NANOS.set(connection, System.nanoTime());
             pool.release(connection);
-            exchange.reply()
-                    .completeExceptionally(
-                            new CodedException(ErrorCode.NOT_SENT, "no free connection within " + call.timeout()));
+            exchange.reply.completeExceptionally(
+                    new CodedException(ErrorCode.NOT_SENT, "no free connection within " + call.timeout()));
             return;
         }
-        exchange.setTimeout(timer.schedule(
-                () -> failExchange(connection, ErrorCode.TIMED_OUT, "no complete reply within " + call.timeout()),
-                remainingNanos,
-                TimeUnit.NANOSECONDS));
+        exchange.connection = connection;
         EXCHANGE.set(connection, exchange);
+        timer.add(exchange);
         connection.write(
                 toContent(address, call), new EmptyCompletionHandler<WriteResult<HttpContent, SocketAddress>>() {
                     @Override
                     public void failed(Throwable _cause) {
-                        failExchange(connection, ErrorCode.NO_ANSWER, "cannot write the request to the connection");
+                        exchange.fail(ErrorCode.NO_ANSWER, "cannot write the request to the connection");
                     }
                 });
     }
@@ -272,13 +256,10 @@
     }
 
     private void failExchange(Connection<?> connection, ErrorCode code, String message) {
-        Exchange exchange = EXCHANGE.remove(connection);
-        if (exchange == null) {
-            return;
+        Exchange exchange = EXCHANGE.get(connection);
+        if (exchange != null) {
+            exchange.fail(code, message);
         }
-        exchange.cancelTimeout();
-        connection.terminateSilently();
-        exchange.reply().completeExceptionally(new CodedException(code, message));
     }
 
     /** Closes the idle connections to an address at once, and the busy ones when their calls end. */
@@ -290,7 +271,7 @@
     @Override
     public void close() {
         pool.close();
-        timer.shutdownNow();
+        timer.close();
         try {
             transport.shutdownNow();
         } catch (java.io.IOException e) {
@@ -298,34 +279,44 @@
         }
     }
 
-    private static final class Exchange {
-        private final CompletableFuture<HttpReply> reply;
+    /**
+     * One call. Its reply, its time-out and the failure of its connection may come at the same time; the first one ends
+     * the call, and only a reply that does so may release the connection.
+     */
+    private final class Exchange extends CallTimer.Timeout {
+        private final HttpCall call;
+        private final CompletableFuture<HttpReply> reply = new CompletableFuture<>();
         private final Predicate<HttpReply> matchesRequest;
-        private final Charset charset;
-        private final long deadlineNanos;
-        private volatile Optional<Future<?>> timeout = Optional.empty();
+        private final AtomicBoolean ended = new AtomicBoolean();
+        /** The connection that carries the call; set before the call can end. */
+        private volatile Connection<?> connection;
 
-        private Exchange(
-                CompletableFuture<HttpReply> reply,
-                Predicate<HttpReply> matchesRequest,
-                Charset charset,
-                long deadlineNanos) {
-            this.deadlineNanos = deadlineNanos;
-            this.charset = charset;
-            this.reply = reply;
+        private Exchange(HttpCall call, Predicate<HttpReply> matchesRequest, long deadlineNanos) {
+            super(deadlineNanos);
+            this.call = call;
             this.matchesRequest = matchesRequest;
         }
 
-        private CompletableFuture<HttpReply> reply() {
-            return reply;
+        /** Ends the call, and returns whether it had not ended before. */
+        private boolean end() {
+            if (!ended.compareAndSet(false, true)) {
+                return false;
+            }
+            timer.remove(this);
+            EXCHANGE.remove(connection);
+            return true;
         }
 
-        private void setTimeout(Future<?> scheduled) {
-            timeout = Optional.of(scheduled);
+        private void fail(ErrorCode code, String message) {
+            if (end()) {
+                connection.terminateSilently();
+                reply.completeExceptionally(new CodedException(code, message));
+            }
         }
 
-        private void cancelTimeout() {
-            timeout.ifPresent(scheduled -> scheduled.cancel(false));
+        @Override
+        void expire() {
+            fail(ErrorCode.TIMED_OUT, "no complete reply within " + call.timeout());
         }
     }
 
@@ -350,15 +341,14 @@
             }
             HttpResponsePacket response = (HttpResponsePacket) content.getHttpHeader();
             Connection<?> connection = context.getConnection();
-            Exchange exchange = EXCHANGE.remove(connection);
-            if (exchange == null) {
+            Exchange exchange = EXCHANGE.get(connection);
+            if (exchange == null || !exchange.end()) {
                 // A reply without a waiting call means that requests and replies no longer match on this connection.
                 unexpectedReplies.incrementAndGet();
                 connection.terminateSilently();
                 return context.getStopAction();
             }
-            exchange.cancelTimeout();
-            HttpReply reply = toReply(response, content, exchange.charset);
+            HttpReply reply = toReply(response, content, exchange.call.charset());
             boolean expected = exchange.matchesRequest.test(reply);
             if (!expected) {
                 unexpectedReplies.incrementAndGet();
@@ -369,7 +359,7 @@
                 UNUSED_SINCE_NANOS.set(connection, System.nanoTime());
                 pool.release(connection);
             }
-            exchange.reply().complete(reply);
+            exchange.reply.complete(reply);
             return context.getStopAction();
         }
 
