Copy no headers of replies that nobody reads, and decode bodies from bytes

Every reply's headers went into a LinkedHashMap, with a string for each name, its lower-case form and each value, and from there into an ImmutableMap; the body went through the buffer's CharsetDecoder and CharBuffer.

Cause: the reply to a target or to the store is read by its status and body alone, but HttpReply always had all headers.

Change: a call can ask for a reply without headers, and those to targets and to the store do. "Connection: close" is looked up in the parsed headers. The body is a byte array that the String constructor decodes.

--- a/src/main/java/org/mustardlink/http/HttpCall.java
+++ b/src/main/java/org/mustardlink/http/HttpCall.java
@@ -19,6 +19,7 @@
  * @param maxIdle maximum time that the connection may have been idle before the call; a connection that was idle for
  *     longer is replaced
  * @param charset charset of the bodies of request and reply; ISO 8859-1 preserves every byte of binary bodies
+ * @param keepReplyHeaders whether the reply contains its headers; without them it has none, which saves copying them
  */
 public record HttpCall(
         String method,
@@ -27,7 +28,8 @@
         String body,
         Duration timeout,
         Duration maxIdle,
-        Charset charset) {
+        Charset charset,
+        boolean keepReplyHeaders) {
     /** Accepts any idle connection; suitable for requests that may be repeated. */
     private static final Duration UNLIMITED_IDLE_TIME = Duration.ofDays(1);
 
@@ -43,7 +45,7 @@
 
     /** Creates a request with bodies in UTF-8 that any idle connection may carry. */
     public HttpCall(String method, String path, ImmutableMap<String, String> headers, String body, Duration timeout) {
-        this(method, path, headers, body, timeout, UNLIMITED_IDLE_TIME, StandardCharsets.UTF_8);
+        this(method, path, headers, body, timeout, UNLIMITED_IDLE_TIME, StandardCharsets.UTF_8, true);
     }
 
     /** Creates a request with bodies in UTF-8. */
@@ -54,17 +56,23 @@
             String body,
             Duration timeout,
             Duration maxIdle) {
-        this(method, path, headers, body, timeout, maxIdle, StandardCharsets.UTF_8);
+        this(method, path, headers, body, timeout, maxIdle, StandardCharsets.UTF_8, true);
     }
 
     /** Returns the same request with another maximum idle time of its connection. */
     public HttpCall withMaxIdle(Duration newMaxIdle) {
-        return new HttpCall(method, path, headers, body, timeout, newMaxIdle, charset);
+        return new HttpCall(method, path, headers, body, timeout, newMaxIdle, charset, keepReplyHeaders);
     }
 
     /** Returns the same request with bodies in which each character stands for one byte. */
     public HttpCall withBinaryBodies() {
-        return new HttpCall(method, path, headers, body, timeout, maxIdle, StandardCharsets.ISO_8859_1);
+        return new HttpCall(
+                method, path, headers, body, timeout, maxIdle, StandardCharsets.ISO_8859_1, keepReplyHeaders);
+    }
+
+    /** Returns the same request with a reply that contains no headers. */
+    public HttpCall withoutReplyHeaders() {
+        return new HttpCall(method, path, headers, body, timeout, maxIdle, charset, false);
     }
 
     /** Returns a GET request without extra headers. */
--- a/src/main/java/org/mustardlink/http/HttpReply.java
+++ b/src/main/java/org/mustardlink/http/HttpReply.java
@@ -10,7 +10,7 @@
  * A complete HTTP reply.
  *
  * @param status status code
- * @param headers headers by their lower-case names
+ * @param headers headers by their lower-case names; empty if the call asked for a reply without them
  * @param body body as text
  */
 public record HttpReply(int status, ImmutableMap<String, String> headers, String body) {
--- a/src/main/java/org/mustardlink/http/HttpRequester.java
+++ b/src/main/java/org/mustardlink/http/HttpRequester.java
@@ -3,7 +3,6 @@
 import com.google.common.collect.ImmutableMap;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
-import java.nio.charset.Charset;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Locale;
@@ -31,6 +30,8 @@
 import org.glassfish.grizzly.http.HttpRequestPacket;
 import org.glassfish.grizzly.http.HttpResponsePacket;
 import org.glassfish.grizzly.http.Protocol;
+import org.glassfish.grizzly.http.util.DataChunk;
+import org.glassfish.grizzly.http.util.Header;
 import org.glassfish.grizzly.http.util.MimeHeaders;
 import org.glassfish.grizzly.memory.Buffers;
 import org.glassfish.grizzly.nio.transport.TCPNIOConnectorHandler;
@@ -348,12 +349,12 @@
                 connection.terminateSilently();
                 return context.getStopAction();
             }
-            HttpReply reply = toReply(response, content, exchange.call.charset());
+            HttpReply reply = toReply(response, content, exchange.call);
             boolean expected = exchange.matchesRequest.test(reply);
             if (!expected) {
                 unexpectedReplies.incrementAndGet();
             }
-            if (!expected || "close".equalsIgnoreCase(reply.headers().get("connection"))) {
+            if (!expected || isLastOfConnection(response)) {
                 connection.terminateSilently();
             } else {
                 UNUSED_SINCE_NANOS.set(connection, System.nanoTime());
@@ -377,16 +378,29 @@
             failExchange(context.getConnection(), ErrorCode.NO_ANSWER, "cannot read the reply: " + error.getMessage());
         }
 
-        private HttpReply toReply(HttpResponsePacket response, HttpContent content, Charset charset) {
-            MimeHeaders fields = response.getHeaders();
+        private static boolean isLastOfConnection(HttpResponsePacket response) {
+            DataChunk value = response.getHeaders().getValue(Header.Connection);
+            return value != null && value.equalsIgnoreCase("close");
+        }
+
+        private static HttpReply toReply(HttpResponsePacket response, HttpContent content, HttpCall call) {
+            // Decoding a byte array is several times cheaper than the buffer's own decoder.
+            byte[] body = new byte[content.getContent().remaining()];
+            content.getContent().get(body);
+            return new HttpReply(
+                    response.getStatus(),
+                    call.keepReplyHeaders() ? copyHeaders(response.getHeaders()) : ImmutableMap.of(),
+                    new String(body, call.charset()));
+        }
+
+        private static ImmutableMap<String, String> copyHeaders(MimeHeaders fields) {
             Map<String, String> headers = new LinkedHashMap<>();
             for (int i = 0; i < fields.size(); i++) {
                 // Iterates by index: a lookup by name compares the name with those of all headers before it.
                 String name = fields.getName(i).toString().toLowerCase(Locale.ROOT);
                 headers.putIfAbsent(name, fields.getValue(i).toString());
             }
-            String body = content.getContent().toStringContent(charset);
-            return new HttpReply(response.getStatus(), ImmutableMap.copyOf(headers), body);
+            return ImmutableMap.copyOf(headers);
         }
     }
 }
--- a/src/main/java/org/mustardlink/http/Json.java
+++ b/src/main/java/org/mustardlink/http/Json.java
@@ -124,6 +124,21 @@
         }
     }
 
+    /**
+     * Returns a parser of a text, for documents so frequent that a tree of each costs too much.
+     *
+     * @throws JsonProcessingException if the text cannot be read
+     */
+    public static JsonParser newParser(String text) throws JsonProcessingException {
+        try {
+            return FACTORY.createParser(text);
+        } catch (JsonProcessingException e) {
+            throw e;
+        } catch (IOException e) {
+            throw new CodedException(ErrorCode.INTERNAL, "cannot read a JSON text", e);
+        }
+    }
+
     /** Reads the value that starts at a token. The parser limits the depth of this recursion. */
     private static JsonNode readValue(JsonParser parser, JsonToken token) throws IOException {
         return switch (token) {
--- a/src/main/java/org/mustardlink/platform/StoreClient.java
+++ b/src/main/java/org/mustardlink/platform/StoreClient.java
@@ -77,29 +77,32 @@
                 + (afterKey.isEmpty()
                         ? ""
                         : "&after=" + UrlEscapers.urlFormParameterEscaper().escape(afterKey));
-        return requester.send(address, HttpCall.get(path, CALL_TIMEOUT)).thenCompose(reply -> {
-            JsonNode body = parse(expectOk(reply));
-            ImmutableList.Builder<KeyedRecord> records = ImmutableList.builder();
-            records.addAll(earlierRecords);
-            String lastKey = afterKey;
-            for (JsonNode item : body.path("items")) {
-                String value = item.path("value").asText("");
-                lastKey = item.path("key").asText();
-                records.add(new KeyedRecord(
-                        item.path("offset").asLong(),
-                        lastKey,
-                        value.isEmpty()
-                                ? Optional.empty()
-                                : Optional.of(
-                                        new String(Base64.getDecoder().decode(value), StandardCharsets.ISO_8859_1))));
-            }
-            ImmutableList<KeyedRecord> all = records.build();
-            // Records appended between two pages may be missing from both; reading continues before all of them.
-            long end = firstPageEnd.orElseGet(() -> body.path("end").asLong());
-            return body.path("more").asBoolean() && !lastKey.equals(afterKey)
-                    ? readNewest(topic, lastKey, all, OptionalLong.of(end))
-                    : CompletableFuture.completedFuture(new Page(end, all, end));
-        });
+        return requester
+                .send(address, HttpCall.get(path, CALL_TIMEOUT).withoutReplyHeaders())
+                .thenCompose(reply -> {
+                    JsonNode body = parse(expectOk(reply));
+                    ImmutableList.Builder<KeyedRecord> records = ImmutableList.builder();
+                    records.addAll(earlierRecords);
+                    String lastKey = afterKey;
+                    for (JsonNode item : body.path("items")) {
+                        String value = item.path("value").asText("");
+                        lastKey = item.path("key").asText();
+                        records.add(new KeyedRecord(
+                                item.path("offset").asLong(),
+                                lastKey,
+                                value.isEmpty()
+                                        ? Optional.empty()
+                                        : Optional.of(new String(
+                                                Base64.getDecoder().decode(value), StandardCharsets.ISO_8859_1))));
+                    }
+                    ImmutableList<KeyedRecord> all = records.build();
+                    // Records appended between two pages may be missing from both; reading continues before all of
+                    // them.
+                    long end = firstPageEnd.orElseGet(() -> body.path("end").asLong());
+                    return body.path("more").asBoolean() && !lastKey.equals(afterKey)
+                            ? readNewest(topic, lastKey, all, OptionalLong.of(end))
+                            : CompletableFuture.completedFuture(new Page(end, all, end));
+                });
     }
 
     /**
@@ -112,7 +115,11 @@
         String path = PlatformProtocol.READ_PATH + "?topic=" + topic + "&part=0&from=" + fromOffset + "&waitMs="
                 + maxWait.toMillis();
         return requester
-                .send(address, HttpCall.get(path, CALL_TIMEOUT.plus(maxWait)).withBinaryBodies())
+                .send(
+                        address,
+                        HttpCall.get(path, CALL_TIMEOUT.plus(maxWait))
+                                .withBinaryBodies()
+                                .withoutReplyHeaders())
                 .thenApply(reply -> {
                     if (reply.status() == GONE) {
                         return Optional.empty();
@@ -175,7 +182,8 @@
                 + (expectedEnd.isPresent() ? "&asOf=" + expectedEnd.getAsLong() : "");
         HttpCall call = new HttpCall(
                         "POST", path, ImmutableMap.of("Content-Type", "application/octet-stream"), body, CALL_TIMEOUT)
-                .withBinaryBodies();
+                .withBinaryBodies()
+                .withoutReplyHeaders();
         return requester.send(address, call).thenApply(reply -> switch (reply.status()) {
             case OK -> AppendOutcome.APPENDED;
             case PRECONDITION_FAILED -> AppendOutcome.OTHER_END;
--- a/src/main/java/org/mustardlink/platform/TargetOrderClient.java
+++ b/src/main/java/org/mustardlink/platform/TargetOrderClient.java
@@ -126,11 +126,13 @@
 
     private static HttpCall newCall(TargetEntry target, String path, String body, Duration timeout) {
         return new HttpCall(
-                "POST",
-                path,
-                ImmutableMap.of("Content-Type", "application/json", PlatformProtocol.INSTANCE_HEADER, target.id()),
-                body,
-                timeout);
+                        "POST",
+                        path,
+                        ImmutableMap.of(
+                                "Content-Type", "application/json", PlatformProtocol.INSTANCE_HEADER, target.id()),
+                        body,
+                        timeout)
+                .withoutReplyHeaders();
     }
 
     private static OrderVerdict verdictOf(Throwable failure) {
