Decode the replies of targets in one pass without a tree

Change: TargetReplyDecoder reads the fields from the parser. Which bodies count as malformed, and what a field of another type counts as, stays; only "running" or "ended" as a JSON object now always makes the report unknown.

Tests: TargetReplyDecoderTest, TargetOrderClientTest, FaultTablesTest pass.

--- a/src/main/java/org/mustardlink/platform/PlatformProtocol.java
+++ b/src/main/java/org/mustardlink/platform/PlatformProtocol.java
@@ -26,6 +26,10 @@
     static final String CLOCK_FIELD = "clockMs";
     /** Field with the start time of a target instance, in milliseconds since the epoch. */
     static final String START_TIME_FIELD = "born";
+    /** Field with the runs that are present, one row each. */
+    static final String RUNNING_FIELD = "running";
+    /** Field with the runs that ended and were not acknowledged, one row each. */
+    static final String ENDED_FIELD = "ended";
 
     private PlatformProtocol() {}
 }
--- a/src/main/java/org/mustardlink/platform/TargetOrderClient.java
+++ b/src/main/java/org/mustardlink/platform/TargetOrderClient.java
@@ -1,9 +1,6 @@
 package org.mustardlink.platform;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
-import com.fasterxml.jackson.databind.JsonNode;
-import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.Optional;
@@ -14,7 +11,6 @@
 import org.mustardlink.http.HttpCall;
 import org.mustardlink.http.HttpReply;
 import org.mustardlink.http.HttpRequester;
-import org.mustardlink.http.Json;
 import org.mustardlink.pool.LeaseExtension;
 import org.mustardlink.pool.LeaseReport;
 import org.mustardlink.pool.OrderVerdict;
@@ -30,13 +26,6 @@
     private static final Duration REPORT_TIMEOUT = Duration.ofMillis(200);
 
     private static final int OK = 200;
-    private static final int RUNNING_TASK = 0;
-    private static final int RUNNING_RUN = 1;
-    private static final int RUNNING_PERCENT = 3;
-    private static final int ENDED_NUMBER = 0;
-    private static final int ENDED_TASK = 1;
-    private static final int ENDED_RUN = 2;
-    private static final int ENDED_OUTCOME = 3;
 
     private final HttpRequester requester;
 
@@ -142,14 +131,13 @@
         return notSent ? OrderVerdict.NOT_SENT : OrderVerdict.UNKNOWN;
     }
 
-    private static OrderResponse decodeOrderResponse(HttpReply reply) {
-        Optional<JsonNode> body = parseObject(reply);
-        long clock = body.map(node -> node.path(PlatformProtocol.CLOCK_FIELD).asLong(0))
-                .orElse(0L);
-        String reason = body.map(
-                        node -> node.path(PlatformProtocol.REASON_FIELD).asText(""))
-                .orElse("");
-        return new OrderResponse(verdictOf(reply.status(), reason), clock);
+    static OrderResponse decodeOrderResponse(HttpReply reply) {
+        // Without a complete body, the effect of the order is decided by the status code alone.
+        Optional<TargetReplyDecoder> body = TargetReplyDecoder.decode(reply.body());
+        String reason = body.map(TargetReplyDecoder::reason).orElse("");
+        return new OrderResponse(
+                verdictOf(reply.status(), reason),
+                body.map(TargetReplyDecoder::clockMs).orElse(0L));
     }
 
     private static OrderVerdict verdictOf(int status, String reason) {
@@ -171,69 +159,21 @@
         };
     }
 
-    private static ReportResponse decodeReportResponse(HttpReply reply) {
-        Optional<JsonNode> body = parseObject(reply);
+    static ReportResponse decodeReportResponse(HttpReply reply) {
+        Optional<TargetReplyDecoder> body = TargetReplyDecoder.decode(reply.body());
         if (reply.status() != OK || body.isEmpty()) {
-            String reason = body.map(
-                            node -> node.path(PlatformProtocol.REASON_FIELD).asText(""))
-                    .orElse("");
-            OrderVerdict verdict = verdictOf(reply.status(), reason);
+            OrderVerdict verdict = verdictOf(
+                    reply.status(), body.map(TargetReplyDecoder::reason).orElse(""));
             return new ReportResponse(verdict == OrderVerdict.DONE ? OrderVerdict.UNKNOWN : verdict, Optional.empty());
         }
         try {
-            return new ReportResponse(OrderVerdict.DONE, Optional.of(decodeReport(body.get())));
+            return new ReportResponse(OrderVerdict.DONE, Optional.of(body.get().toReport()));
         } catch (IllegalArgumentException e) {
             // A malformed report counts as an unknown outcome.
             return new ReportResponse(OrderVerdict.UNKNOWN, Optional.empty());
         }
     }
 
-    private static LeaseReport decodeReport(JsonNode body) {
-        ImmutableList.Builder<LeaseReport.RunProgress> running = ImmutableList.builder();
-        for (JsonNode row : body.path("running")) {
-            RunId run = new RunId(
-                    parseTaskName(row.path(RUNNING_TASK).asText()),
-                    row.path(RUNNING_RUN).asInt());
-            running.add(
-                    new LeaseReport.RunProgress(run, row.path(RUNNING_PERCENT).asInt()));
-        }
-        ImmutableList.Builder<LeaseReport.RunEnd> ended = ImmutableList.builder();
-        for (JsonNode row : body.path("ended")) {
-            RunId run = new RunId(
-                    parseTaskName(row.path(ENDED_TASK).asText()),
-                    row.path(ENDED_RUN).asInt());
-            ended.add(new LeaseReport.RunEnd(
-                    row.path(ENDED_NUMBER).asLong(),
-                    run,
-                    decodeRunEnd(row.path(ENDED_OUTCOME).asText())));
-        }
-        return new LeaseReport(
-                body.path(PlatformProtocol.CLOCK_FIELD).asLong(),
-                body.path(PlatformProtocol.START_TIME_FIELD).asLong(0),
-                running.build(),
-                ended.build());
-    }
-
-    private static LeaseReport.RunOutcome decodeRunEnd(String text) {
-        return switch (text) {
-            case "done" -> LeaseReport.RunOutcome.DONE;
-            case "failed" -> LeaseReport.RunOutcome.FAILED;
-            case "stopped" -> LeaseReport.RunOutcome.STOPPED;
-            case "lapsed" -> LeaseReport.RunOutcome.LAPSED;
-            case "broken", "alone" -> LeaseReport.RunOutcome.BROKEN;
-            default -> throw new IllegalArgumentException("unknown run outcome: " + text);
-        };
-    }
-
-    private static Optional<JsonNode> parseObject(HttpReply reply) {
-        try {
-            return Optional.ofNullable(Json.readTree(reply.body())).filter(JsonNode::isObject);
-        } catch (JsonProcessingException e) {
-            // The order's effect is then decided by the status code alone; a report without a body counts as unknown.
-            return Optional.empty();
-        }
-    }
-
     static String formatTaskName(TaskName name) {
         return name.job() + '.' + name.occurrence() + '.' + name.step() + '.' + name.index();
     }
