Compare the whole id of a result's request in RequestDispatcher

Callers would see two runs of a task: after a restart a host counts its requests from 1 again, and a refusal of its earlier process's request 1 would send the present request 1 to another pool while the first pool runs it.

Cause: not a fault that was seen. DispatchHost compared the incarnation in two places, and no test failed without them, nor did one of the simulation, which had a copy of the comparison.

Change: RequestDispatcher.handleResult takes the id of the request and ignores a result whose id isn't that of the open request. DispatchHost and the simulation leave the comparison to it.

--- a/src/main/java/org/mustardlink/front/RequestDispatcher.java
+++ b/src/main/java/org/mustardlink/front/RequestDispatcher.java
@@ -17,6 +17,7 @@
 import org.mustardlink.pool.JobOrder;
 import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.PoolId;
+import org.mustardlink.pool.RequestId;
 
 /**
  * Dispatches the open requests of one entry host to the masters of pools.
@@ -227,18 +228,20 @@
     /**
      * Handles the result that a master has sent. A result under a claim other than the one under which the job was last
      * sent is ignored, because the job may be running under the later claim. The exception is
-     * {@link JobResult.Complete}, which holds no matter which master of the pool reports it.
+     * {@link JobResult.Complete}, which holds no matter which master of the pool reports it. A result for a request of
+     * an earlier process of this host is ignored as well: each process counts its requests from 1.
      *
+     * @param id the request for which the result was given
      * @param claim the claim under which the master has sent the result
      */
-    public void handleResult(long number, Claim claim, JobResult result, long now) {
-        OpenRequest request = requests.get(number);
-        if (request == null) {
+    public void handleResult(RequestId id, Claim claim, JobResult result, long now) {
+        OpenRequest request = requests.get(id.number());
+        if (request == null || !request.order.request().equals(id)) {
             return;
         }
         request.openClaims.remove(claim);
         if (!request.lastSentTo.equals(Optional.of(claim))) {
-            actions.recordSupersededResult(claim, number, result);
+            actions.recordSupersededResult(claim, id.number(), result);
             if (result instanceof JobResult.Complete && request.pool.equals(Optional.of(claim.pool()))) {
                 withdraw(request);
                 finish(request, CallerResponse.of(CallerResponse.Kind.COMPLETE, "complete"));
--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -505,10 +505,8 @@
 
     private void deliverResult(PoolId pool, int round, RequestId request, JobResult result) {
         if (request.host().equals(self.id())) {
-            if (request.incarnation() == self.incarnation()) {
-                Claim claim = new Claim(pool, self.id(), self.incarnation(), round);
-                loop.post(now -> requestDispatcher.handleResult(request.number(), claim, result, now));
-            }
+            Claim claim = new Claim(pool, self.id(), self.incarnation(), round);
+            loop.post(now -> requestDispatcher.handleResult(request, claim, result, now));
         } else {
             send(request.host(), new PeerMessage.Result(pool, round, request, result));
         }
@@ -624,10 +622,8 @@
         } else if (message instanceof PeerMessage.Withdraw withdraw) {
             poolRunner.withdraw(withdraw.pool(), withdraw.request(), withdraw.job(), now);
         } else if (message instanceof PeerMessage.Result result) {
-            if (result.request().incarnation() == self.incarnation()) {
-                Claim claim = new Claim(result.pool(), sender.id(), sender.incarnation(), result.round());
-                requestDispatcher.handleResult(result.request().number(), claim, result.result(), now);
-            }
+            Claim claim = new Claim(result.pool(), sender.id(), sender.incarnation(), result.round());
+            requestDispatcher.handleResult(result.request(), claim, result.result(), now);
         } else if (message instanceof PeerMessage.SnapshotRequest) {
             storeSnapshot.toMessage(ownership.claims()).ifPresent(snapshot -> peerLinks.send(sender.id(), snapshot));
         } else if (message instanceof PeerMessage.Snapshot peerSnapshot) {
--- a/src/test/java/org/mustardlink/front/RequestDispatcherTest.java
+++ b/src/test/java/org/mustardlink/front/RequestDispatcherTest.java
@@ -83,6 +83,11 @@
         }
     }
 
+    /** Returns the id of a request of {@link #submit}. */
+    private static RequestId request(long number) {
+        return new RequestId("east-1", 1, number);
+    }
+
     private static long ms(long millis) {
         return TimeUnit.MILLISECONDS.toNanos(millis);
     }
@@ -114,11 +119,11 @@
         submit(2, ms(100));
         assertThat(dispatcher.nextTickNanos(ms(100))).isEqualTo(first);
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Complete(), ms(150));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Complete(), ms(150));
         dispatcher.tick(ms(200));
 
         assertThat(dispatcher.nextTickNanos(ms(200))).isEqualTo(first + ms(100));
-        dispatcher.handleResult(2, EAST_MASTER, new JobResult.Complete(), ms(250));
+        dispatcher.handleResult(request(2), EAST_MASTER, new JobResult.Complete(), ms(250));
         dispatcher.tick(ms(300));
         assertThat(dispatcher.nextTickNanos(ms(300))).isEqualTo(Long.MAX_VALUE);
     }
@@ -128,7 +133,7 @@
     void the_next_tick_is_due_soon_while_a_request_has_no_master() {
         masters.put(EAST, EAST_MASTER);
         submit(1, 0);
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Moved(), ms(10));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Moved(), ms(10));
         assertThat(dispatcher.nextTickNanos(ms(10))).isAtMost(ms(30));
         masters.remove(EAST);
         dispatcher.tick(ms(30));
@@ -151,12 +156,12 @@
         loads.put(WEST, new PoolLoad(1_000, 1_000, 0));
         submit(1, 0);
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
 
         assertThat(responses).isEmpty();
         assertThat(sentOrders.get(1).master()).isEqualTo(WEST_MASTER);
         assertThat(sentOrders.get(1).order().mayHaveStarted()).isFalse();
-        dispatcher.handleResult(1, WEST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
+        dispatcher.handleResult(request(1), WEST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
         assertThat(responses.get(1L).kind()).isEqualTo(CallerResponse.Kind.NOT_RUN);
     }
 
@@ -170,8 +175,8 @@
         loads.put(EAST, new PoolLoad(2_000, 500, 3));
         submit(1, 0);
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(2));
-        dispatcher.handleResult(1, WEST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Redirected(WEST), ms(2));
+        dispatcher.handleResult(request(1), WEST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(5));
 
         assertThat(responses.get(1L).kind()).isEqualTo(CallerResponse.Kind.NOT_RUN);
         assertThat(sentOrders).hasSize(2);
@@ -215,7 +220,7 @@
         loads.put(WEST, new PoolLoad(999, 999, 5));
         submit(1, 0);
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(1)), ms(2));
 
         assertThat(responses.get(1L).kind()).isEqualTo(CallerResponse.Kind.NOT_RUN);
     }
@@ -242,8 +247,9 @@
         giveEveryPoolCapacity();
         submit(1, 0);
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
-        dispatcher.handleResult(1, WEST_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(4));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
+        dispatcher.handleResult(
+                request(1), WEST_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(4));
 
         assertThat(sentOrders).hasSize(3);
         assertThat(sentOrders.get(0).order().mustStartImmediately()).isFalse();
@@ -262,10 +268,12 @@
     void a_job_that_two_other_pools_have_no_capacity_for_is_refused_with_the_reason_of_the_first_pool() {
         giveEveryPoolCapacity();
         submit(1, 0);
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
-        dispatcher.handleResult(1, WEST_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(4));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
+        dispatcher.handleResult(
+                request(1), WEST_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(4));
 
-        dispatcher.handleResult(1, NORTH_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(6));
+        dispatcher.handleResult(
+                request(1), NORTH_MASTER, new JobResult.Refused("no room", Duration.ofSeconds(1)), ms(6));
 
         assertThat(sentOrders).hasSize(3);
         assertThat(responses.get(1L).kind()).isEqualTo(CallerResponse.Kind.NOT_RUN);
@@ -278,7 +286,7 @@
     void an_offered_job_whose_master_is_lost_is_resent_to_the_next_master_as_possibly_started() {
         giveEveryPoolCapacity();
         submit(1, 0);
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Refused("full", Duration.ofSeconds(2)), ms(2));
 
         masters.put(WEST, new Claim(WEST, "west-2", 7, 2));
         dispatcher.tick(ms(100));
@@ -337,7 +345,7 @@
         submit(1, 0);
 
         masters.remove(EAST);
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Moved(), ms(1));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Moved(), ms(1));
         dispatcher.tick(ms(60));
         assertThat(sentOrders).hasSize(1);
         masters.put(EAST, EAST_SUCCESSOR);
@@ -355,13 +363,13 @@
         submit(1, 0);
 
         for (int i = 0; i < 10; i++) {
-            dispatcher.handleResult(1, EAST_MASTER, new JobResult.Moved(), ms(i));
+            dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Moved(), ms(i));
             dispatcher.tick(ms(i));
         }
         assertThat(sentOrders).hasSize(1);
         dispatcher.tick(ms(60));
         assertThat(sentOrders).hasSize(2);
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Moved(), ms(61));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Moved(), ms(61));
         masters.put(EAST, EAST_SUCCESSOR);
         dispatcher.tick(ms(62));
 
@@ -374,7 +382,7 @@
         masters.put(WEST, WEST_MASTER);
         submit(1, 0);
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
 
         assertThat(sentOrders.get(1).master()).isEqualTo(WEST_MASTER);
         assertThat(sentOrders.get(1).order().mayRedirect()).isFalse();
@@ -384,7 +392,7 @@
     private void redirectToPoolWithoutMaster() {
         masters.put(EAST, EAST_MASTER);
         submit(1, 0);
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
         dispatcher.tick(ms(20));
         assertThat(sentOrders).hasSize(1);
         assertThat(responses).isEmpty();
@@ -421,10 +429,10 @@
         masters.put(EAST, EAST_MASTER);
         masters.put(WEST, WEST_MASTER);
         submit(1, 0);
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
         masters.remove(WEST);
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(2));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Redirected(WEST), ms(2));
         dispatcher.tick(ms(3));
 
         assertThat(sentOrders).hasSize(2);
@@ -446,7 +454,7 @@
     void a_redirection_by_a_replaced_master_is_ignored() {
         replaceMasterOfEast();
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Redirected(WEST), ms(610));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Redirected(WEST), ms(610));
 
         assertThat(sentOrders).hasSize(2);
         assertThat(superseded).containsExactly(EAST_MASTER);
@@ -457,7 +465,8 @@
     void a_refusal_by_a_replaced_master_is_ignored() {
         replaceMasterOfEast();
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Refused("too late", Duration.ofSeconds(1)), ms(610));
+        dispatcher.handleResult(
+                request(1), EAST_MASTER, new JobResult.Refused("too late", Duration.ofSeconds(1)), ms(610));
 
         assertThat(sentOrders).hasSize(2);
         assertThat(responses).isEmpty();
@@ -471,10 +480,10 @@
     void a_job_that_a_replaced_master_abandons_continues_under_the_next_master() {
         replaceMasterOfEast();
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Abandoned("the entry host is gone"), ms(610));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Abandoned("the entry host is gone"), ms(610));
 
         assertThat(responses).isEmpty();
-        dispatcher.handleResult(1, EAST_SUCCESSOR, new JobResult.Complete(), ms(700));
+        dispatcher.handleResult(request(1), EAST_SUCCESSOR, new JobResult.Complete(), ms(700));
         assertThat(responses.get(1L).kind()).isEqualTo(CallerResponse.Kind.COMPLETE);
     }
 
@@ -483,7 +492,7 @@
     void a_job_that_a_replaced_master_has_completed_is_complete_and_withdrawn_from_the_next_master() {
         replaceMasterOfEast();
 
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Complete(), ms(610));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Complete(), ms(610));
 
         assertThat(responses.get(1L).kind()).isEqualTo(CallerResponse.Kind.COMPLETE);
         assertThat(withdrawn).containsExactly(EAST_SUCCESSOR);
@@ -534,7 +543,7 @@
     void a_job_is_not_withdrawn_from_a_master_that_has_handed_it_back() {
         masters.put(EAST, EAST_MASTER);
         submit(1, 0);
-        dispatcher.handleResult(1, EAST_MASTER, new JobResult.Moved(), ms(5));
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Moved(), ms(5));
         masters.put(EAST, EAST_SUCCESSOR);
         dispatcher.tick(ms(10));
 
@@ -604,4 +613,26 @@
 
         assertThat(withdrawn).containsExactly(EAST_MASTER);
     }
+
+    /**
+     * Guards against two runs of a task: a master refuses a request of this host's earlier process, and a request of the
+     * present one that has the same number goes to another pool while the first pool runs it.
+     */
+    @Test
+    void a_result_for_a_request_of_an_earlier_process_with_the_same_number_is_ignored() {
+        masters.put(EAST, EAST_MASTER);
+        masters.put(WEST, WEST_MASTER);
+        submit(1, 0);
+        RequestId ofEarlierProcess = new RequestId("east-1", 0, 1);
+
+        dispatcher.handleResult(ofEarlierProcess, EAST_MASTER, new JobResult.Redirected(WEST), ms(1));
+        dispatcher.handleResult(ofEarlierProcess, EAST_MASTER, new JobResult.Complete(), ms(2));
+
+        assertThat(sentOrders).hasSize(1);
+        assertThat(superseded).isEmpty();
+        assertThat(responses).isEmpty();
+
+        dispatcher.handleResult(request(1), EAST_MASTER, new JobResult.Complete(), ms(3));
+        assertThat(responses).hasSize(1);
+    }
 }
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -993,11 +993,7 @@
 
         private void sendResult(Claim claim, RequestId request, JobResult result) {
             Host to = hosts.get(request.host());
-            sendMessage(this, to, () -> {
-                if (to.incarnation == request.incarnation()) {
-                    to.requestDispatcher.handleResult(request.number(), claim, result, now);
-                }
-            });
+            sendMessage(this, to, () -> to.requestDispatcher.handleResult(request, claim, result, now));
         }
 
         private final class HostDirectory implements PoolDirectory {
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -568,7 +568,7 @@
             SimulatedHost host = hosts.get(request.host());
             schedule(
                     now + host.delayNanos(claim.pool()),
-                    () -> host.requestDispatcher.handleResult(request.number(), claim, result, now));
+                    () -> host.requestDispatcher.handleResult(request, claim, result, now));
         }
 
         @Override
