--- a/src/main/java/org/mustardlink/link/InboundConnections.java
+++ b/src/main/java/org/mustardlink/link/InboundConnections.java
@@ -22,13 +22,25 @@
     /** The newest connection of one incarnation of a host; kept after the connection is closed. */
     private record NumberedConnection(Connection<?> connection, long number) {}
 
+    /**
+     * Returns whether a message is to be handled: whether its connection is the newest one of the sender's incarnation.
+     * A hello message registers its connection first. The closing of a replaced connection doesn't suffice, because
+     * data that it has delivered before may be read afterwards.
+     */
+    boolean accepts(Connection<?> connection, HostInfo sender, PeerMessage message) {
+        if (message instanceof PeerMessage.Hello hello && !register(connection, hello)) {
+            return false;
+        }
+        return isNewest(connection, sender);
+    }
+
     /**
      * Registers a connection with the hello message received on it. If it is the newest connection of the sender's
      * incarnation, the connections that it replaces are closed, including those of earlier incarnations.
      *
      * @return whether the connection is the newest one of the sender's incarnation
      */
-    boolean register(Connection<?> connection, PeerMessage.Hello hello) {
+    private boolean register(Connection<?> connection, PeerMessage.Hello hello) {
         List<Connection<?>> toClose = new ArrayList<>(1);
         synchronized (newestByHost) {
             NavigableMap<Long, NumberedConnection> newestByIncarnation =
@@ -52,7 +64,7 @@
     }
 
     /** Returns whether a connection is the newest one known of the sender's incarnation. */
-    boolean isNewest(Connection<?> connection, HostInfo sender) {
+    private boolean isNewest(Connection<?> connection, HostInfo sender) {
         synchronized (newestByHost) {
             NavigableMap<Long, NumberedConnection> newestByIncarnation = newestByHost.get(sender.id());
             NumberedConnection current =
--- a/src/main/java/org/mustardlink/link/PeerLinks.java
+++ b/src/main/java/org/mustardlink/link/PeerLinks.java
@@ -255,16 +255,13 @@
             }
             if (message instanceof PeerMessage.Hello hello) {
                 SENDER.set(connection, hello.sender());
-                if (!inbound.register(connection, hello)) {
-                    return false;
-                }
             }
             HostInfo sender = SENDER.get(connection);
             if (sender == null) {
                 listener.onMalformedFrame("a message arrived before the hello message");
                 return false;
             }
-            if (!inbound.isNewest(connection, sender)) {
+            if (!inbound.accepts(connection, sender, message)) {
                 return false;
             }
             listener.onMessage(sender, message);
