Give a new master the pending starts that its host knows

Callers may see two runs of a task: a master that was created between two updates of the pending starts knew none. Until the next update it could start a task whose earlier start a silent target of the pool may still carry out.

Cause: the masters learned the pending starts from PendingStarts. takeDueStatements, which runs with the timers of the host; a new master began with an empty instance.

Evidence: PendingStartsTest.a_new_master_knows_the_pending_starts_of_its_host_ from_its_first_placement_on, by a trial in which a new master begins with an empty instance, as before: the task is started.

Change: PendingStarts is an argument of the constructor of PoolMaster, and PendingStarts doesn't announce itself any more. The number of masters that share the limit of unconfirmed starts still follows with the next update.

--- a/src/main/java/org/mustardlink/host/DispatchHost.java
+++ b/src/main/java/org/mustardlink/host/DispatchHost.java
@@ -170,6 +170,7 @@
                 targetDirectory,
                 leaseLimits,
                 confirmations,
+                pendingStarts,
                 log,
                 metrics,
                 this::deliverResult,
--- a/src/main/java/org/mustardlink/host/PoolRunner.java
+++ b/src/main/java/org/mustardlink/host/PoolRunner.java
@@ -31,6 +31,7 @@
 import org.mustardlink.pool.OrderAdmission;
 import org.mustardlink.pool.OrderVerdict;
 import org.mustardlink.pool.PendingStart;
+import org.mustardlink.pool.PendingStarts;
 import org.mustardlink.pool.PoolActions;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.PoolLoad;
@@ -54,6 +55,7 @@
     private final TargetDirectory targetDirectory;
     private final LeaseLimits leaseLimits;
     private final RequestConfirmations confirmations;
+    private final PendingStarts pendingStarts;
     private final EventLog log;
     private final EntryMetrics metrics;
     private final ResultHandler resultHandler;
@@ -92,6 +94,7 @@
             TargetDirectory targetDirectory,
             LeaseLimits leaseLimits,
             RequestConfirmations confirmations,
+            PendingStarts pendingStarts,
             EventLog log,
             EntryMetrics metrics,
             ResultHandler resultHandler,
@@ -101,6 +104,7 @@
         this.targetDirectory = targetDirectory;
         this.leaseLimits = leaseLimits;
         this.confirmations = confirmations;
+        this.pendingStarts = pendingStarts;
         this.log = log;
         this.metrics = metrics;
         this.resultHandler = resultHandler;
@@ -121,6 +125,7 @@
                 confirmations,
                 new MasterActions(pool, claim.round(), ownership),
                 order -> poolFinder.findPool(pool, order),
+                pendingStarts,
                 targetDirectory::isComplete,
                 now);
         masters.put(pool, master);
--- a/src/main/java/org/mustardlink/pool/PendingStarts.java
+++ b/src/main/java/org/mustardlink/pool/PendingStarts.java
@@ -158,8 +158,7 @@
     }
 
     /**
-     * Updates the known starts by what the masters of this host know, and makes them known to the masters. Returns the
-     * statements that are due to all other hosts: at once the starts that have become pending, and all starts every
+     * Updates the known starts by what the masters of this host know. Returns the statements that are due to all other hosts: at once the starts that have become pending, and all starts every
      * {@link #REPEAT_INTERVAL_NANOS}.
      *
      * @param masters the masters of this host
@@ -167,7 +166,6 @@
     public ImmutableList<PendingStartStatement> takeDueStatements(Collection<PoolMaster> masters, long now) {
         expire(now);
         masterCount = masters.size();
-        masters.forEach(master -> master.observe(this));
         ImmutableSet.Builder<PendingStart> builder = ImmutableSet.builder();
         masters.forEach(master -> builder.addAll(master.pendingStarts()).addAll(master.takeUnansweredStarts()));
         ImmutableSet<PendingStart> ordered = builder.build();
--- a/src/main/java/org/mustardlink/pool/PoolMaster.java
+++ b/src/main/java/org/mustardlink/pool/PoolMaster.java
@@ -68,8 +68,7 @@
     private final Set<PendingStart> unansweredStarts = new LinkedHashSet<>();
 
     private boolean released;
-    /** The pending starts that this host knows of. */
-    private PendingStarts knownStarts = new PendingStarts();
+    private final PendingStarts knownStarts;
 
     /**
      * Creates the master of a pool.
@@ -80,6 +79,8 @@
      * @param confirmations tells for which requests callers are known to wait
      * @param actions executes the orders of the master
      * @param findOtherPool returns another pool that can start a whole job now
+     * @param knownStarts the pending starts that this host knows of. Those that an earlier master of a target has ordered
+     *     keep the tasks of their jobs from being started, until the target refuses them.
      * @param targetList tells whether the list of targets contains every target that may still run a task
      * @param now the current time
      */
@@ -90,6 +91,7 @@
             RequestConfirmations confirmations,
             PoolActions actions,
             Function<JobOrder, Optional<PoolId>> findOtherPool,
+            PendingStarts knownStarts,
             TargetListStatus targetList,
             long now) {
         this.id = checkNotNull(id, "id");
@@ -106,6 +108,7 @@
                 grants,
                 now + leaseLimits.adoptionPeriod().toNanos());
         this.leases = new LeaseSystem(tables, actions, runs, grants);
+        this.knownStarts = checkNotNull(knownStarts, "knownStarts");
         this.targetList = checkNotNull(targetList, "targetList");
         this.earlierStartsEndNanos = now;
         this.placement = new TaskPlacementSystem(tables, actions, runs, grants);
@@ -417,14 +420,6 @@
         return taken;
     }
 
-    /**
-     * Makes the pending starts that this host knows of available to this master. Those that an earlier master of a target
-     * has ordered keep the tasks of their jobs from being started, until the target refuses them.
-     */
-    void observe(PendingStarts starts) {
-        knownStarts = starts;
-    }
-
     /** Returns what this master knows about a pending start, which an earlier master may have ordered. */
     public PendingStart.Status statusOf(PendingStart start) {
         PoolTarget target = tables.target(start.target()).orElse(null);
--- a/src/test/java/org/mustardlink/host/PoolRunnerTest.java
+++ b/src/test/java/org/mustardlink/host/PoolRunnerTest.java
@@ -23,6 +23,7 @@
 import org.mustardlink.pool.JobOrders;
 import org.mustardlink.pool.JobResult;
 import org.mustardlink.pool.LeaseLimits;
+import org.mustardlink.pool.PendingStarts;
 import org.mustardlink.pool.PoolId;
 import org.mustardlink.pool.RequestId;
 import org.mustardlink.pool.StepSpec;
@@ -59,6 +60,7 @@
             new TargetDirectory(log),
             new LeaseLimits(Duration.ofSeconds(1), Duration.ofMillis(1_300)),
             (_request, now) -> now,
+            new PendingStarts(),
             log,
             EntryMetrics.create(1, 1),
             (_pool, _round, _request, result) -> results.add(result),
--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -864,6 +864,7 @@
                             confirmations,
                             actions,
                             order -> otherPoolWithCapacity(claim.pool(), order),
+                            pendingStarts,
                             (_since, timeNanos) -> timeNanos - hostStartedNanos > TARGET_LIST_SETTLE_NANOS,
                             now),
                     now);
--- a/src/test/java/org/mustardlink/pool/PendingStartsTest.java
+++ b/src/test/java/org/mustardlink/pool/PendingStartsTest.java
@@ -61,6 +61,7 @@
                 recorder.confirmations,
                 recorder,
                 _order -> Optional.empty(),
+                pendingStarts,
                 (_since, _now) -> true,
                 now);
         master.updateTargets(ImmutableList.of(TARGET), now);
@@ -220,6 +221,27 @@
         assertThat(recorder.startedRuns).hasSize(2);
     }
 
+    /**
+     * Guards against a second run in a pool whose new master places a job before the pending starts are updated for the
+     * first time after its claim.
+     */
+    @Test
+    void a_new_master_knows_the_pending_starts_of_its_host_from_its_first_placement_on() {
+        pendingStarts.record(pending(START), 0);
+        PoolMaster next = newMaster(2, ms(500));
+        TargetEntry other = new TargetEntry(
+                "u", 0, InetSocketAddress.createUnresolved("u", 1), POOL, false, TARGET.capacity(), TARGET.labels());
+        next.updateTargets(ImmutableList.of(TARGET, other), ms(500));
+        next.confirmEarlierMastersEnded(ms(500));
+        JobOrder resumed = JobOrders.of(1, "job", ONE_TASK, false).copyWith(Duration.ofSeconds(5), true, false);
+        next.submitJob(resumed, ms(1_600));
+        next.tick(ms(1_600));
+        answerLastExtension(next, "u", 5_000, ms(1_610));
+        next.tick(ms(1_620));
+
+        assertThat(recorder.startedRuns).isEmpty();
+    }
+
     /** Guards against a master that was replaced and forgets a start of which it has told nobody yet. */
     @Test
     void a_start_of_a_released_master_is_still_stated() {
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -314,6 +314,7 @@
                 (_request, nanos) -> nanos,
                 actions,
                 order -> hosts.get(masterHost(pool.domain())).poolWithCapacity(pool, order),
+                new PendingStarts(),
                 (_since, _now) -> true,
                 now);
         actions.master.updateTargets(entriesByPool.get(pool), now);
--- a/src/test/java/org/mustardlink/pool/RecordingPoolActions.java
+++ b/src/test/java/org/mustardlink/pool/RecordingPoolActions.java
@@ -24,6 +24,9 @@
     /** Tells for which requests callers are known to wait; by default for all of them. */
     RequestConfirmations confirmations = (_request, now) -> now;
 
+    /** The pending starts that the host of the masters knows of. */
+    private final PendingStarts knownStarts = new PendingStarts();
+
     private final List<LeaseExtension> extensions = new ArrayList<>();
     private final Map<String, LeaseExtension> lastExtensions = new HashMap<>();
     private final Multiset<String> extensionTargets = HashMultiset.create();
@@ -49,6 +52,7 @@
                 confirmations,
                 this,
                 otherPool,
+                knownStarts,
                 listStatus,
                 0);
     }
