--- a/src/test/java/org/mustardlink/pool/FailoverSimulation.java
+++ b/src/test/java/org/mustardlink/pool/FailoverSimulation.java
@@ -864,6 +864,7 @@
                             confirmations,
                             actions,
                             order -> otherPoolWithCapacity(claim.pool(), order),
+                            pendingStarts,
                             (_since, timeNanos) -> timeNanos - hostStartedNanos > TARGET_LIST_SETTLE_NANOS,
                             now),
                     now);
@@ -993,11 +994,7 @@
 
         private void sendResult(Claim claim, RequestId request, JobResult result) {
             Host to = hosts.get(request.host());
-            sendMessage(this, to, () -> {
-                if (to.incarnation == request.incarnation()) {
-                    to.requestDispatcher.handleResult(request.number(), claim, result, now);
-                }
-            });
+            sendMessage(this, to, () -> to.requestDispatcher.handleResult(request, claim, result, now));
         }
 
         private final class HostDirectory implements PoolDirectory {
--- a/src/test/java/org/mustardlink/pool/PoolSimulation.java
+++ b/src/test/java/org/mustardlink/pool/PoolSimulation.java
@@ -314,6 +314,7 @@
                 (_request, nanos) -> nanos,
                 actions,
                 order -> hosts.get(masterHost(pool.domain())).poolWithCapacity(pool, order),
+                new PendingStarts(),
                 (_since, _now) -> true,
                 now);
         actions.master.updateTargets(entriesByPool.get(pool), now);
@@ -568,7 +569,7 @@
             SimulatedHost host = hosts.get(request.host());
             schedule(
                     now + host.delayNanos(claim.pool()),
-                    () -> host.requestDispatcher.handleResult(request.number(), claim, result, now));
+                    () -> host.requestDispatcher.handleResult(request, claim, result, now));
         }
 
         @Override
