Let the raw target of the fault scenarios answer once it has all tasks

The check demanded that all three tasks arrive first, which was a matter of time.

Change: the target holds its answers until it has got every task of the job. The check is as strict as before: three tasks, each started once, and the same verdict within the same bound.

--- a/src/test/java/org/mustardlink/faults/FaultSteps.java
+++ b/src/test/java/org/mustardlink/faults/FaultSteps.java
@@ -187,7 +187,7 @@
 
     @When("a target answers {string}")
     public void startRawTarget(String answer) throws IOException {
-        rawTarget = RawTarget.start(answer);
+        rawTarget = RawTarget.start(answer, TASKS_PER_JOB);
         deployment.targetRelays.values().forEach(relay -> relay.redirectTo(rawTarget.address()));
     }
 
--- a/src/test/java/org/mustardlink/faults/RawTarget.java
+++ b/src/test/java/org/mustardlink/faults/RawTarget.java
@@ -1,5 +1,6 @@
 package org.mustardlink.faults;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -10,21 +11,30 @@
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.mustardlink.target.TargetProtocol;
 
-/** A target that accepts every task immediately and sends an answer that no correct target sends. */
+/**
+ * A target that accepts every task immediately and sends an answer that no correct target sends. It sends the first one
+ * when it has got all tasks of a job, because an invalid answer ends the job and with it the tasks that are on their way.
+ */
 final class RawTarget {
+    private static final int MAX_WAIT_SECONDS = 5;
+
     private final ServerSocket server;
     private final String answer;
+    private final CountDownLatch missingTasks;
     private final Map<String, Integer> starts = new HashMap<>();
 
-    private RawTarget(ServerSocket server, String answer) {
+    private RawTarget(ServerSocket server, String answer, int taskCount) {
         this.server = server;
         this.answer = answer;
+        missingTasks = new CountDownLatch(taskCount);
     }
 
-    static RawTarget start(String answer) throws IOException {
-        RawTarget target = new RawTarget(new ServerSocket(0, 100, InetAddress.getLoopbackAddress()), answer);
+    static RawTarget start(String answer, int taskCount) throws IOException {
+        RawTarget target = new RawTarget(new ServerSocket(0, 100, InetAddress.getLoopbackAddress()), answer, taskCount);
         run(target::accept);
         return target;
     }
@@ -69,6 +79,8 @@
                 }
                 if (requestLine.startsWith("POST")) {
                     recordStart(task);
+                    boolean _allStarted =
+                            Uninterruptibles.awaitUninterruptibly(missingTasks, MAX_WAIT_SECONDS, TimeUnit.SECONDS);
                     socket.getOutputStream().write(answerTo(task).getBytes(StandardCharsets.US_ASCII));
                     if (answer.equals("cut")) {
                         return;
@@ -82,7 +94,9 @@
     }
 
     private synchronized void recordStart(String task) {
-        starts.merge(task, 1, Integer::sum);
+        if (starts.merge(task, 1, Integer::sum) == 1) {
+            missingTasks.countDown();
+        }
     }
 
     private String answerTo(String task) {
