Look at the calls in flight twice a second, and tell new calls the time of the next look

Seen: the timer's thread of the calls still took nearly as much on hosts that make few calls: ten looks a second.

Change: a look each half second unless a time-out is due before it.

--- a/src/main/java/org/mustardlink/http/CallTimer.java
+++ b/src/main/java/org/mustardlink/http/CallTimer.java
@@ -11,11 +11,11 @@
  * Runs the time-outs of calls on one thread. Thread-safe.
  *
  * <p>Nearly every call ends before its time-out, so adding and removing one is a single operation on a hash set. The
- * thread looks at the calls in flight when the earliest of their time-outs is due, and at least ten times a second while
+ * thread looks at the calls in flight when the earliest of their time-outs is due, and at least twice a second while
  * there are any. A new call wakes the thread only if its time-out is due before that look.
  */
 final class CallTimer implements AutoCloseable {
-    private static final long LOOK_INTERVAL_NANOS = Duration.ofMillis(100).toNanos();
+    private static final long LOOK_INTERVAL_NANOS = Duration.ofMillis(500).toNanos();
     /** Time until the next look if no call is in flight; every new call is due earlier, so it wakes the thread. */
     private static final long IDLE_NANOS = Duration.ofDays(1).toNanos();
 
@@ -100,6 +100,7 @@
                 nextNanos = timeout.dueNanos();
             }
         }
+        nextLookNanos = nextNanos;
         return nextNanos;
     }
 
