--- a/src/main/java/org/mustardlink/pool/PendingStarts.java
+++ b/src/main/java/org/mustardlink/pool/PendingStarts.java
@@ -158,8 +158,8 @@
     }
 
     /**
-     * Updates the known starts by what the masters of this host know. Returns the statements that are due to all other hosts: at once the starts that have become pending, and all starts every
-     * {@link #REPEAT_INTERVAL_NANOS}.
+     * Updates the known starts by what the masters of this host know. Returns the statements that are due to all other
+     * hosts: at once the starts that have become pending, and all starts every {@link #REPEAT_INTERVAL_NANOS}.
      *
      * @param masters the masters of this host
      */
