Keep the timer of calls alive after an error of a time-out

An error of the virtual machine in one time-out ended the thread, and no later call timed out. Found by review; by reading, no test throws an error there.

--- a/src/main/java/org/mustardlink/http/CallTimer.java
+++ b/src/main/java/org/mustardlink/http/CallTimer.java
@@ -108,7 +108,7 @@
         inFlight.remove(timeout);
         try {
             timeout.expire();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             // The other calls must still time out.
             thread.getUncaughtExceptionHandler().uncaughtException(thread, e);
         }
