Check a run early unless its task could run again on the slowest kind of target

A run counted as repeatable by its own target's speed, and by the deadline of the whole job although later steps need time as well. A repeat may land on a slower target, so the time of the slowest kind counts now, and only jobs of one step. Found by review. Test: a_run_of_a_job_with_several_steps_is_checked_early.

--- a/src/main/java/org/mustardlink/pool/ProgressSystem.java
+++ b/src/main/java/org/mustardlink/pool/ProgressSystem.java
@@ -14,8 +14,8 @@
     /** Shares of a run's expected time after which its progress is requested, unless a recent report contains it. */
     private static final double[] PROGRESS_CHECK_SHARES = {0.2, 0.4, 0.7, 1, 1.4};
     /**
-     * Replaces {@link #PROGRESS_CHECK_SHARES} for a run whose task could still run in full elsewhere after the last
-     * check: an earlier check would cost a call to the target, and nothing is lost without it.
+     * Replaces {@link #PROGRESS_CHECK_SHARES} for a run whose task could still run in full on any other target after the
+     * last check: an earlier check costs a call to the target and isn't needed to meet the caller's deadline.
      */
     private static final double[] REPEATABLE_CHECK_SHARES = {1, 1.4};
     /** Minimum age of a run at its first progress check; a report takes 3 ms between failure domains. */
@@ -72,7 +72,7 @@
             for (Run run : target.runs()) {
                 if (run.state() == Run.State.RUNNING && isNeeded(run)) {
                     checkRun(target, run, run.task().get(), now);
-                    checkDue |= takeDueCheck(run, now);
+                    checkDue |= takeDueCheck(run, run.task().get(), now);
                 }
             }
             if (checkDue) {
@@ -100,8 +100,8 @@
     }
 
     /** Counts the next progress check of a run if it is due; returns whether a report must be requested for it. */
-    private static boolean takeDueCheck(Run run, long now) {
-        double[] shares = isRepeatable(run) ? REPEATABLE_CHECK_SHARES : PROGRESS_CHECK_SHARES;
+    private boolean takeDueCheck(Run run, PoolTask task, long now) {
+        double[] shares = isRepeatable(run, task) ? REPEATABLE_CHECK_SHARES : PROGRESS_CHECK_SHARES;
         if (run.progressChecks() >= shares.length) {
             return false;
         }
@@ -114,11 +114,18 @@
         return now - run.lastReportNanos() > FRESH_REPORT_SHARE * run.expectedNanos();
     }
 
-    /** Returns whether a run may be checked last, be stopped and run again in full before its caller's deadline. */
-    private static boolean isRepeatable(Run run) {
-        double shares = REPEATABLE_CHECK_SHARES[REPEATABLE_CHECK_SHARES.length - 1] + 1;
-        return run.startOrderedNanos() + (long) (shares * run.expectedNanos()) + MOVE_DELAY_NANOS
-                <= run.task().get().job().deadlineNanos();
+    /**
+     * Returns whether a run can be stopped after its last check, and its task run again in full on the slowest kind of
+     * target before the caller's deadline. A job of several steps needs the time for the other steps.
+     */
+    private boolean isRepeatable(Run run, PoolTask task) {
+        double lastCheckShare = REPEATABLE_CHECK_SHARES[REPEATABLE_CHECK_SHARES.length - 1];
+        double repeatNanos = tables.expectedNanos(task) * tables.kindSlowness().slowest();
+        return task.job().order().steps().size() == 1
+                && run.startOrderedNanos()
+                                + (long) (lastCheckShare * run.expectedNanos() + repeatNanos)
+                                + MOVE_DELAY_NANOS
+                        <= task.job().deadlineNanos();
     }
 
     /** Stops a run if it is stalled or its task can end in time elsewhere, or marks its deadline as unreachable. */
--- a/src/test/java/org/mustardlink/pool/JobOrders.java
+++ b/src/test/java/org/mustardlink/pool/JobOrders.java
@@ -16,12 +16,17 @@
      * @param mayRedirect whether the master may redirect the job to another pool
      */
     public static JobOrder of(long number, String job, StepSpec step, boolean mayRedirect) {
+        return of(number, job, ImmutableList.of(step), mayRedirect);
+    }
+
+    /** Returns an order for a job of several steps that is otherwise the same. */
+    public static JobOrder of(long number, String job, ImmutableList<StepSpec> steps, boolean mayRedirect) {
         return new JobOrder(
                 new RequestId("east-1", 1, number),
                 job,
                 "queue",
                 "",
-                ImmutableList.of(step),
+                steps,
                 3,
                 Duration.ofMillis(60),
                 1.6,
--- a/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
+++ b/src/test/java/org/mustardlink/pool/ProgressSystemTest.java
@@ -91,6 +91,10 @@
     /** Submits a job of one task; returns how many reports are requested of its target until a given time. */
     private int countReportsRequested(long taskMs, long untilMs) {
         submitWithoutStartAnswers("job", 1, taskMs, 2);
+        return countReportsRequested(untilMs);
+    }
+
+    private int countReportsRequested(long untilMs) {
         String target = recorder.startTargets.get(0);
         master.handleStartResponse(target, recorder.startedRuns.get(0), OrderVerdict.DONE, 1_002, ms(2));
         int before = recorder.extensionCount(target);
@@ -118,6 +122,19 @@
         assertThat(countReportsRequested(900, 250)).isEqualTo(1);
     }
 
+    /** Guards against a first step that is repeated when no time is left for the second one. */
+    @Test
+    void a_run_of_a_job_with_several_steps_is_checked_early() {
+        StepSpec first =
+                new StepSpec(1, TARGET_CAPACITY, Duration.ofMillis(200), ImmutableList.of(), Optional.empty(), 100);
+        StepSpec second =
+                new StepSpec(1, TARGET_CAPACITY, Duration.ofMillis(700), ImmutableList.of(0), Optional.empty(), 100);
+        master.submitJob(JobOrders.of(2, "job", ImmutableList.of(first, second), false), ms(2));
+        master.tick(ms(2));
+
+        assertThat(countReportsRequested(190)).isAtLeast(1);
+    }
+
     /** Guards against a missed deadline on a slow target although another target could run the task in time. */
     @Test
     void a_task_that_would_miss_its_deadline_on_a_target_moves_while_another_has_room() {
