Refuse a share of a route's work instead of its jobs

Cause: what the pool can't do is work, but LoadShedding counted refusals in jobs. A refused share of a route's jobs could be any share of its work, depending on the order in which large and small jobs arrived.

Change: the share is added to an account in work, and a job is refused when the account reaches its work. The account is of one route, and jobs of equal work are refused as before. A small job reaches the account sooner than a large one, so the rule isn't neutral to size.

--- a/src/main/java/org/mustardlink/pool/JobSystem.java
+++ b/src/main/java/org/mustardlink/pool/JobSystem.java
@@ -124,7 +124,7 @@
         double backlogMilliCoreNanos =
                 tables.queue().stream().mapToDouble(PoolJob::workMilliCoreNanos).sum();
         if (backlogMilliCoreNanos > throughputMilliCores * SHEDDING_BACKLOG_NANOS
-                && shedding.shouldRefuse(order.route(), throughputMilliCores, now)) {
+                && shedding.shouldRefuse(order.route(), job.workMilliCoreNanos(), throughputMilliCores, now)) {
             return Optional.of(new JobResult.Refused("more work arrives than the pool can do", MIN_RETRY_AFTER));
         }
         long waitNanos = (long) (workAheadMilliCoreNanos(job) / throughputMilliCores);
--- a/src/main/java/org/mustardlink/pool/LoadShedding.java
+++ b/src/main/java/org/mustardlink/pool/LoadShedding.java
@@ -12,7 +12,9 @@
  *
  * <p>Jobs of the route with the most work are refused first: refusing a tenth of them frees more capacity than refusing
  * a tenth of any other route's jobs, so jobs of the other routes are completed in time. Once {@link #MAX_REFUSED_SHARE}
- * of its jobs are refused, jobs of the route with the second most work are refused as well, and so on.
+ * of its work is refused, jobs of the route with the second most work are refused as well, and so on.
+ *
+ * <p>Within a route, the share applies to work rather than to jobs, because it is work that the pool can't do.
  */
 final class LoadShedding {
     /** Time constant of the arrival rates: short enough to detect a burst, long enough to smooth a single large job. */
@@ -22,7 +24,7 @@
      * without bound.
      */
     private static final double MAX_UTILIZATION = 0.95;
-    /** Largest share of a route's jobs that is refused. */
+    /** Largest share of a route's work that is refused. */
     private static final double MAX_REFUSED_SHARE = 0.7;
 
     private final Map<String, Rate> ratesByRoute = new HashMap<>();
@@ -31,8 +33,8 @@
     private static final class Rate {
         private double milliCores;
         private long updatedNanos;
-        /** Sum of the shares to refuse, less the jobs refused; the next job is refused when it reaches 1. */
-        private double accumulatedShare;
+        /** Work to refuse, less the work refused, in thousandths of a core times nanoseconds. */
+        private double pendingMilliCoreNanos;
 
         private double decayedAt(long now) {
             return milliCores * Math.exp(-(now - updatedNanos) / TIME_CONSTANT_NANOS);
@@ -49,9 +51,10 @@
     /**
      * Returns whether an arriving job must be refused.
      *
+     * @param workMilliCoreNanos work of the job, in thousandths of a core times nanoseconds
      * @param throughputMilliCores work per time that the pool can do, in thousandths of a core
      */
-    boolean shouldRefuse(String route, double throughputMilliCores, long now) {
+    boolean shouldRefuse(String route, double workMilliCoreNanos, double throughputMilliCores, long now) {
         double excessMilliCores = -MAX_UTILIZATION * throughputMilliCores;
         for (Rate rate : ratesByRoute.values()) {
             excessMilliCores += rate.decayedAt(now);
@@ -65,7 +68,7 @@
             double offeredMilliCores = entry.getValue().decayedAt(now);
             double share = Math.min(MAX_REFUSED_SHARE, excessMilliCores / offeredMilliCores);
             if (entry.getKey().equals(route)) {
-                return refusesNextJob(entry.getValue(), share);
+                return refusesNextJob(entry.getValue(), share, workMilliCoreNanos);
             }
             excessMilliCores -= share * offeredMilliCores;
             if (excessMilliCores <= 0) {
@@ -75,13 +78,13 @@
         return false;
     }
 
-    /** Returns whether to refuse the next job of a route, so that refusals are spread evenly over its jobs. */
-    private static boolean refusesNextJob(Rate rate, double share) {
-        rate.accumulatedShare += share;
-        if (rate.accumulatedShare < 1) {
+    /** Returns whether to refuse the next job of a route, so that the given share of the route's work is refused. */
+    private static boolean refusesNextJob(Rate rate, double share, double workMilliCoreNanos) {
+        rate.pendingMilliCoreNanos += share * workMilliCoreNanos;
+        if (rate.pendingMilliCoreNanos < workMilliCoreNanos) {
             return false;
         }
-        rate.accumulatedShare -= 1;
+        rate.pendingMilliCoreNanos -= workMilliCoreNanos;
         return true;
     }
 }
