Admit jobs without work while work is refused, and say whom the share prefers

A job that needs no processor was always refused once its route had to yield, since no work covers none.

--- a/src/main/java/org/mustardlink/pool/LoadShedding.java
+++ b/src/main/java/org/mustardlink/pool/LoadShedding.java
@@ -14,7 +14,9 @@
  * a tenth of any other route's jobs, so jobs of the other routes are completed in time. Once {@link #MAX_REFUSED_SHARE}
  * of its work is refused, jobs of the route with the second most work are refused as well, and so on.
  *
- * <p>Within a route, the share applies to work rather than to jobs, because it is work that the pool can't do.
+ * <p>Within a route, the share applies to work rather than to jobs, because it is work that the pool can't do. A job is
+ * refused once the work still to be refused covers all of its own, so small jobs yield before large ones. This makes up
+ * for small jobs that are never considered for refusal, because they fit on the targets at once.
  */
 final class LoadShedding {
     /** Time constant of the arrival rates: short enough to detect a burst, long enough to smooth a single large job. */
@@ -81,7 +83,7 @@
     /** Returns whether to refuse the next job of a route, so that the given share of the route's work is refused. */
     private static boolean refusesNextJob(Rate rate, double share, double workMilliCoreNanos) {
         rate.pendingMilliCoreNanos += share * workMilliCoreNanos;
-        if (rate.pendingMilliCoreNanos < workMilliCoreNanos) {
+        if (workMilliCoreNanos <= 0 || rate.pendingMilliCoreNanos < workMilliCoreNanos) {
             return false;
         }
         rate.pendingMilliCoreNanos -= workMilliCoreNanos;
