--- /dev/null
+++ b/review/standins-2/CancelCase.java
@@ -0,0 +1,59 @@
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.mustardlink.platform.standin.StandInDocuments;
+
+/** A job is cancelled through a host that is cut off from the other hosts. */
+final class CancelCase {
+    private static final int CANCEL_MS = 3_000;
+    private static final int DEADLINE_MS = 25_000;
+    private static final String JOB = "5c0e7a21d94b36f8";
+
+    private CancelCase() {}
+
+    public static void main(String[] arguments) throws Exception {
+        java.util.logging.LogManager.getLogManager().reset();
+        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        Path temporary = Files.createTempDirectory("review");
+        int status = 2;
+        try (Record record = new Record(Path.of(arguments[0], "record.txt"));
+                Deployment deployment = Deployment.start(
+                        record, temporary, List.of("north", "north", "south"), List.of("north", "north", "south"), 2)) {
+            status = run(record, deployment, trouble);
+        } catch (Exception e) {
+            System.err.println("the case could not run: " + e);
+        }
+        System.exit(status);
+    }
+
+    private static int run(Record record, Deployment deployment, boolean trouble) throws Exception {
+        Record.sleepMs(3_000);
+        Deployment.Host entry = deployment.hosts().get(0);
+        Deployment.Host cutOff = deployment.hosts().get(2);
+        record.line("POST " + JOB + " at " + entry.id + ": 24 tasks of 1 s, 4 at once");
+        CompletableFuture<Client.Response> job = CompletableFuture.supplyAsync(() -> Client.post(
+                entry.callerPort, Deployment.PATH_PREFIX + JOB, StandInDocuments.job(24, 1_000), DEADLINE_MS));
+        Record.sleepMs(500);
+        if (trouble) {
+            deployment.cutOff(cutOff);
+        }
+        Record.sleepMs(700);
+        record.line("DELETE " + JOB + " at " + cutOff.id);
+        Client.Response cancelled =
+                Client.delete(cutOff.callerPort, Deployment.PATH_PREFIX + JOB, 4_000);
+        long acknowledgedNanos = System.nanoTime();
+        record.line("DELETE answered: " + cancelled);
+        Record.sleepMs(700);
+        deployment.reconnect(cutOff);
+        Client.Response answered = job.get();
+        record.line("POST answered: " + answered);
+        Record.sleepMs(500);
+        boolean acknowledged = cancelled.status() == 410 || cancelled.status() / 100 == 2;
+        long late = record.runs().stream()
+                .filter(run -> run.startNanos - acknowledgedNanos > CANCEL_MS * 1_000_000L)
+                .count();
+        record.line("acknowledged: " + acknowledged + "; starts later than " + CANCEL_MS + " ms after it: " + late);
+        return acknowledged && late > 0 ? 1 : 0;
+    }
+}
