Review: case 6, a task runs twice after a runner has started again under its id

A list of runs from the earlier life of a runner arrives after the response to a start in its new life. The master compares the clocks of the two lives, takes the run for ended, and starts the task on another runner.

--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -82,8 +82,14 @@
      *
      * @param hostZones zone of each host
      * @param runners the runners, with their zones
+     * @param relayedRunners runners that the hosts reach through relays
      */
-    Deployment(Record record, Path directory, List<String> hostZones, Map<Runner, String> runners)
+    Deployment(
+            Record record,
+            Path directory,
+            List<String> hostZones,
+            Map<Runner, String> runners,
+            List<Runner> relayedRunners)
             throws IOException, InterruptedException {
         this.record = record;
         this.directory = directory;
@@ -116,6 +122,11 @@
                     relay(other, host).showAddress(other.peerAddress(), relayed);
                 }
             }
+            for (Runner runner : relayedRunners) {
+                Relay relay = Relay.start(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), runner.port()));
+                relays.put(host.id + ">" + runner.id, relay);
+                shown.put("127.0.0.1:" + runner.port(), relay.address());
+            }
             InetSocketAddress view = store.openView(text ->
                     ADDRESS.matcher(text).replaceAll(found -> shown.getOrDefault(found.group(), found.group())));
             writeSettings(host, view);
@@ -145,7 +156,7 @@
             Runner.Kind kind = new Runner.Kind(1_000 * cores, 1_024, List.of("a"));
             runners.put(new Runner("runner-" + runners.size(), kind, record), zone);
         }
-        return new Deployment(record, directory, hostZones, runners);
+        return new Deployment(record, directory, hostZones, runners, List.of());
     }
 
     /**
@@ -261,13 +272,21 @@
     private List<Relay> pathsOf(Host host) {
         List<Relay> paths = new ArrayList<>();
         relays.forEach((path, relay) -> {
-            if (path.startsWith(host.id + ">") || path.endsWith(">" + host.id)) {
+            boolean toRunner = path.contains(">runner-");
+            if (!toRunner && (path.startsWith(host.id + ">") || path.endsWith(">" + host.id))) {
                 paths.add(relay);
             }
         });
         return paths;
     }
 
+    /** Returns the relays through which the hosts reach a runner. */
+    List<Relay> pathsTo(Runner runner) {
+        return hosts.stream()
+                .map(host -> relays.get(host.id + ">" + runner.id))
+                .toList();
+    }
+
     /** Returns the host that has acquired a pool last, by the logs of the hosts. */
     Host masterOf(String pool) throws IOException {
         Host master = hosts.get(0);
--- a/review/standins-2/Relay.java
+++ b/review/standins-2/Relay.java
@@ -24,6 +24,8 @@
 
     private volatile String shownAddress = "";
     private boolean cut;
+    private volatile String delayedText = "";
+    private volatile long delayMs;
 
     private Relay(ServerSocket server, InetSocketAddress destination) {
         this.server = server;
@@ -46,6 +48,12 @@
         shownAddress = shown;
     }
 
+    /** Delays each answer that contains a text; those on other connections overtake it. */
+    void delayAnswers(String text, long millis) {
+        delayMs = millis;
+        delayedText = text;
+    }
+
     synchronized void cut() {
         cut = true;
     }
@@ -105,6 +113,9 @@
             for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
                 awaitPath();
                 String data = new String(buffer, 0, count, StandardCharsets.ISO_8859_1);
+                if (!introduces && !delayedText.isEmpty() && data.contains(delayedText)) {
+                    Thread.sleep(delayMs);
+                }
                 out.write((first && !ownAddress.isEmpty() ? data.replace(ownAddress, shownAddress) : data)
                         .getBytes(StandardCharsets.ISO_8859_1));
                 first = false;
--- a/review/standins-2/Runner.java
+++ b/review/standins-2/Runner.java
@@ -40,7 +40,8 @@
     private record Ended(long number, String task, int run, String how) {}
 
     final String id;
-    private final HttpServer server;
+    private HttpServer server;
+    private int port;
     private final ExecutorService threads = Executors.newCachedThreadPool();
     private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
     private final Listener listener;
@@ -62,14 +63,20 @@
         this.id = id;
         this.kind = kind;
         this.listener = listener;
-        server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 100);
+        listen();
+    }
+
+    /** Listens on a free port, and on the same one again after a crash. */
+    private void listen() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), port), 100);
         server.setExecutor(threads);
         server.createContext("/", this::handle);
         server.start();
+        port = server.getAddress().getPort();
     }
 
     int port() {
-        return server.getAddress().getPort();
+        return port;
     }
 
     synchronized Kind kind() {
@@ -98,7 +105,13 @@
                 + ",\"gpu\":0},\"labels\":[" + labels + "],\"seq\":" + ++seq + ",\"born\":" + bornMs + "}";
     }
 
-    synchronized void crash() {
+    /** Ends the process: everything that runs ends, and every connection is closed. */
+    void crash() {
+        endLife();
+        server.stop(0);
+    }
+
+    private synchronized void endLife() {
         lapse();
         up = false;
         life++;
@@ -110,7 +123,8 @@
     }
 
     /** Starts again under the same id, as a runner of a kind that may differ, without any memory. */
-    synchronized void restart(Kind newKind) {
+    synchronized void restart(Kind newKind) throws IOException {
+        listen();
         kind = newKind;
         highest.clear();
         ended.clear();
