--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -8,11 +9,8 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -42,6 +40,7 @@
     private final List<Host> hosts = new ArrayList<>();
     private final Map<String, Relay> relays = new HashMap<>();
     private volatile boolean closed;
+    private static int nextPort = 12_000 + (int) (ProcessHandle.current().pid() % 180) * 100;
 
     /** One dispatch host. */
     static final class Host {
@@ -161,19 +160,19 @@
 
     /**
      * Returns free ports of five digits, all different. They lie below the range from which the system takes the ports
-     * of outgoing connections, so that none of these takes one before its host listens on it.
+     * of outgoing connections, in a block that depends on the process, so that cases that run side by side use others.
      */
-    private static List<Integer> freePorts(int count) {
-        Set<Integer> ports = new LinkedHashSet<>();
+    private static List<Integer> freePorts(int count) throws IOException {
+        List<Integer> ports = new ArrayList<>();
         while (ports.size() < count) {
-            int port = 12_000 + ThreadLocalRandom.current().nextInt(18_000);
+            int port = nextPort++;
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 ports.add(socket.getLocalPort());
-            } catch (IOException e) {
+            } catch (BindException e) {
                 // Another process listens on this port.
             }
         }
-        return new ArrayList<>(ports);
+        return ports;
     }
 
     /** Renders the settings as the template of the deploy file does; only the address of the metrics is added. */
