--- a/review/standins-2/CancelAcknowledgedCase.java
+++ b/review/standins-2/CancelAcknowledgedCase.java
@@ -9,7 +9,7 @@
     private static final int CANCEL_MS = 3_000;
     private static final int CONTACT_MS = 3_000;
     private static final int CUT_MS = 1_400;
-    private static final int DEADLINE_MS = 25_000;
+    private static final int DEADLINE_MS = 12_000;
     private static final String JOB = "5c0e7a21d94b36f8";
 
     private CancelAcknowledgedCase() {}
--- a/review/standins-2/CancelCase.java
+++ b/review/standins-2/CancelCase.java
@@ -7,7 +7,7 @@
 /** A job is cancelled through a host that is cut off from the other hosts. */
 final class CancelCase {
     private static final int CANCEL_MS = 3_000;
-    private static final int DEADLINE_MS = 25_000;
+    private static final int DEADLINE_MS = 12_000;
     private static final String JOB = "5c0e7a21d94b36f8";
 
     private CancelCase() {}
