--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -91,6 +91,7 @@
             List<Runner> relayedRunners)
             throws IOException, InterruptedException {
         this.record = record;
+        Runtime.getRuntime().addShutdownHook(new Thread(this::endProcesses));
         this.directory = directory;
         store.put(
                 StoreTopics.OPERATOR,
@@ -301,15 +302,20 @@
         return master;
     }
 
-    @Override
-    public void close() throws IOException {
-        closed = true;
+    /** Ends the processes of the hosts, also when this process is ended by a signal. */
+    private void endProcesses() {
         for (Host host : hosts) {
             if (host.process != null) {
                 host.process.destroyForcibly();
                 host.process.onExit().join();
             }
         }
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        endProcesses();
         for (Relay relay : relays.values()) {
             relay.close();
         }
